--- /dev/null
+++ b/relay/src/discovery.rs
@@ -0,0 +1,72 @@
+//! Follows the platform's list of execute nodes: the whole list, then a watch that is renewed at once.
+//! When to ask again after a failure is the module's decision.
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use crate::config::{self, NodeList};
+use crate::core::{Carrier, Core};
+
+/// How long a watch is held where nothing changes.
+const WAIT: Duration = Duration::from_secs(20);
+/// How long an answer may take beyond that: discovery handles calls one after another.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// A longer list is none.
+const LONGEST: usize = 8 * 1024 * 1024;
+
+/// Follows the list whenever the module asks for it, for as long as that goes well.
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, client: awc::Client, discovery: SocketAddr) {
+    loop {
+        core.asked_to_follow().await;
+        let fault = session(&core, &client, discovery).await;
+        tracing::warn!(fault, "discovery cannot be followed; the module asks again later");
+        core.list_broken();
+    }
+}
+
+/// Ends with what went wrong.
+async fn session<C: Carrier>(core: &Core<C>, client: &awc::Client, discovery: SocketAddr) -> String {
+    let base = format!("http://{discovery}/v1/endpoints");
+    let mut generation = match fetch(client, &base, PATIENCE).await {
+        Ok(list) => {
+            tracing::info!(
+                generation = list.generation,
+                nodes = list.instances.len(),
+                "list of execute nodes"
+            );
+            core.take_list(&list, false);
+            list.generation
+        }
+        Err(fault) => return fault,
+    };
+    loop {
+        let watch = format!("{base}?index={generation}&wait={}", WAIT.as_millis());
+        match fetch(client, &watch, WAIT + PATIENCE).await {
+            Ok(list) => {
+                generation = list.generation;
+                if list.reset || !list.instances.is_empty() {
+                    tracing::info!(
+                        generation,
+                        changes = list.instances.len(),
+                        "list of execute nodes changed"
+                    );
+                    core.take_list(&list, false);
+                }
+            }
+            Err(fault) => return fault,
+        }
+    }
+}
+
+async fn fetch(client: &awc::Client, url: &str, patience: Duration) -> Result<NodeList, String> {
+    let call = async {
+        let mut response = client.get(url).no_decompress().send().await.map_err(|e| e.to_string())?;
+        if response.status() != 200 {
+            return Err(format!("status {}", response.status().as_u16()));
+        }
+        let body = response.body().limit(LONGEST).await.map_err(|e| e.to_string())?;
+        config::decode(&body)
+    };
+    timeout(patience, call).await.unwrap_or_else(|_| Err("no answer".into()))
+}
--- /dev/null
+++ b/relay/src/platform/carrier.rs
@@ -0,0 +1,224 @@
+//! The way out: claims to execute nodes and notices to the platform, over awc.
+use actix_rt::net::TcpStream;
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::error::SendRequestError;
+use awc::http::{StatusCode, Uri};
+use awc::{Client, Connector};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+use super::line::{CLAIM, Lines, Trace};
+use crate::config::Rules;
+use crate::core::{Carrier, Core, Job, Node, Notice, NoticeEnd, Outcome, Ticket};
+
+/// The header that passes a job's key through.
+pub const KEY: &str = "idempotency-key";
+/// How long a connection may be used; a machine that serves for a year must not tire of them.
+const LIFETIME: Duration = Duration::from_secs(365 * 24 * 3600);
+/// How often idle connections are looked at.
+const IDLE_LOOK: Duration = Duration::from_millis(250);
+/// How long the rest of an answer is read for, so that its connection can be used again.
+const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+/// Most bytes of an answer that are read for that.
+const LONGEST_ANSWER: usize = 64 * 1024;
+/// How long the platform may take to acknowledge a notice.
+const NOTICE_TIME: Duration = Duration::from_millis(1500);
+
+pub struct ToNodes {
+    /// awc clients, one for each address, so that a node that is gone leaves nothing behind.
+    exits: RefCell<HashMap<SocketAddr, Rc<Exit>>>,
+    reports: String,
+    platform: Client,
+    dial_timeout: Duration,
+    /// Connections idle for so long are closed: before the node does, with time for both ways.
+    idle: Duration,
+}
+
+struct Exit {
+    client: Client,
+    lines: Rc<Lines>,
+}
+
+/// An awc client with every default that costs connections, time or a second call set. Without its own
+/// limits (0 is none: the module's slots bound the calls), redirects, time-outs and extra headers.
+pub fn client(lines: &Rc<Lines>, dial_timeout: Duration, idle: Duration) -> Client {
+    let lines = lines.clone();
+    let connect = fn_service(move |info: ConnectInfo<Uri>| {
+        let lines = lines.clone();
+        async move {
+            let uri = info.request().clone();
+            let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+            let address = address.ok_or(ConnectError::Unresolved)?;
+            let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            Ok(Connection::new(uri, lines.add(stream)))
+        }
+    });
+    let connector = Connector::new()
+        .connector(Rc::new(connect))
+        .timeout(dial_timeout)
+        .limit(0)
+        .conn_keep_alive(idle)
+        .conn_lifetime(LIFETIME);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+}
+
+impl ToNodes {
+    pub fn new(rules: &Rules, discovery: SocketAddr) -> Self {
+        let idle_close = rules.idle_close();
+        let dial_timeout = rules.dial_timeout();
+        let idle = idle_close.saturating_sub((idle_close / 20).max(Duration::from_millis(400)));
+        ToNodes {
+            exits: RefCell::new(HashMap::new()),
+            reports: format!("http://{discovery}/reports"),
+            platform: client(&Rc::new(Lines::default()), dial_timeout, idle),
+            dial_timeout,
+            idle,
+        }
+    }
+
+    /// The client for the platform's own addresses.
+    pub fn platform(&self) -> Client {
+        self.platform.clone()
+    }
+
+    fn exit(&self, address: SocketAddr) -> Rc<Exit> {
+        let mut exits = self.exits.borrow_mut();
+        let exit = exits.entry(address).or_insert_with(|| {
+            let lines = Rc::new(Lines::default());
+            Rc::new(Exit { client: client(&lines, self.dial_timeout, self.idle), lines })
+        });
+        exit.clone()
+    }
+
+    async fn call(&self, job: &Job, node: &Node, limit: Duration, trace: &Rc<Trace>) -> Outcome {
+        let exit = self.exit(node.address);
+        let mut request = exit
+            .client
+            .post(format!("http://{}/v1/messages", node.address))
+            .insert_header(("x-request-id", job.id.as_str()))
+            .insert_header(("x-timeout-ms", limit.as_millis().to_string()))
+            .no_decompress();
+        for (name, value) in &job.fields {
+            request = request.insert_header((name.as_str(), value.as_ref()));
+        }
+        match request.send_body(job.body.clone()).await {
+            Ok(mut response) => {
+                let outcome = outcome(response.status(), |name| {
+                    response.headers().get(name).and_then(|v| v.to_str().ok())
+                });
+                let trace = trace.clone();
+                actix_rt::spawn(async move {
+                    let rest = response.body().limit(LONGEST_ANSWER);
+                    if let Ok(Ok(_)) = timeout(REST_OF_ANSWER, rest).await {
+                        trace.done();
+                    }
+                });
+                outcome
+            }
+            Err(e) => fault(&e, trace),
+        }
+    }
+}
+
+/// The meaning of an answer's status.
+fn outcome<'a>(status: StatusCode, header: impl Fn(&str) -> Option<&'a str>) -> Outcome {
+    match status.as_u16() {
+        200 => Outcome::Delivered,
+        429 => Outcome::Full { wait: header("retry-after").and_then(seconds) },
+        503 if header("x-no-slot").is_some_and(|v| v.trim() == "1") => Outcome::NotSent,
+        503 => Outcome::Full { wait: None },
+        504 => Outcome::NotSent,
+        410 => Outcome::Over,
+        _ => Outcome::Error,
+    }
+}
+
+/// Seconds with decimals, as a wait is told.
+pub fn seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|wait| !wait.is_zero())
+}
+
+/// What a call without an answer means. Whether it may have run is told by the socket, not by awc.
+fn fault(error: &SendRequestError, trace: &Trace) -> Outcome {
+    if trace.ticket().is_sent() {
+        return Outcome::Reset;
+    }
+    if trace.refused() {
+        return Outcome::NotSent;
+    }
+    tracing::debug!(%error, "call not sent");
+    Outcome::Unconnected
+}
+
+impl Carrier for ToNodes {
+    async fn claim(&self, job: &Job, node: &Node, limit: Duration, ticket: &Rc<Ticket>) -> Outcome {
+        let trace = Trace::new(ticket.clone());
+        CLAIM.scope(trace.clone(), self.call(job, node, limit, &trace)).await
+    }
+
+    async fn notify(&self, notice: &Notice) -> Result<(), String> {
+        let line = Line::from(notice);
+        let mut body = serde_json::to_vec(&line).map_err(|e| e.to_string())?;
+        body.push(b'\n');
+        let call = async {
+            let request = self.platform.post(&self.reports).no_decompress();
+            let mut response = request.send_body(body).await.map_err(|e| e.to_string())?;
+            let _ = response.body().limit(LONGEST_ANSWER).await;
+            match response.status().as_u16() {
+                204 => Ok(()),
+                400 => {
+                    tracing::error!(id = notice.id, "the platform cannot read a notice");
+                    Ok(())
+                }
+                other => Err(format!("status {other}")),
+            }
+        };
+        timeout(NOTICE_TIME, call).await.unwrap_or_else(|_| Err("no answer".into()))
+    }
+
+    fn close_idle(&self, node: &Node) {
+        if let Some(exit) = self.exits.borrow().get(&node.address) {
+            exit.lines.close_idle(Duration::ZERO);
+        }
+    }
+
+    fn forget(&self, node: &Node) {
+        self.exits.borrow_mut().remove(&node.address);
+    }
+}
+
+/// Closes connections that stood idle, now and then.
+pub async fn close_idle(core: Rc<Core<ToNodes>>) {
+    let to_nodes = &core.carrier;
+    loop {
+        tokio::time::sleep(IDLE_LOOK).await;
+        to_nodes.exits.borrow().values().for_each(|exit| exit.lines.close_idle(to_nodes.idle));
+    }
+}
+
+/// A notice in the platform's form.
+#[derive(Serialize)]
+struct Line<'a> {
+    id: &'a str,
+    state: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u64>,
+}
+
+impl<'a> From<&'a Notice> for Line<'a> {
+    fn from(notice: &'a Notice) -> Self {
+        let (state, after) = match notice.end {
+            NoticeEnd::Failed { .. } => ("failed", None),
+            NoticeEnd::Returned { after } => ("returned", after),
+        };
+        Line { id: &notice.id, state, after_ms: after.map(|a| a.as_millis() as u64) }
+    }
+}
--- /dev/null
+++ b/relay/src/platform/server.rs
@@ -0,0 +1,222 @@
+//! The way in: submitters over actix-http.
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore};
+
+use super::carrier::KEY;
+use crate::core::{Answer, Carrier, Core, Job};
+
+/// Largest body; the platform sends none larger.
+const LONGEST_BODY: usize = 64 * 1024;
+/// Longest id or key: each must fit into a journal record many times over.
+const LONGEST_NAME: usize = 512;
+/// Longest time that a message may still have; a longer one is no sensible figure.
+const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
+/// A submitter's connection may stand idle for so long: shorter, and submitters pay for new ones.
+const KEEP_ALIVE: Duration = Duration::from_secs(300);
+/// A request's head must be whole within this time.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+/// A request's body must be whole within this time.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+pub struct Server<C> {
+    core: Rc<Core<C>>,
+    ready: Cell<bool>,
+    /// Open submitters' connections.
+    places: Arc<Semaphore>,
+    leaving: Cell<bool>,
+    leave: Rc<Notify>,
+}
+
+impl<C: Carrier> Server<C> {
+    pub fn new(core: Rc<Core<C>>, connections: usize) -> Rc<Self> {
+        Rc::new(Server {
+            core,
+            ready: Cell::new(false),
+            places: Arc::new(Semaphore::new(connections)),
+            leaving: Cell::new(false),
+            leave: Rc::new(Notify::new()),
+        })
+    }
+
+    /// Recovered and listening: from now on `GET /ready` says so.
+    pub fn set_ready(&self) {
+        self.ready.set(true);
+    }
+
+    /// From now on each answer closes its connection.
+    pub fn set_leaving(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Closes connections on which no request is being read or answered.
+    pub fn close_idle(&self) {
+        self.leave.notify_waiters();
+    }
+
+    /// Takes connections, as many as there are places for.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let leave = self.leave.clone();
+        let service = {
+            let server = self.clone();
+            HttpService::build()
+                .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+                .client_request_timeout(HEAD_TIME)
+                .client_disconnect_timeout(Duration::from_secs(1))
+                .tcp_nodelay(true)
+                .graceful_shutdown_signal(move || {
+                    let leave = leave.clone();
+                    async move { leave.notified().await }
+                })
+                .h1(fn_service(move |request: Request| {
+                    let server = server.clone();
+                    async move { Ok::<_, Infallible>(server.serve(request).await) }
+                }))
+                .tcp()
+        };
+        let service = match service.new_service(()).await {
+            Ok(service) => Rc::new(service),
+            Err(e) => {
+                tracing::error!(error = ?e, "cannot serve submitters");
+                return;
+            }
+        };
+        loop {
+            let Ok(place) = self.places.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let service = service.clone();
+                    actix_rt::spawn(async move {
+                        if let Err(e) = service.call(stream).await {
+                            tracing::debug!(error = %e, "submitter's connection");
+                        }
+                        drop(place);
+                    });
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "cannot take a connection");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+}
+
+impl<C: Carrier> Server<C> {
+    async fn serve(&self, mut request: Request) -> Response<&'static str> {
+        let mut response = match (request.method(), request.path()) {
+            (&Method::GET, "/ready") if self.ready.get() => Response::with_body(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/ready") => answer(StatusCode::SERVICE_UNAVAILABLE),
+            (&Method::POST, _) => match self.read(&mut request).await {
+                Ok(job) => told(self.core.admit(job).await),
+                Err(Unfit { status, why }) => {
+                    tracing::info!(why, path = request.path(), "request is no job");
+                    Response::with_body(status, why)
+                }
+            },
+            _ => answer(StatusCode::NOT_FOUND),
+        };
+        if self.leaving.get() {
+            response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        response
+    }
+
+    /// Decodes a job, once.
+    async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
+        let text = |name: &str| match request.headers().get(name) {
+            None => Ok(None),
+            Some(value) => match value.to_str() {
+                Ok(value) if value.len() <= LONGEST_NAME => Ok(Some(value.to_owned())),
+                _ => Err(bad("a header is too long or is not text")),
+            },
+        };
+        let id = text("x-request-id")?.filter(|id| !id.is_empty()).ok_or(bad("X-Request-ID is missing"))?;
+        let first = request.path().split('/').nth(1).unwrap_or("").to_owned();
+        let class = text("x-priority-class")?.unwrap_or(first);
+        self.core.rules.class(&class).ok_or(bad("unknown class"))?;
+        let left = text("x-timeout-ms")?.and_then(|v| v.trim().parse().ok()).map(Duration::from_millis);
+        let left =
+            left.filter(|l| *l <= LONGEST_TIME).ok_or(bad("X-Timeout-Ms is no time in milliseconds"))?;
+        let dest =
+            text("x-envelope")?.and_then(|v| destination(&v)).ok_or(bad("X-Envelope names no dest"))?;
+        let retried = text("x-retried")?;
+        let key = request.headers().get(KEY).map(|v| Bytes::copy_from_slice(v.as_bytes()));
+        if key.as_ref().is_some_and(|k| k.len() > LONGEST_NAME) {
+            return Err(bad("Idempotency-Key is too long"));
+        }
+        let body =
+            tokio::time::timeout(BODY_TIME, body(request)).await.map_err(|_| bad("body is not whole"))??;
+        Ok(Job {
+            id,
+            class,
+            dest,
+            // From here on the wall clock counts, so that a restart takes no time off.
+            deadline: SystemTime::now() + left,
+            retry: retried.as_deref() == Some("1"),
+            reconnect: retried.as_deref() == Some("again"),
+            fields: key.map(|k| (KEY.to_owned(), k)).into_iter().collect(),
+            body,
+        })
+    }
+}
+
+/// Why a request is no job, and the status that says so.
+#[derive(Debug)]
+struct Unfit {
+    status: StatusCode,
+    why: &'static str,
+}
+
+fn bad(why: &'static str) -> Unfit {
+    Unfit { status: StatusCode::BAD_REQUEST, why }
+}
+
+/// Reads a body to its end, no further than is allowed.
+async fn body(request: &mut Request) -> Result<Bytes, Unfit> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| bad("body cannot be read"))?;
+        if body.len() + chunk.len() > LONGEST_BODY {
+            return Err(Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// The number behind `dest=` among an envelope's parts.
+fn destination(envelope: &str) -> Option<u64> {
+    let parts = envelope.split([',', ';', '&', ' ']).map(str::trim);
+    parts.filter_map(|part| part.strip_prefix("dest=")).next()?.parse().ok()
+}
+
+fn answer(status: StatusCode) -> Response<&'static str> {
+    Response::with_body(status, "")
+}
+
+/// Encodes an answer, once.
+fn told(told: Answer) -> Response<&'static str> {
+    match told {
+        Answer::Taken => answer(StatusCode::ACCEPTED),
+        Answer::Failed => answer(StatusCode::INTERNAL_SERVER_ERROR),
+        Answer::Refused { after } => {
+            let mut response = answer(StatusCode::TOO_MANY_REQUESTS);
+            if let Some(after) = after {
+                let seconds = format!("{:.3}", after.as_secs_f64());
+                let value = seconds.parse().expect("digits and a point");
+                response.headers_mut().insert(actix_http::header::RETRY_AFTER, value);
+            }
+            response
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -443,7 +443,7 @@
         if let Some(key) = key {
             self.keys.entry(key).or_default().line.push_back(request.msg);
         }
-        let mut message = Message::new(request.dest, request.class.0, key, now, request.patience);
+        let mut message = Message::new(request, key, now);
         message.worth = class.credit.unwrap_or(1.0) * kept;
         message.aim_at = (message.deadline + class.aim).saturating_sub(class.give_up);
         self.messages.insert(request.msg, message);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -243,6 +243,21 @@
     pub retry: bool,
     /// A courier that had it has died.
     pub reconnect: bool,
+    /// Attempts made before: not zero only for a message that outlived its courier's process.
+    pub tries: u32,
+    /// The first of those attempts that may have run.
+    pub risk: Option<Risk>,
+}
+
+/// The first attempt of a message that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Risk {
+    /// When it was sent; it may lie before the courier's first round.
+    pub sent: Nanos,
+    /// Where to.
+    pub endpoint: EndpointId,
+    /// That endpoint's zone, if known.
+    pub zone: Option<ZoneId>,
 }
 
 /// How an attempt ended.
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,14 +158,6 @@
     }
 }
 
-/// The first attempt of a message that may have run.
-#[derive(Clone, Copy)]
-pub struct Risk {
-    pub sent: Nanos,
-    pub endpoint: EndpointId,
-    pub zone: Option<ZoneId>,
-}
-
 /// An accepted message; it stays known until its last attempt has an outcome.
 pub struct Message {
     pub dest: DestId,
@@ -187,20 +179,20 @@
 }
 
 impl Message {
-    pub fn new(dest: DestId, class: usize, key: Option<OrderKey>, came: Nanos, patience: Nanos) -> Self {
-        let deadline = came.saturating_add(patience);
+    pub fn new(request: &Request, key: Option<OrderKey>, came: Nanos) -> Self {
+        let deadline = came.saturating_add(request.patience);
         Message {
-            dest,
-            class,
+            dest: request.dest,
+            class: request.class.0,
             key,
             worth: 1.0,
             came,
             aim_at: deadline,
             deadline,
-            tries: 0,
+            tries: request.tries,
             ended: false,
             out: None,
-            risk: None,
+            risk: request.risk,
             full: None,
             held_in: None,
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -67,6 +67,8 @@
         patience: 20 * SECOND,
         retry: false,
         reconnect: false,
+        tries: 0,
+        risk: None,
     }
 }
 
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,8 +1,7 @@
 //! Hosts slatethread couriers on the simulator's wire. Translation only: every decision is the library's.
 #![forbid(unsafe_code)]
 
-mod wire;
-
+use slatethread_wirehost::wire;
 use std::io::{self, BufRead, BufWriter, Write};
 
 fn run() -> Result<(), String> {
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -1,185 +1,11 @@
 //! The wire's words, and their translation to and from the library's types.
+use crate::env::{Env, Names, place, settings};
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use slatethread::*;
 use std::collections::BTreeMap;
 
-#[derive(Deserialize)]
-struct Env {
-    replicas_of_me: Option<u32>,
-    categories: Vec<EnvClass>,
-    membership_mode: Option<String>,
-    extra: Option<EnvExtra>,
-    policy_limits: Option<EnvLimits>,
-    rules: Option<EnvRules>,
-    report: Option<EnvReport>,
-    over_share_worth: Option<f64>,
-    step: Option<u64>,
-    weights: Option<String>,
-    zone: Option<String>,
-    #[serde(default)]
-    orgs: Vec<EnvTenant>,
-    #[serde(default)]
-    shapes: Vec<String>,
-    #[serde(default)]
-    zones: Vec<String>,
-}
-
-#[derive(Deserialize)]
-struct EnvClass {
-    name: String,
-    aim: u64,
-    give_up: u64,
-    effect: Option<String>,
-    group: Option<String>,
-    window: Option<u64>,
-    #[serde(default)]
-    by_arrival: bool,
-    late_worth: Option<f64>,
-    credit: Option<f64>,
-}
-
-#[derive(Deserialize)]
-struct EnvTenant {
-    name: String,
-    quota_rps: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-struct EnvExtra {
-    #[serde(default)]
-    own_limits: Vec<bool>,
-    #[serde(default)]
-    bundle_max: Vec<u32>,
-    fades: Option<String>,
-    max_calls: Option<u32>,
-}
-
-#[derive(Deserialize, Default)]
-struct EnvLimits {
-    most_tries: Option<u32>,
-    most_held: Option<u32>,
-    max_retry_after: Option<u64>,
-    idle_close: Option<u64>,
-    dial_timeout: Option<u64>,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    probing: bool,
-    #[serde(default)]
-    peers: bool,
-}
-
-#[derive(Deserialize, Default)]
-struct EnvReport {
-    #[serde(default)]
-    columns: Vec<String>,
-}
-
-#[derive(Deserialize, Default)]
-struct EnvRules {
-    cold: Option<u64>,
-    cold_share: Option<f64>,
-    fall_multiple: Option<f64>,
-    fall: Option<u64>,
-    must_ask_in: Option<u64>,
-    order_settle: Option<u64>,
-}
-
-/// The names of one instance's settings, in their order.
-#[derive(Default)]
-struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    kinds: Vec<String>,
-    zones: Vec<String>,
-    /// Columns of load reports.
-    columns: Vec<String>,
-}
-
-fn place(names: &[String], name: &str, what: &str) -> Result<usize, String> {
-    names.iter().position(|n| n == name).ok_or_else(|| format!("unknown {what} '{name}'"))
-}
-
-fn settings(env: Env) -> Result<(Settings, Names), String> {
-    let extra = env.extra.unwrap_or_default();
-    let limits = env.policy_limits.unwrap_or_default();
-    let rules = env.rules.unwrap_or_default();
-    let names = Names {
-        classes: env.categories.iter().map(|c| c.name.clone()).collect(),
-        tenants: env.orgs.iter().map(|o| o.name.clone()).collect(),
-        kinds: env.shapes,
-        zones: env.zones,
-        columns: env.report.unwrap_or_default().columns,
-    };
-    let classes = env.categories.into_iter().map(class).collect::<Result<_, _>>()?;
-    let kinds = (0..names.kinds.len())
-        .map(|i| Kind { apart: extra.own_limits.get(i).copied(), bundle: extra.bundle_max.get(i).copied() })
-        .collect();
-    let zone = env.zone.map(|z| place(&names.zones, &z, "zone")).transpose()?.map(ZoneId);
-    let settings = Settings {
-        couriers: env.replicas_of_me,
-        zone,
-        step: env.step,
-        classes,
-        fade: match extra.fades.as_deref() {
-            Some("line") => Some(Fade::Line),
-            Some("halves") => Some(Fade::Halves),
-            _ => None,
-        },
-        tenants: env.orgs.into_iter().map(|o| Tenant { quota: o.quota_rps }).collect(),
-        over_share_worth: env.over_share_worth,
-        kinds,
-        slots: extra.max_calls,
-        max_held: limits.most_held,
-        max_tries: limits.most_tries,
-        max_backoff: limits.max_retry_after,
-        idle_close: limits.idle_close,
-        dial_timeout: limits.dial_timeout,
-        backoff_told: limits.retry_after,
-        list_on_request: env.membership_mode.as_deref() == Some("subscribe"),
-        weights: match env.weights.as_deref() {
-            Some("nominal") => Weights::Exact,
-            Some("rough") => Weights::Rough,
-            _ => Weights::Nothing,
-        },
-        probing: limits.probing,
-        notes: limits.peers,
-        rules: Rules {
-            cold: rules.cold,
-            cold_share: rules.cold_share,
-            fall_multiple: rules.fall_multiple,
-            fall: rules.fall,
-            must_ask_in: rules.must_ask_in,
-            order_settle: rules.order_settle,
-        },
-    };
-    Ok((settings, names))
-}
-
-fn class(c: EnvClass) -> Result<Class, String> {
-    Ok(Class {
-        aim: c.aim,
-        give_up: c.give_up,
-        effect: match c.effect.as_deref() {
-            Some("read_like") => Effect::Safe,
-            Some("idempotency_key") => Effect::Keyed,
-            Some("non_idempotent") | None => Effect::Unsafe,
-            Some(other) => return Err(format!("unknown effect '{other}'")),
-        },
-        group: match c.group.as_deref() {
-            Some("all") => Group::All,
-            Some("zone") => Group::Zone,
-            _ => Group::Endpoint,
-        },
-        window: c.window,
-        ordered: c.by_arrival,
-        late_worth: c.late_worth,
-        credit: c.credit,
-    })
-}
-
 #[derive(Deserialize, Clone)]
 struct Line {
     endpoint: u32,
@@ -381,6 +207,8 @@
                     patience: r.patience_left,
                     retry: r.retry,
                     reconnect: r.reconnect,
+                    tries: 0,
+                    risk: None,
                 };
                 self.push(r.courier, Event::Request(request))
             }
