--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -1,9 +1,9 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use slatethread::{Nanos, Settings};
+use serde::{Deserialize, Serialize};
+use slatethread::{Effect, Fade, Kind, Nanos, Settings, Weights};
 use slatethread_wirehost::env::{self, Env, Names};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -31,6 +31,7 @@
 }
 
 /// The module's settings, with what else a front needs of them.
+#[derive(Clone)]
 pub struct Rules {
     pub settings: Settings,
     pub names: Names,
@@ -125,9 +126,10 @@
     3.0
 }
 
-/// Reads what the platform tells in `BALANCER_CONFIG`; the other variables override it.
-pub fn platform() -> Result<Platform, String> {
-    let path = variable("BALANCER_CONFIG")?.ok_or("BALANCER_CONFIG is not set")?;
+/// Reads what the platform tells in `BALANCER_CONFIG`; the other variables override it. Without that one,
+/// this is no relay of the platform's.
+pub fn platform() -> Result<Option<Platform>, String> {
+    let Some(path) = variable("BALANCER_CONFIG")? else { return Ok(None) };
     let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG: cannot read {path}: {e}"))?;
     let told: Told = decode(&text).map_err(|e| format!("BALANCER_CONFIG: {e}"))?;
     let state = variable("BALANCER_STATE")?.ok_or("BALANCER_STATE is not set")?;
@@ -137,7 +139,7 @@
     if !disk.is_finite() || disk < 0.1 {
         return Err(format!("BALANCER_CONFIG: limits.disk_mb: {disk} is too small to keep a journal in"));
     }
-    Ok(Platform {
+    Ok(Some(Platform {
         name: variable("BALANCER_NAME")?.unwrap_or(told.name),
         listen: address("BALANCER_LISTEN")?.unwrap_or(told.listen),
         discovery: address("BALANCER_DISCOVERY")?.unwrap_or(told.discovery),
@@ -146,7 +148,7 @@
         limits: Limits { disk: (disk * 1e6) as u64, sockets: told.limits.sockets },
         known: told.known.unwrap_or(known),
         rules: rules(told.settings).map_err(|e| format!("BALANCER_CONFIG: settings: {e}"))?,
-    })
+    }))
 }
 
 fn rules(env: Env) -> Result<Rules, String> {
@@ -178,3 +180,314 @@
     let value = variable(name)?;
     value.map(|v| v.parse().map_err(|_| format!("{name}: '{v}' is no address and port"))).transpose()
 }
+
+/// What the file of the second front says; the front is off without one.
+pub struct Push {
+    pub listen: SocketAddr,
+    /// The folder that lasts.
+    pub state: PathBuf,
+    pub disk: u64,
+    /// Where ends are told.
+    pub notices: SocketAddr,
+    /// Largest body taken from a submitter.
+    pub body_limit: usize,
+    /// Submitters' connections at once.
+    pub connections: usize,
+    pub rules: Rules,
+    pub gateways: NodeList,
+    pub locations: Vec<Location>,
+}
+
+/// Where submitters' paths lead.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Location {
+    pub path: String,
+    /// The path must be the whole of a request's path, not just its beginning.
+    pub exact: bool,
+    /// What takes the place of `path` on the way to the gateway.
+    pub target: String,
+    pub class: String,
+    pub dest: u64,
+}
+
+/// The file as it is written. The importer writes this form, the push front runs it.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PushFile {
+    pub push: PushTable,
+    #[serde(default)]
+    pub limits: LimitsTable,
+    #[serde(rename = "class")]
+    pub classes: Vec<ClassTable>,
+    #[serde(rename = "upstream", default)]
+    pub upstreams: Vec<UpstreamTable>,
+    #[serde(rename = "location", default)]
+    pub locations: Vec<LocationTable>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PushTable {
+    pub listen: String,
+    pub notices: String,
+    pub state: PathBuf,
+    #[serde(default = "default_push_disk_mb")]
+    pub disk_mb: f64,
+    #[serde(default = "default_body_limit")]
+    pub body_limit: usize,
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitsTable {
+    /// Relays like this one that share the gateways.
+    pub relays: u32,
+    /// Claims out at once.
+    pub slots: u32,
+    /// Jobs held at once.
+    pub jobs: u32,
+    /// Claims for one job.
+    pub tries: u32,
+    pub dial_timeout_ms: u64,
+    pub idle_close_ms: u64,
+    pub longest_backoff_ms: u64,
+}
+
+impl Default for LimitsTable {
+    fn default() -> Self {
+        LimitsTable {
+            relays: 1,
+            slots: 64,
+            jobs: 512,
+            tries: 8,
+            dial_timeout_ms: 1500,
+            idle_close_ms: 60_000,
+            longest_backoff_ms: 3000,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassTable {
+    pub name: String,
+    /// Delivered within this time, a message earns its full worth.
+    pub aim_ms: u64,
+    pub give_up_ms: u64,
+    pub repeat: Repeat,
+    #[serde(default = "default_worth")]
+    pub worth: f64,
+    /// Share of the worth left at the deadline.
+    #[serde(default)]
+    pub late_worth: f64,
+}
+
+/// Whether a message that may have run is sent again.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    Safe,
+    Never,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamTable {
+    pub name: String,
+    /// Calls a second that it takes from all relays together, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<f64>,
+    #[serde(rename = "server")]
+    pub servers: Vec<ServerTable>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerTable {
+    pub address: String,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub draining: bool,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LocationTable {
+    pub path: String,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub exact: bool,
+    /// Defaults to the path itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<String>,
+    pub upstream: String,
+    pub class: String,
+}
+
+fn default_push_disk_mb() -> f64 {
+    64.0
+}
+
+fn default_body_limit() -> usize {
+    4096
+}
+
+fn default_connections() -> usize {
+    256
+}
+
+fn default_worth() -> f64 {
+    1.0
+}
+
+/// Reads the second front's file.
+pub fn push(path: &Path) -> Result<Push, String> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
+    push_text(&text).map_err(|e| format!("{name}: {e}"))
+}
+
+/// The same from the file's text.
+pub fn push_text(text: &str) -> Result<Push, String> {
+    let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
+    let file: PushFile = serde_path_to_error::deserialize(reader)
+        .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+    if file.classes.is_empty() {
+        return Err("class: no class of message is given".into());
+    }
+    let disk = file.push.disk_mb;
+    if !disk.is_finite() || disk < 0.1 {
+        return Err(format!("push.disk_mb: {disk} is too small to keep a journal in"));
+    }
+    if file.limits.slots == 0 || file.limits.jobs == 0 || file.limits.tries == 0 {
+        return Err("limits: slots, jobs and tries must be at least 1".into());
+    }
+    let one = |key: &str, value: &str| {
+        value.parse::<SocketAddr>().map_err(|_| format!("{key}: '{value}' is no address and port"))
+    };
+    Ok(Push {
+        listen: one("push.listen", &file.push.listen)?,
+        notices: one("push.notices", &file.push.notices)?,
+        state: file.push.state.clone(),
+        disk: (disk * 1e6) as u64,
+        body_limit: file.push.body_limit,
+        connections: file.push.connections.max(1),
+        rules: push_rules(&file)?,
+        gateways: gateways(&file.upstreams)?,
+        locations: locations(&file)?,
+    })
+}
+
+fn push_rules(file: &PushFile) -> Result<Rules, String> {
+    let millis = |ms: u64| ms.saturating_mul(1_000_000);
+    let mut classes = Vec::new();
+    for (i, class) in file.classes.iter().enumerate() {
+        if class.give_up_ms == 0 || class.aim_ms > class.give_up_ms {
+            return Err(format!("class[{i}].aim_ms: must not be above give_up_ms, which must not be 0"));
+        }
+        classes.push(slatethread::Class {
+            aim: millis(class.aim_ms),
+            give_up: millis(class.give_up_ms),
+            // A gateway remembers no keys, and one that resets streams at random may have taken the message
+            // with any reason it gives: such a class is never sent again once it may have run.
+            effect: match class.repeat {
+                Repeat::Safe => Effect::Safe,
+                Repeat::Never => Effect::Unsafe,
+            },
+            late_worth: Some(class.late_worth),
+            credit: Some(class.worth),
+            ..slatethread::Class::default()
+        });
+    }
+    let limits = &file.limits;
+    let rated = file.upstreams.iter().any(|u| u.rate.is_some());
+    Ok(Rules {
+        settings: Settings {
+            couriers: Some(limits.relays.max(1)),
+            step: Some(millis(5)),
+            classes,
+            fade: Some(Fade::Line),
+            kinds: vec![Kind::default()],
+            slots: Some(limits.slots),
+            max_held: Some(limits.jobs),
+            max_tries: Some(limits.tries),
+            max_backoff: Some(millis(limits.longest_backoff_ms.max(1))),
+            idle_close: Some(millis(limits.idle_close_ms)),
+            dial_timeout: Some(millis(limits.dial_timeout_ms)),
+            backoff_told: true,
+            weights: if rated { Weights::Exact } else { Weights::Nothing },
+            // The platform's figures: nothing better is known of gateways that come back cold.
+            rules: slatethread::Rules {
+                cold: Some(millis(14_000)),
+                cold_share: Some(0.18),
+                fall_multiple: Some(2.0),
+                fall: Some(millis(3000)),
+                ..slatethread::Rules::default()
+            },
+            ..Settings::default()
+        },
+        names: Names {
+            classes: file.classes.iter().map(|c| c.name.clone()).collect(),
+            kinds: vec![GATEWAY.into()],
+            ..Names::default()
+        },
+    })
+}
+
+/// The kind and the zone of all gateways; nothing is said of either.
+const GATEWAY: &str = "gateway";
+
+/// An upstream's number as a destination: the same for its name wherever it stands in the file, so that jobs
+/// in the journal find theirs after the file has changed.
+fn number(upstream: &str) -> u64 {
+    u64::from(crc32fast::hash(upstream.as_bytes()))
+}
+
+fn gateways(upstreams: &[UpstreamTable]) -> Result<NodeList, String> {
+    let mut instances = Vec::new();
+    for (i, upstream) in upstreams.iter().enumerate() {
+        if let Some(other) = upstreams[..i].iter().find(|o| number(&o.name) == number(&upstream.name)) {
+            return Err(format!("upstream[{i}].name: '{}' is taken by '{}'", upstream.name, other.name));
+        }
+        for (j, server) in upstream.servers.iter().enumerate() {
+            let fault = |e: String| format!("upstream[{i}].server[{j}].address: '{}': {e}", server.address);
+            let addresses = server.address.to_socket_addrs().map_err(|e| fault(e.to_string()))?;
+            for address in addresses {
+                instances.push(NodeEntry {
+                    instance_id: format!("{}/{address}", upstream.name),
+                    host_port: address.to_string(),
+                    zone: String::new(),
+                    machine_type: GATEWAY.into(),
+                    cell: number(&upstream.name),
+                    lifecycle: if server.draining { Lifecycle::Draining } else { Lifecycle::Serving },
+                    weight: upstream.rate,
+                });
+            }
+        }
+    }
+    Ok(NodeList { generation: 0, reset: true, instances })
+}
+
+fn locations(file: &PushFile) -> Result<Vec<Location>, String> {
+    let mut locations = Vec::new();
+    for (i, location) in file.locations.iter().enumerate() {
+        if !file.upstreams.iter().any(|u| u.name == location.upstream) {
+            return Err(format!("location[{i}].upstream: there is no '{}'", location.upstream));
+        }
+        if !file.classes.iter().any(|c| c.name == location.class) {
+            return Err(format!("location[{i}].class: there is no '{}'", location.class));
+        }
+        let target = location.target.as_ref().unwrap_or(&location.path);
+        if !location.path.starts_with('/') || !target.starts_with('/') {
+            return Err(format!("location[{i}].path: it and its target must begin with '/'"));
+        }
+        locations.push(Location {
+            path: location.path.clone(),
+            exact: location.exact,
+            target: target.clone(),
+            class: location.class.clone(),
+            dest: number(&location.upstream),
+        });
+    }
+    Ok(locations)
+}
--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -50,6 +50,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Delivered,
+    /// Answered for good that it cannot be delivered, with the status that said so.
+    Rejected(u16),
     /// The message is over; nothing more is owed for it.
     Over,
     /// Not sent: it never reached the node, or the node says that it did not count.
@@ -71,13 +73,14 @@
     }
 
     fn ends_job(self) -> bool {
-        matches!(self, Outcome::Delivered | Outcome::Over)
+        matches!(self, Outcome::Delivered | Outcome::Over | Outcome::Rejected(_))
     }
 
     fn for_module(self) -> slatethread::Outcome {
         use slatethread::Outcome as To;
         match self {
-            Outcome::Delivered => To::Ok,
+            // The node served the call; that nobody can deliver the message is no fault of the node's.
+            Outcome::Delivered | Outcome::Rejected(_) => To::Ok,
             Outcome::Over | Outcome::NotSent => To::Moot,
             Outcome::Full { wait } => To::Full { wait: wait.map(nanos) },
             Outcome::Error => To::Error,
@@ -220,6 +223,20 @@
 /// How long an end is tried to be told; by then nobody waits for it.
 const NOTICE_TRIES: Duration = Duration::from_secs(300);
 
+/// Longest wait that is believed.
+const LONGEST_WAIT: Duration = Duration::from_secs(24 * 3600);
+
+/// A told wait, as it is kept to. Guards against figures past the end of the clock.
+pub fn told_wait(wait: Duration) -> Duration {
+    wait.min(LONGEST_WAIT)
+}
+
+/// A wait told in seconds, with or without decimals.
+pub fn told_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok().filter(|s: &f64| *s > 0.0)?;
+    Some(told_wait(Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_WAIT)))
+}
+
 fn nanos(span: Duration) -> Nanos {
     span.as_nanos().min(u128::from(u64::MAX)) as u64
 }
@@ -268,6 +285,11 @@
         answered.await.unwrap_or(Answer::Failed)
     }
 
+    /// Whether a job has no end yet.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.state.borrow().ids.contains(id)
+    }
+
     /// Goes on with a job that outlived its process.
     pub fn resume(self: &Rc<Self>, open: Open) {
         self.state.borrow_mut().ids.insert(open.job.id.clone());
@@ -334,6 +356,7 @@
                 Order::Claim { node, limit } => {
                     match self.claim(key, &job, class, &mut risk, &mut seat, &node, limit).await {
                         Outcome::Delivered | Outcome::Over => break None,
+                        Outcome::Rejected(status) => break Some(NoticeEnd::Failed { status: Some(status) }),
                         _ => {}
                     }
                 }
@@ -594,6 +617,7 @@
         self.carrier.forget(node);
         state.nodes.remove(&node.id);
         state.by_name.remove(&node.name);
+        state.waits.remove(&(node.dest, Some(node.id)));
     }
 
     /// The list could not be had.
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -4,19 +4,23 @@
 mod config;
 mod core;
 mod discovery;
+mod door;
 mod journal;
+mod notice;
 mod platform;
+mod push;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
-use crate::core::Core;
+use crate::config::{Limits, NodeList, Rules};
+use crate::core::{Carrier, Core};
 use crate::journal::Journal;
-use crate::platform::carrier::{self, ToNodes};
-use crate::platform::server::Server;
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -27,11 +31,23 @@
 /// Part of the descriptors that submitters' connections may take; the rest is for nodes and files.
 const SUBMITTERS_PART: f64 = 0.4;
 
+const USAGE: &str = "usage: onyxglade [--config FILE]";
+
 fn main() -> ExitCode {
     let filter = tracing_subscriber::EnvFilter::try_from_env("ONYXGLADE_LOG")
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).init();
-    match actix_rt::System::new().block_on(serve()) {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let file = match arguments[..] {
+        [] => None,
+        ["--config", file] => Some(PathBuf::from(file)),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match actix_rt::System::new().block_on(run(file)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             tracing::error!("{fault}");
@@ -40,39 +56,141 @@
     }
 }
 
-async fn serve() -> Result<(), String> {
+/// Runs the fronts that are configured until SIGTERM.
+async fn run(file: Option<PathBuf>) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let config = config::platform()?;
-    let (journal, open) = Journal::open(&config.state, config.limits.disk)
-        .map_err(|e| format!("BALANCER_STATE: journal in {}: {e}", config.state.display()))?;
-    let to_nodes = ToNodes::new(&config.rules, config.discovery);
-    let client = to_nodes.platform();
-    let core = Core::new(to_nodes, config.rules, config.seed, journal);
-    core.take_list(&config.known, true);
-    tracing::info!(name = config.name, recovered = open.len(), "starting");
-    open.into_iter().for_each(|open| core.resume(open));
-    actix_rt::spawn({
-        let core = core.clone();
-        async move { core.rounds().await }
-    });
-    actix_rt::spawn(discovery::follow(core.clone(), client, config.discovery));
-    actix_rt::spawn(carrier::close_idle(core.clone()));
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("BALANCER_LISTEN: cannot listen on {}: {e}", config.listen))?;
-    let connections = (config.limits.sockets as f64 * SUBMITTERS_PART) as usize;
-    let server = Server::new(core.clone(), connections.max(1));
-    server.set_ready();
-    let accepting = actix_rt::spawn(server.clone().accept(listener));
-    tracing::info!(listen = %config.listen, "ready");
-
-    terminate.recv().await;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let platform = config::platform()?;
+    let push = file.as_deref().map(config::push).transpose()?;
+    if platform.is_none() && push.is_none() {
+        return Err(format!("no front is configured: set BALANCER_CONFIG or name a file; {USAGE}"));
+    }
+    let platform = match platform {
+        Some(platform) => Some(start_platform(platform).await?),
+        None => None,
+    };
+    let push = match push {
+        Some(push) => Some(start_push(push).await?),
+        None => None,
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => {
+                if let (Some(push), Some(file)) = (&push, &file) {
+                    push.reload(file);
+                }
+            }
+        }
+    }
     tracing::info!("SIGTERM: winding down");
-    server.set_leaving();
+    if let Some(platform) = &platform {
+        platform.server.set_leaving();
+    }
     sleep(STILL_SERVING).await;
-    accepting.abort();
-    server.close_idle();
+    if let Some(platform) = &platform {
+        platform.accepting.abort();
+        platform.server.close_idle();
+    }
+    if let Some(push) = &push {
+        push.accepting.abort();
+    }
     sleep(STILL_SENDING).await;
-    core.wind_down(COMING_HOME).await;
+    let first = async {
+        if let Some(platform) = &platform {
+            platform.core.wind_down(COMING_HOME).await;
+        }
+    };
+    let second = async {
+        if let Some(push) = &push {
+            push.core.wind_down(COMING_HOME).await;
+        }
+    };
+    tokio::join!(first, second);
     Ok(())
 }
+
+struct PlatformFront {
+    core: Rc<Core<platform::carrier::ToNodes>>,
+    server: Rc<platform::server::Server<platform::carrier::ToNodes>>,
+    accepting: actix_rt::task::JoinHandle<()>,
+}
+
+struct PushFront {
+    core: Rc<Core<push::gateways::Gateways>>,
+    server: Rc<push::server::Server<push::gateways::Gateways>>,
+    accepting: actix_rt::task::JoinHandle<()>,
+}
+
+/// A core with its journal, its first list and what the journal holds open, playing rounds.
+fn start_core<C: Carrier>(
+    carrier: C,
+    rules: Rules,
+    seed: u64,
+    state: &Path,
+    disk: u64,
+    known: &NodeList,
+    stale: bool,
+) -> Result<Rc<Core<C>>, String> {
+    let (journal, open) =
+        Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
+    let core = Core::new(carrier, rules, seed, journal);
+    core.take_list(known, stale);
+    tracing::info!(recovered = open.len(), "journal read");
+    open.into_iter().for_each(|open| core.resume(open));
+    let rounds = core.clone();
+    actix_rt::spawn(async move { rounds.rounds().await });
+    Ok(core)
+}
+
+async fn listen(key: &str, address: std::net::SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
+}
+
+async fn start_platform(config: config::Platform) -> Result<PlatformFront, String> {
+    let to_nodes = platform::carrier::ToNodes::new(&config.rules, config.discovery);
+    let client = to_nodes.platform();
+    let Limits { disk, sockets } = config.limits;
+    let core = start_core(to_nodes, config.rules, config.seed, &config.state, disk, &config.known, true)
+        .map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    actix_rt::spawn(discovery::follow(core.clone(), client, config.discovery));
+    actix_rt::spawn(platform::carrier::close_idle(core.clone()));
+    let listener = listen("BALANCER_LISTEN", config.listen).await?;
+    let address = listener.local_addr().unwrap_or(config.listen);
+    let server = platform::server::Server::new(core.clone());
+    let places = ((sockets as f64 * SUBMITTERS_PART) as usize).max(1);
+    let accepting = actix_rt::spawn(server.clone().accept(listener, places));
+    server.set_ready();
+    tracing::info!(name = config.name, listen = %address, "platform front is ready");
+    Ok(PlatformFront { core, server, accepting })
+}
+
+async fn start_push(config: config::Push) -> Result<PushFront, String> {
+    // Not told by anybody: this front's own, new with each start.
+    let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let gateways = push::gateways::Gateways::new(&config.rules, config.notices);
+    let core =
+        start_core(gateways, config.rules.clone(), seed, &config.state, config.disk, &config.gateways, false)
+            .map_err(|e| format!("push.state: {e}"))?;
+    actix_rt::spawn(push::gateways::close_idle(core.clone()));
+    let listener = listen("push.listen", config.listen).await?;
+    let address = listener.local_addr().unwrap_or(config.listen);
+    let server = push::server::Server::new(core.clone(), &config, seed);
+    let accepting = actix_rt::spawn(server.clone().accept(listener, config.connections));
+    tracing::info!(listen = %address, "push front is ready");
+    Ok(PushFront { core, server, accepting })
+}
+
+impl PushFront {
+    /// Reads the file anew: gateways and locations change at once, all else with the next start.
+    fn reload(&self, file: &Path) {
+        match config::push(file) {
+            Ok(push) => {
+                self.core.take_list(&push.gateways, false);
+                self.server.set_locations(push.locations);
+                tracing::info!(gateways = push.gateways.instances.len(), "SIGHUP: file read anew");
+            }
+            Err(fault) => tracing::error!(fault, "SIGHUP: the file is faulty; nothing changes"),
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/notice.rs
@@ -0,0 +1,27 @@
+//! The form in which ends are told: a JSON object on a line.
+use serde::Serialize;
+
+use crate::core::{Notice, NoticeEnd};
+
+#[derive(Serialize)]
+struct Line<'a> {
+    id: &'a str,
+    state: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    after_ms: Option<u64>,
+    /// The status by which a gateway rejected the message for good; the platform's nodes reject none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<u16>,
+}
+
+/// Encodes a notice, once.
+pub fn line(notice: &Notice) -> Vec<u8> {
+    let (state, after, status) = match notice.end {
+        NoticeEnd::Failed { status } => ("failed", None, status),
+        NoticeEnd::Returned { after } => ("returned", after, None),
+    };
+    let line = Line { id: &notice.id, state, after_ms: after.map(|a| a.as_millis() as u64), status };
+    let mut text = serde_json::to_vec(&line).expect("strings and numbers");
+    text.push(b'\n');
+    text
+}
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -5,7 +5,6 @@
 use awc::error::SendRequestError;
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
-use serde::Serialize;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,7 +14,7 @@
 
 use super::line::{CLAIM, Lines, Trace};
 use crate::config::Rules;
-use crate::core::{Carrier, Core, Job, Node, Notice, NoticeEnd, Outcome, Ticket};
+use crate::core::{Carrier, Core, Job, Node, Notice, Outcome, Ticket, told_seconds};
 
 /// The header that passes a job's key through.
 pub const KEY: &str = "idempotency-key";
@@ -131,7 +130,7 @@
 fn outcome<'a>(status: StatusCode, header: impl Fn(&str) -> Option<&'a str>) -> Outcome {
     match status.as_u16() {
         200 => Outcome::Delivered,
-        429 => Outcome::Full { wait: header("retry-after").and_then(seconds) },
+        429 => Outcome::Full { wait: header("retry-after").and_then(told_seconds) },
         503 if header("x-no-slot").is_some_and(|v| v.trim() == "1") => Outcome::NotSent,
         503 => Outcome::Full { wait: None },
         504 => Outcome::NotSent,
@@ -140,12 +139,6 @@
     }
 }
 
-/// Seconds with decimals, as a wait is told.
-pub fn seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok().filter(|wait| !wait.is_zero())
-}
-
 /// What a call without an answer means. Whether it may have run is told by the socket, not by awc.
 fn fault(error: &SendRequestError, trace: &Trace) -> Outcome {
     if trace.ticket().is_sent() {
@@ -165,9 +158,7 @@
     }
 
     async fn notify(&self, notice: &Notice) -> Result<(), String> {
-        let line = Line::from(notice);
-        let mut body = serde_json::to_vec(&line).map_err(|e| e.to_string())?;
-        body.push(b'\n');
+        let body = crate::notice::line(notice);
         let call = async {
             let request = self.platform.post(&self.reports).no_decompress();
             let mut response = request.send_body(body).await.map_err(|e| e.to_string())?;
@@ -203,22 +194,3 @@
         to_nodes.exits.borrow().values().for_each(|exit| exit.lines.close_idle(to_nodes.idle));
     }
 }
-
-/// A notice in the platform's form.
-#[derive(Serialize)]
-struct Line<'a> {
-    id: &'a str,
-    state: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    after_ms: Option<u64>,
-}
-
-impl<'a> From<&'a Notice> for Line<'a> {
-    fn from(notice: &'a Notice) -> Self {
-        let (state, after) = match notice.end {
-            NoticeEnd::Failed { .. } => ("failed", None),
-            NoticeEnd::Returned { after } => ("returned", after),
-        };
-        Line { id: &notice.id, state, after_ms: after.map(|a| a.as_millis() as u64) }
-    }
-}
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -1,18 +1,18 @@
 //! The way in: submitters over actix-http.
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 use super::carrier::KEY;
 use crate::core::{Answer, Carrier, Core, Job};
+use crate::door;
 
 /// Largest body; the platform sends none larger.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -30,18 +30,15 @@
 pub struct Server<C> {
     core: Rc<Core<C>>,
     ready: Cell<bool>,
-    /// Open submitters' connections.
-    places: Arc<Semaphore>,
     leaving: Cell<bool>,
     leave: Rc<Notify>,
 }
 
 impl<C: Carrier> Server<C> {
-    pub fn new(core: Rc<Core<C>>, connections: usize) -> Rc<Self> {
+    pub fn new(core: Rc<Core<C>>) -> Rc<Self> {
         Rc::new(Server {
             core,
             ready: Cell::new(false),
-            places: Arc::new(Semaphore::new(connections)),
             leaving: Cell::new(false),
             leave: Rc::new(Notify::new()),
         })
@@ -62,51 +59,24 @@
         self.leave.notify_waiters();
     }
 
-    /// Takes connections, as many as there are places for.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Takes connections.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: usize) {
         let leave = self.leave.clone();
-        let service = {
-            let server = self.clone();
-            HttpService::build()
-                .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-                .client_request_timeout(HEAD_TIME)
-                .client_disconnect_timeout(Duration::from_secs(1))
-                .tcp_nodelay(true)
-                .graceful_shutdown_signal(move || {
-                    let leave = leave.clone();
-                    async move { leave.notified().await }
-                })
-                .h1(fn_service(move |request: Request| {
-                    let server = server.clone();
-                    async move { Ok::<_, Infallible>(server.serve(request).await) }
-                }))
-                .tcp()
-        };
-        let service = match service.new_service(()).await {
-            Ok(service) => Rc::new(service),
-            Err(e) => {
-                tracing::error!(error = ?e, "cannot serve submitters");
-                return;
-            }
-        };
-        loop {
-            let Ok(place) = self.places.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let service = service.clone();
-                    actix_rt::spawn(async move {
-                        if let Err(e) = service.call(stream).await {
-                            tracing::debug!(error = %e, "submitter's connection");
-                        }
-                        drop(place);
-                    });
-                }
-                Err(e) => {
-                    tracing::warn!(error = %e, "cannot take a connection");
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
-            }
-        }
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .client_request_timeout(HEAD_TIME)
+            .client_disconnect_timeout(Duration::from_secs(1))
+            .tcp_nodelay(true)
+            .graceful_shutdown_signal(move || {
+                let leave = leave.clone();
+                async move { leave.notified().await }
+            })
+            .h1(fn_service(move |request: Request| {
+                let server = self.clone();
+                async move { Ok::<_, Infallible>(server.serve(request).await) }
+            }))
+            .tcp();
+        door::accept(listener, places, service).await;
     }
 }
 
@@ -132,6 +102,9 @@
 
     /// Decodes a job, once.
     async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
+        // Read even where the rest is bad: a connection with an unread body has to be closed.
+        let body =
+            tokio::time::timeout(BODY_TIME, body(request)).await.map_err(|_| bad("body is not whole"))??;
         let text = |name: &str| match request.headers().get(name) {
             None => Ok(None),
             Some(value) => match value.to_str() {
@@ -153,8 +126,6 @@
         if key.as_ref().is_some_and(|k| k.len() > LONGEST_NAME) {
             return Err(bad("Idempotency-Key is too long"));
         }
-        let body =
-            tokio::time::timeout(BODY_TIME, body(request)).await.map_err(|_| bad("body is not whole"))??;
         Ok(Job {
             id,
             class,
--- /dev/null
+++ b/relay/src/push/server.rs
@@ -0,0 +1,251 @@
+//! The way in: submitters hand in push messages over HTTP/2, by RFC 8030.
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_service::fn_service;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::net::TcpListener;
+
+use super::{PATH, TTL};
+use crate::config::{Location, Push};
+use crate::core::{Answer, Carrier, Core, Job};
+use crate::door;
+
+/// A submitter's connection may stand idle for so long; then it is pinged, and closed if nothing comes back.
+const KEEP_ALIVE: Duration = Duration::from_secs(60);
+/// HTTP/2's opening must be done, and a body be whole, within this time.
+const READ_TIME: Duration = Duration::from_secs(10);
+/// Where a message that was taken on can be asked for while it is open.
+const MESSAGE: &str = "/message/";
+/// All header names and values that a job carries.
+const LONGEST_HEAD: usize = 8 * 1024;
+/// Headers that are about the connection, or that the relay writes itself.
+const OWN_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "prefer",
+    "te",
+    "transfer-encoding",
+    "ttl",
+    "upgrade",
+];
+
+pub struct Server<C> {
+    core: Rc<Core<C>>,
+    locations: RefCell<Vec<Location>>,
+    body_limit: usize,
+    /// Requests being read at once: no more than jobs may be held.
+    most_read: usize,
+    reading: Cell<usize>,
+    /// Ids of this process begin so; a counter follows.
+    prefix: String,
+    next_id: Cell<u64>,
+}
+
+impl<C: Carrier> Server<C> {
+    pub fn new(core: Rc<Core<C>>, push: &Push, seed: u64) -> Rc<Self> {
+        Rc::new(Server {
+            locations: RefCell::new(push.locations.clone()),
+            body_limit: push.body_limit,
+            most_read: core.rules.settings.max_held.map_or(usize::MAX, |m| m as usize),
+            reading: Cell::new(0),
+            prefix: format!("{seed:016x}"),
+            next_id: Cell::new(0),
+            core,
+        })
+    }
+
+    /// The file was read anew.
+    pub fn set_locations(&self, locations: Vec<Location>) {
+        *self.locations.borrow_mut() = locations;
+    }
+
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: usize) {
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .client_request_timeout(READ_TIME)
+            .tcp_nodelay(true)
+            .h2(fn_service(move |request: Request| {
+                let server = self.clone();
+                async move { Ok::<_, Infallible>(server.serve(request).await) }
+            }))
+            .tcp();
+        door::accept(listener, places, service).await;
+    }
+
+    async fn serve(&self, mut request: Request) -> Response<String> {
+        if let (&Method::GET, Some(id)) = (request.method(), request.path().strip_prefix(MESSAGE)) {
+            return match self.core.is_open(id) {
+                true => plain(StatusCode::OK, "open"),
+                false => plain(StatusCode::NOT_FOUND, "no open message has this id"),
+            };
+        }
+        if self.reading.get() >= self.most_read {
+            return refused(Some(Duration::from_secs(1)));
+        }
+        self.reading.set(self.reading.get() + 1);
+        let read = self.read(&mut request).await;
+        self.reading.set(self.reading.get() - 1);
+        match read {
+            Ok(Asked { job, ttl, receipt }) => {
+                let id = job.id.clone();
+                match self.core.admit(job).await {
+                    Answer::Taken => taken(&id, ttl, receipt),
+                    Answer::Refused { after } => refused(after),
+                    Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "given up"),
+                }
+            }
+            Err(Unfit { status, why }) => {
+                tracing::debug!(why, path = request.path(), "request is no push message");
+                let mut response = plain(status, why);
+                if status == StatusCode::METHOD_NOT_ALLOWED {
+                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("POST"));
+                }
+                response
+            }
+        }
+    }
+
+    /// Decodes a push message, once.
+    async fn read(&self, request: &mut Request) -> Result<Asked, Unfit> {
+        let whole = request.uri().path_and_query().map_or("/", |p| p.as_str());
+        let path = request.path();
+        let (class, dest, target) = {
+            let locations = self.locations.borrow();
+            let location = find(&locations, path).ok_or(Unfit::not_found())?;
+            (location.class.clone(), location.dest, location.target.clone() + &whole[location.path.len()..])
+        };
+        if request.method() != Method::POST {
+            return Err(Unfit { status: StatusCode::METHOD_NOT_ALLOWED, why: "push messages are POSTed" });
+        }
+        let class_at = self.core.rules.class(&class).ok_or(Unfit::not_found())?;
+        let asked = request.headers().get(TTL).ok_or(Unfit::bad("TTL is missing"))?;
+        let asked: u64 = asked
+            .to_str()
+            .ok()
+            .filter(|v| !v.is_empty() && v.bytes().all(|b| b.is_ascii_digit()))
+            .ok_or(Unfit::bad("TTL is no whole number of seconds"))?
+            .parse()
+            .unwrap_or(u64::MAX);
+        let class_of = &self.core.rules.settings.classes[class_at];
+        let most = Duration::from_nanos(class_of.give_up);
+        // At once or never: while it still earns its full worth, it counts as at once.
+        let left = if asked == 0 {
+            Duration::from_nanos(class_of.aim)
+        } else {
+            Duration::from_secs(asked).min(most)
+        };
+        let fields = fields(request.headers(), target, asked)?;
+        let prefers = request.headers().get_all("prefer").filter_map(|v| v.to_str().ok());
+        let receipt =
+            prefers.flat_map(|v| v.split(',')).any(|p| p.trim().eq_ignore_ascii_case("respond-async"));
+        let body = tokio::time::timeout(READ_TIME, body(request, self.body_limit)).await;
+        self.next_id.set(self.next_id.get() + 1);
+        let job = Job {
+            id: format!("{}-{}", self.prefix, self.next_id.get()),
+            class,
+            dest,
+            deadline: SystemTime::now() + left,
+            retry: false,
+            reconnect: false,
+            fields,
+            body: body.map_err(|_| Unfit::bad("body is not whole"))??,
+        };
+        Ok(Asked { job, ttl: if asked == 0 { 0 } else { left.as_secs() }, receipt })
+    }
+}
+
+/// A push message, with what its answer depends on.
+struct Asked {
+    job: Job,
+    /// The time to live that is kept to.
+    ttl: u64,
+    /// The submitter asked for a receipt.
+    receipt: bool,
+}
+
+/// Why a request is no push message, and the status that says so.
+struct Unfit {
+    status: StatusCode,
+    why: &'static str,
+}
+
+impl Unfit {
+    fn bad(why: &'static str) -> Self {
+        Unfit { status: StatusCode::BAD_REQUEST, why }
+    }
+
+    fn not_found() -> Self {
+        Unfit { status: StatusCode::NOT_FOUND, why: "no location has this path" }
+    }
+}
+
+/// The location of a path: an exact one, else the longest beginning.
+fn find<'a>(locations: &'a [Location], path: &str) -> Option<&'a Location> {
+    let fits = |l: &&Location| if l.exact { l.path == path } else { path.starts_with(&l.path) };
+    locations.iter().filter(fits).max_by_key(|l| (l.exact, l.path.len()))
+}
+
+/// What passes through unchanged: the path behind the location, and the message's own headers.
+fn fields(headers: &HeaderMap, target: String, ttl: u64) -> Result<Vec<(String, Bytes)>, Unfit> {
+    let mut fields = vec![(PATH.to_owned(), Bytes::from(target))];
+    if ttl == 0 {
+        fields.push((TTL.to_owned(), Bytes::from_static(b"0")));
+    }
+    for (name, value) in headers {
+        if !OWN_HEADERS.contains(&name.as_str()) {
+            fields.push((name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
+        }
+    }
+    let size: usize = fields.iter().map(|(name, value)| name.len() + value.len()).sum();
+    if size > LONGEST_HEAD {
+        return Err(Unfit {
+            status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            why: "headers are too long",
+        });
+    }
+    Ok(fields)
+}
+
+async fn body(request: &mut Request, limit: usize) -> Result<Bytes, Unfit> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| Unfit::bad("body cannot be read"))?;
+        if body.len() + chunk.len() > limit {
+            return Err(Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<String> {
+    Response::with_body(status, text.to_owned())
+}
+
+/// 201, or 202 where a receipt was asked for: the notice of the end tells it.
+fn taken(id: &str, ttl: u64, receipt: bool) -> Response<String> {
+    let status = if receipt { StatusCode::ACCEPTED } else { StatusCode::CREATED };
+    let mut response = plain(status, "");
+    let headers = response.headers_mut();
+    headers.insert(header::LOCATION, format!("{MESSAGE}{id}").parse().expect("hexadecimal and digits"));
+    headers.insert(header::HeaderName::from_static(TTL), HeaderValue::from(ttl));
+    response
+}
+
+fn refused(after: Option<Duration>) -> Response<String> {
+    let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "come again later");
+    if let Some(after) = after {
+        // RFC 9110 has whole seconds only; sooner than the module wants it would be refused again.
+        let seconds = after.as_millis().div_ceil(1000).max(1) as u64;
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
--- /dev/null
+++ b/relay/tests/platform.rs
@@ -0,0 +1,337 @@
+//! Scenarios for the platform's front, each named for what it guards against.
+mod scenario;
+
+use scenario::play;
+
+#[test]
+fn a_job_is_taken_claimed_and_delivered() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s GET /ready
+         expect s 200
+         send s POST /order id=j1 dest=7 left=2000 key=k1
+         expect s 202
+         expect n1 POST path=/v1/messages x-request-id=j1 idempotency-key=k1 body=j1 x-timeout-ms>0
+         send n1 200
+         send s POST /notice id=j2 dest=7 left=2000 size=65536
+         expect s 202
+         expect n1 POST x-request-id=j2 size=65536 connection=0   # the warm connection is used again
+         send n1 200
+         expect list nothing 300
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn bad_input_is_answered_and_harms_nothing() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 raw=GARBAGE||
+         expect s1 400
+         send s2 POST /order dest=7 left=2000             # no id
+         expect s2 400
+         send s2 POST /nosuch id=j1 dest=7 left=2000
+         expect s2 400
+         send s2 POST /order id=j2 dest=7 left=-3
+         expect s2 400
+         send s2 POST /order id=j3 dest=7 left=99999999999999999999
+         expect s2 400
+         send s2 POST /order id=j4 dest=seven left=2000
+         expect s2 400
+         send s2 POST /order id=j5 left=2000
+         expect s2 400
+         send s2 GET /order
+         expect s2 404
+         send s3 POST /order id=j6 dest=7 left=2000 size=70000
+         expect s3 413
+         send s4 POST /order id=j7 dest=7 left=2000
+         expect s4 202
+         expect n1 POST x-request-id=j7
+         send n1 200
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once_with_a_time_to_come_again() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=2000
+         expect s1 202
+         expect n1 POST
+         wait 400
+         send n1 200
+         expect relay log=Delivered
+         send s1 POST /notice id=j2 dest=7 left=100     # a call takes 400 ms there
+         expect s1 429 retry-after>0
+         expect n1 nothing 200
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn outcomes_are_told_by_their_answers() {
+    play(
+        None,
+        "send list n1:7 n2:8 n3:9 n4:10
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=5000
+         expect n1 POST
+         send n1 500
+         expect relay log=Error
+         expect n1 POST                       # may have run, but is safe to repeat
+         send n1 200
+         send s1 POST /order id=j2 dest=8 left=5000
+         expect n2 POST
+         send n2 410                          # over: nothing more is owed
+         expect relay log=Over
+         send s1 POST /order id=j3 dest=9 left=5000
+         expect n3 POST
+         send n3 503 x-no-slot=1
+         expect n3 POST
+         send n3 504
+         expect n3 POST
+         send n3 200
+         expect list nothing 300
+         expect n2 nothing 50",
+    );
+}
+
+#[test]
+fn nothing_is_sent_during_a_told_wait() {
+    play(
+        None,
+        "send list n1:7 n2:7 n3:8
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=5000
+         expect s1 202
+         wait 50
+         send s1 POST /order id=j2 dest=8 left=5000
+         expect n3 POST
+         send n3 429 retry-after=0.6
+         expect relay log=Full
+         send s1 POST /order id=j3 dest=8 left=5000
+         expect s1 202
+         expect n3 nothing 500
+         expect n3 POST                       # then both come, one after the other
+         send n3 200
+         expect n3 POST
+         send n3 200",
+    );
+}
+
+#[test]
+fn a_claim_given_up_closes_its_connection_before_the_next_goes_out() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=5500
+         expect s1 202
+         expect n1 POST connection=0
+         expect n1 givenup body=j1
+         expect n1 POST connection=1
+         send n1 200",
+    );
+}
+
+#[test]
+fn an_order_that_may_have_run_is_sent_again_within_its_memory_only() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start window=400
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect n1 POST
+         close n1 call
+         expect relay log=Reset
+         expect n1 POST
+         wait 450
+         send n1 500                          # by now the memory of the first claim has ended
+         expect list returned id=j1 after_ms>0
+         expect n1 nothing 300",
+    );
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    play(
+        None,
+        "send list n1:7
+         send relay start window=1
+         close n1
+         send s1 POST /order id=j1 dest=7 left=1500
+         expect s1 202
+         expect relay log=Unconnected
+         expect list returned id=j1           # not past its time, and no sooner failed for a memory that ended",
+    );
+}
+
+#[test]
+fn a_draining_node_gets_nothing_new() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j0 dest=7 left=5000
+         expect n1 POST
+         send n1 200
+         expect relay log=Delivered           # the window is two now
+         send s1 POST /notice id=j1 dest=7 left=5000
+         expect n1 POST body=j1
+         send list n1:7:DRAINING n2:7
+         expect relay log=changed
+         send s1 POST /notice id=j2 dest=7 left=5000
+         expect n2 POST body=j2
+         send n2 200
+         send n1 200                          # it finishes what it has
+         send list n2:7
+         expect relay log=changed
+         expect n1 nothing 200",
+    );
+}
+
+#[test]
+fn jobs_outlast_the_process_and_ended_ones_do_not_come_back() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect n1 POST
+         send n1 200
+         expect relay log=Delivered
+         send s1 POST /order id=j2 dest=8 left=9000
+         expect s1 202
+         expect n2 POST body=j2
+         send relay kill
+         expect relay exit
+         send relay start
+         expect relay log=recovered=1
+         expect n2 POST body=j2 x-timeout-ms<9000     # within its memory
+         send n2 200
+         expect relay log=Delivered
+         send relay kill
+         expect relay exit
+         send relay start
+         expect relay log=recovered=0
+         expect n1 nothing 200
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn after_a_restart_an_order_past_its_memory_is_ended_not_sent() {
+    play(
+        None,
+        "send list n1:7
+         send relay start window=300
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect n1 POST
+         send relay kill
+         expect relay exit
+         wait 300
+         send relay start window=300
+         expect list returned id=j1
+         expect n1 nothing 200",
+    );
+}
+
+#[test]
+fn a_notice_that_was_not_heard_is_told_after_a_restart() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=600
+         expect s1 202
+         expect n1 POST
+         expect relay log=list                # discovery goes down, and notices with it
+         close list
+         expect relay log=could_not_be_told
+         send relay kill
+         expect relay exit
+         send list n1:7
+         send relay start
+         expect list returned id=j1
+         expect n1 nothing 200",
+    );
+}
+
+#[test]
+fn a_planned_restart_goes_on_answering_and_loses_nothing() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=20000
+         expect n1 POST
+         send relay term
+         wait 200
+         send s2 POST /order id=j2 dest=8 left=20000
+         expect s2 202 connection=close
+         send s1 GET /ready
+         expect s1 200 connection=close
+         expect n2 POST
+         send n2 200
+         expect relay exit
+         send relay start
+         expect relay log=recovered=1
+         expect n1 POST body=j1 connection=2  # two time-outs lie before
+         send n1 200",
+    );
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_node_closes_them() {
+    play(
+        None,
+        "send list n1:7
+         send relay start idle=1000
+         send s1 POST /notice id=j1 dest=7 left=5000
+         expect n1 POST connection=0
+         send n1 200
+         expect n1 closed connection=0
+         send s1 POST /notice id=j2 dest=7 left=5000
+         expect n1 POST connection=1
+         send n1 200",
+    );
+}
+
+#[test]
+fn a_job_that_the_journal_cannot_hold_is_refused() {
+    play(
+        None,
+        "send list n1:7
+         send relay start disk_mb=0.1
+         send s1 POST /notice id=j1 dest=7 left=5000 size=60000
+         expect s1 429 retry-after>0
+         send s1 POST /notice id=j2 dest=7 left=5000
+         expect s1 202
+         expect n1 POST body=j2
+         send n1 200
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn the_same_message_once_more_is_one_job() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect s1 202
+         send s2 POST /order id=j1 dest=7 left=5000
+         expect s2 202
+         expect n1 POST
+         expect n1 nothing 200
+         send n1 200",
+    );
+}
--- /dev/null
+++ b/relay/tests/scenario/http1.rs
@@ -0,0 +1,211 @@
+//! Stand-ins over HTTP/1.1: execute nodes, discovery and submitters.
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use super::{Got, Said, said};
+
+type Tell = mpsc::UnboundedSender<Got>;
+type Words = mpsc::UnboundedReceiver<Said>;
+
+fn bind(address: SocketAddr) -> TcpListener {
+    let listener = std::net::TcpListener::bind(address).expect("a port");
+    listener.set_nonblocking(true).expect("a socket");
+    TcpListener::from_std(listener).expect("a socket")
+}
+
+pub fn listener() -> (TcpListener, SocketAddr) {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Takes connections until told to close; `serve` ends with each change of its last argument.
+pub async fn listen<F, S>(listener: TcpListener, mut words: Words, serve: F)
+where
+    F: Fn(TcpStream, watch::Receiver<u32>, mpsc::UnboundedReceiver<Said>) -> S,
+    S: Future<Output = ()> + Send + 'static,
+{
+    let broken = watch::Sender::new(0);
+    let address = listener.local_addr().expect("an address");
+    let mut listener = Some(listener);
+    let mut connections: Vec<mpsc::UnboundedSender<Said>> = Vec::new();
+    loop {
+        let accept = async { listener.as_ref().expect("it listens").accept().await };
+        tokio::select! {
+            Ok((stream, _)) = accept, if listener.is_some() => {
+                let (say, said) = mpsc::unbounded_channel();
+                connections.push(say);
+                tokio::spawn(serve(stream, broken.subscribe(), said));
+            }
+            word = words.recv() => match word {
+                None => return,
+                Some(word) if word[0].0 == "close" => {
+                    broken.send_modify(|n| *n += 1);
+                    connections.clear();
+                    if word[0].1 == "all" {
+                        listener = None;
+                    }
+                }
+                Some(word) if word[0].0 == "open" => {
+                    listener.get_or_insert_with(|| bind(address));
+                }
+                Some(word) => connections.iter().for_each(|c| drop(c.send(word.clone()))),
+            }
+        }
+    }
+}
+
+/// Reads a head and its body; the first word of the head is what came, `None` the end.
+async fn read(stream: &mut TcpStream, first: usize) -> Option<Got> {
+    let mut text = Vec::new();
+    let end = loop {
+        if let Some(end) = text.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end;
+        }
+        let mut byte = [0; 1];
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    };
+    let head = String::from_utf8_lossy(&text[..end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let start: Vec<&str> = lines.next()?.split(' ').collect();
+    let headers = lines.filter_map(|l| l.split_once(": ")).map(|(k, v)| (k.to_lowercase(), v.to_owned()));
+    let mut fields: HashMap<String, String> = headers.collect();
+    let mut body = vec![0; fields.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    fields.insert("path".into(), start[1].into());
+    fields.insert("size".into(), body.len().to_string());
+    fields.insert("body".into(), body.iter().take(200).map(|b| *b as char).collect());
+    let mut got = Got::new(start[first], []);
+    got.fields = fields;
+    Some(got)
+}
+
+fn answer(words: &Said) -> String {
+    let headers = words[1..].iter().filter(|(k, _)| k != "to").map(|(k, v)| format!("{k}: {v}\r\n"));
+    format!("HTTP/1.1 {} x\r\ncontent-length: 2\r\n{}\r\nok", words[0].0, headers.collect::<String>())
+}
+
+/// An execute node. Its calls are told with the number of the connection that they came on.
+pub fn node(tell: Tell, words: Words) -> SocketAddr {
+    let (listener, address) = listener();
+    let count = std::sync::atomic::AtomicU32::new(0);
+    tokio::spawn(async move {
+        let serve = |mut stream: TcpStream, mut broken: watch::Receiver<u32>, _| {
+            let tell = tell.clone();
+            let number = count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            async move {
+                loop {
+                    let mut got = tokio::select! {
+                        got = read(&mut stream, 0) => match got {
+                            Some(got) => got,
+                            None => break,
+                        },
+                        _ = broken.changed() => return,
+                    };
+                    got.fields.insert("connection".into(), number.to_string());
+                    let body = got.fields["body"].clone();
+                    let (say, mut words) = mpsc::unbounded_channel();
+                    let _ = tell.send(got.call(say));
+                    let mut rest = [0; 1];
+                    tokio::select! {
+                        Some(words) = words.recv() => drop(stream.write_all(answer(&words).as_bytes()).await),
+                        _ = stream.read(&mut rest) => {
+                            let _ = tell.send(Got::new("givenup", [("body", body.as_str())]));
+                            return;
+                        }
+                        _ = broken.changed() => return,
+                    }
+                }
+                let _ = tell.send(Got::new("closed", [("connection", number.to_string().as_str())]));
+            }
+        };
+        listen(listener, words, serve).await;
+    });
+    address
+}
+
+/// Discovery: the whole list, watches that end with a change, and notices.
+pub fn discovery(tell: Tell, words: Words, list: watch::Receiver<(u64, String)>) -> SocketAddr {
+    let (listener, address) = listener();
+    tokio::spawn(async move {
+        let serve = |mut stream: TcpStream, mut broken: watch::Receiver<u32>, _| {
+            let (tell, mut list) = (tell.clone(), list.clone());
+            async move {
+                while let Some(mut got) = read(&mut stream, 0).await {
+                    let path = got.fields["path"].clone();
+                    let reply = if got.what == "POST" {
+                        let notice: serde_json::Value =
+                            serde_json::from_str(&got.fields["body"]).expect("JSON");
+                        got.what = notice["state"].as_str().expect("a state").into();
+                        got.fields.insert("id".into(), notice["id"].as_str().expect("an id").into());
+                        got.fields.insert("after_ms".into(), notice["after_ms"].to_string());
+                        let _ = tell.send(got);
+                        "HTTP/1.1 204 x\r\n\r\n".to_owned()
+                    } else {
+                        let known =
+                            path.split("index=").nth(1).and_then(|i| i.split('&').next()?.parse().ok());
+                        tokio::select! {
+                            _ = list.wait_for(|(generation, _)| Some(*generation) != known) => {}
+                            _ = broken.changed() => return,
+                        }
+                        let (generation, entries) = list.borrow_and_update().clone();
+                        let text =
+                            format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
+                        format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{text}", text.len())
+                    };
+                    if stream.write_all(reply.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        };
+        listen(listener, words, serve).await;
+    });
+    address
+}
+
+fn request(words: &Said) -> Vec<u8> {
+    if let Some(raw) = said(words, "raw") {
+        return raw.replace('_', " ").replace('|', "\r\n").into_bytes();
+    }
+    let id = said(words, "id").unwrap_or("");
+    let mut text = format!("{} {} HTTP/1.1\r\nhost: relay\r\n", words[0].0, words[1].0);
+    for (key, value) in &words[2..] {
+        text += &match key.as_str() {
+            "id" => format!("X-Request-ID: {value}\r\n"),
+            "dest" => format!("X-Envelope: dest={value}\r\n"),
+            "left" => format!("X-Timeout-Ms: {value}\r\n"),
+            "key" => format!("Idempotency-Key: {value}\r\n"),
+            "size" => continue,
+            _ => format!("{key}: {value}\r\n"),
+        };
+    }
+    let size = said(words, "size").map_or(id.len(), |s| s.parse().expect("a size"));
+    let mut body = id.as_bytes().to_vec();
+    body.resize(size, 0xff);
+    text += &format!("content-length: {}\r\n\r\n", body.len());
+    [text.into_bytes(), body].concat()
+}
+
+/// A submitter's connection.
+pub fn submitter(relay: SocketAddr, tell: Tell, mut words: Words) {
+    tokio::spawn(async move {
+        let mut stream = TcpStream::connect(relay).await.expect("the relay listens");
+        while let Some(words) = words.recv().await {
+            if words[0].0 == "close" || stream.write_all(&request(&words)).await.is_err() {
+                break;
+            }
+            match read(&mut stream, 1).await {
+                Some(got) => drop(tell.send(got)),
+                None => break,
+            }
+        }
+        let _ = tell.send(Got::new("closed", []));
+    });
+}
--- /dev/null
+++ b/relay/tests/scenario/mod.rs
@@ -0,0 +1,306 @@
+//! A small language for scenarios, and the stand-ins that play them round the relay's own program.
+//!
+//! A line is a verb, a party and words: `send`, `expect`, `close` or `wait`. Parties:
+//! - `relay`: send start, term, kill, hup; expect log=PART or exit.
+//! - `list`: discovery. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
+//!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
+//! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
+//! - `n...`: an execute node; `g...`: a gateway. Expect POST, send a status (to=BODY of the call meant), reset=CODE or
+//!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call`: only breaks
+//!   the connections it has.
+//!
+//! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
+//! `expect X nothing` and `wait` take milliseconds.
+mod http1;
+mod http2;
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Something that a party got: its first word and what belongs to it.
+#[derive(Debug)]
+pub struct Got {
+    what: String,
+    fields: HashMap<String, String>,
+    answer: Option<mpsc::UnboundedSender<Said>>,
+}
+
+/// What a party is to send: words, some with a value.
+pub type Said = Vec<(String, String)>;
+
+pub fn said<'a>(said: &'a [(String, String)], key: &str) -> Option<&'a str> {
+    said.iter().find(|(k, _)| k == key).map(|(_, v)| v.as_str())
+}
+
+/// A party's ways in and out.
+struct Party {
+    got: mpsc::UnboundedReceiver<Got>,
+    seen: Vec<Got>,
+    /// Calls without an answer, by their bodies; the newest last.
+    calls: Vec<(String, mpsc::UnboundedSender<Said>)>,
+    say: mpsc::UnboundedSender<Said>,
+    address: Option<SocketAddr>,
+}
+
+pub struct Stage {
+    folder: tempfile::TempDir,
+    parties: HashMap<String, Party>,
+    relay: Option<Child>,
+    /// Listening addresses by front, as the relay's log told them.
+    fronts: HashMap<&'static str, SocketAddr>,
+    list: watch::Sender<(u64, String)>,
+    push: Option<String>,
+}
+
+/// Plays a scenario; `push` is the second front's file with stand-ins' names in place of addresses.
+pub fn play(push: Option<&str>, scenario: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let mut stage = Stage {
+            folder: tempfile::tempdir().expect("a folder"),
+            parties: HashMap::new(),
+            relay: None,
+            fronts: HashMap::new(),
+            list: watch::Sender::new((1, String::new())),
+            push: push.map(str::to_owned),
+        };
+        for (number, line) in scenario.lines().enumerate() {
+            let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+            if let [verb, party, rest @ ..] = &words[..] {
+                if let Err(why) = stage.step(verb, party, rest).await {
+                    panic!("line {}: {}: {why}", number + 1, line.trim());
+                }
+            }
+        }
+    });
+}
+
+impl Stage {
+    async fn step(&mut self, verb: &str, party: &str, rest: &[&str]) -> Result<(), String> {
+        let said: Said = rest
+            .iter()
+            .map(|w| w.split_once('=').map_or((w.to_string(), String::new()), |(k, v)| (k.into(), v.into())))
+            .collect();
+        match (verb, party) {
+            ("wait", ms) => tokio::time::sleep(millis(ms)?).await,
+            ("send", "relay") => self.control(&said).await?,
+            ("send", "list") => {
+                let list = rest.iter().map(|w| self.entry(w)).collect::<Vec<_>>().join(",");
+                let open = vec![("open".into(), String::new())];
+                self.party("list").say.send(open).map_err(|_| "nobody listens")?;
+                self.list
+                    .send_modify(|(generation, entries)| (*generation, *entries) = (*generation + 1, list));
+            }
+            ("send", name) => {
+                let party = self.party(name);
+                let to = party.calls.iter().rposition(|(b, _)| said_to(&said).is_none_or(|to| to == b));
+                let calls_open = name.starts_with(['n', 'g']) && said[0].0 != "goaway";
+                let say = match to.filter(|_| calls_open) {
+                    Some(i) => party.calls.remove(i).1,
+                    None if calls_open => return Err("there is no such call".into()),
+                    None => party.say.clone(),
+                };
+                say.send(said).map_err(|_| "nobody listens")?;
+            }
+            ("close", name) => {
+                let what = rest.first().unwrap_or(&"all").to_string();
+                let party = self.party(name);
+                party.say.send(vec![("close".into(), what)]).map_err(|_| "nobody listens")?;
+                party.calls.clear();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            ("expect", name) => {
+                let party = self.party(name);
+                if let ["nothing", ms] = rest {
+                    tokio::time::sleep(millis(ms)?).await;
+                    party.seen.extend(std::iter::from_fn(|| party.got.try_recv().ok()));
+                    let stray =
+                        party.seen.iter().find(|got| !["closed", "givenup"].contains(&got.what.as_str()));
+                    return stray.map_or(Ok(()), |got| Err(format!("but there is {got:?}")));
+                }
+                let wanted = async {
+                    loop {
+                        if let Some(i) = party.seen.iter().position(|got| fits(got, rest)) {
+                            return Some(party.seen.remove(i));
+                        }
+                        party.seen.push(party.got.recv().await?);
+                    }
+                };
+                let got = timeout(PATIENCE, wanted).await.ok().flatten();
+                let got = got.ok_or_else(|| format!("only {:?} came", party.seen))?;
+                if let Some(answer) = got.answer {
+                    party.calls.push((got.fields.get("body").cloned().unwrap_or_default(), answer));
+                }
+            }
+            _ => return Err("no such verb".into()),
+        }
+        Ok(())
+    }
+
+    /// A party, brought to life when it is first named.
+    fn party(&mut self, name: &str) -> &mut Party {
+        if !self.parties.contains_key(name) {
+            let (say, words) = mpsc::unbounded_channel();
+            let (tell, got) = mpsc::unbounded_channel();
+            let mut address = None;
+            let front = |stage: &Self, front: &str| {
+                *stage.fronts.get(front).unwrap_or_else(|| panic!("the {front} front is not there yet"))
+            };
+            match &name[..1] {
+                "n" => address = Some(http1::node(tell, words)),
+                "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
+                "g" => address = Some(http2::gateway(tell, words)),
+                "s" => http1::submitter(front(self, "platform"), tell, words),
+                "p" => http2::submitter(front(self, "push"), tell, words),
+                "e" if self.push.is_some() => address = Some(http2::gateway(tell, words)),
+                // The relay's log, and notices to discovery: both are put in from elsewhere.
+                _ => drop((tell, words)),
+            }
+            let party = Party { got, seen: Vec::new(), calls: Vec::new(), say, address };
+            self.parties.insert(name.into(), party);
+        }
+        self.parties.get_mut(name).expect("just made")
+    }
+
+    fn entry(&mut self, word: &str) -> String {
+        let mut parts = word.split(':');
+        let (name, dest) = (parts.next().unwrap_or(""), parts.next().unwrap_or("0"));
+        let state = parts.next().unwrap_or("SERVING");
+        let address = self.party(name).address.expect("a node");
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"z","machineType":"k","cell":{dest},"lifecycle":"{state}","weight":50.0,"startedAtMs":0}}"#
+        )
+    }
+
+    async fn control(&mut self, said: &Said) -> Result<(), String> {
+        match said[0].0.as_str() {
+            "start" => self.start(said).await,
+            signal => {
+                let relay = self.relay.as_mut().ok_or("it does not run")?;
+                let id = relay.id().ok_or("it has ended")?.to_string();
+                let name = format!("-{}", signal.to_uppercase());
+                let sent = std::process::Command::new("kill").args([&name, &id]).status();
+                sent.map_err(|e| e.to_string())?;
+                Ok(())
+            }
+        }
+    }
+
+    async fn start(&mut self, said: &Said) -> Result<(), String> {
+        let (tell, got) = mpsc::unbounded_channel();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
+        command.env_clear().env("ONYXGLADE_LOG", "onyxglade=debug").stdout(Stdio::piped()).kill_on_drop(true);
+        if let Some(text) = self.push.clone() {
+            let file = self.folder.path().join("push.toml");
+            let mut text = text.replace("STATE", &self.folder.path().join("push").display().to_string());
+            for name in ["ends", "g1", "g2"] {
+                let address = self.party(name).address.expect("it listens").to_string();
+                text = text.replace(&format!("\"{name}\""), &format!("\"{address}\""));
+            }
+            for (key, value) in said.iter().filter(|(_, value)| !value.is_empty()) {
+                text = text.replace(&format!("{key} = 0"), &format!("{key} = {value}"));
+            }
+            fs::write(&file, text).map_err(|e| e.to_string())?;
+            command.arg("--config").arg(file);
+        } else {
+            let file = self.folder.path().join("config.json");
+            fs::write(&file, self.settings(said)).map_err(|e| e.to_string())?;
+            command.env("BALANCER_CONFIG", file).env("BALANCER_STATE", self.folder.path().join("state"));
+        }
+        let mut relay = command.spawn().map_err(|e| e.to_string())?;
+        let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
+        self.relay = Some(relay);
+        let mut ready = false;
+        while let Ok(Ok(Some(line))) = timeout(PATIENCE, lines.next_line()).await {
+            for front in ["platform", "push"] {
+                if line.contains(&format!("{front} front is ready")) {
+                    let at = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok());
+                    self.fronts.insert(front, at.ok_or("no address is told")?);
+                    ready = true;
+                }
+            }
+            let _ = tell.send(Got::new("log", [("log", line.as_str())]));
+            if ready {
+                break;
+            }
+        }
+        let party = self.party("relay");
+        (party.got, party.seen) = (got, Vec::new());
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                if std::env::var_os("SCENARIO_LOG").is_some() {
+                    eprintln!("{line}");
+                }
+                let _ = tell.send(Got::new("log", [("log", line.as_str())]));
+            }
+            let _ = tell.send(Got::new("exit", []));
+        });
+        if ready || said.iter().any(|(k, _)| k == "faulty") {
+            Ok(())
+        } else {
+            Err("it does not start".into())
+        }
+    }
+
+    fn settings(&mut self, words: &Said) -> String {
+        let of = |key: &str, default: &str| said(words, key).unwrap_or(default).to_owned();
+        let (slots, held, disk) = (of("slots", "8"), of("held", "40"), of("disk_mb", "3"));
+        let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
+        let discovery = self.party("list").address.expect("it listens");
+        format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":256,"disk_mb":{disk}}},
+            "settings":{{"step":5000000,"categories":[
+              {{"name":"notice","aim":1000000000,"give_up":6000000000,"effect":"read_like","late_worth":0.0,"credit":1.0}},
+              {{"name":"order","aim":4000000000,"give_up":28000000000,"effect":"idempotency_key","group":"all","window":{window}000000,"late_worth":0.3,"credit":2.0}}],
+            "extra":{{"max_calls":{slots},"own_limits":[false],"bundle_max":[1]}},"zone":"z","zones":["z"],"shapes":["k"],"replicas_of_me":1,
+            "membership_mode":"subscribe","weights":"nominal",
+            "policy_limits":{{"most_tries":8,"most_held":{held},"max_retry_after":3000000000,"idle_close":{idle}000000,"dial_timeout":1500000000,"retry_after":true}},
+            "rules":{{"cold":14000000000,"cold_share":0.18,"fall":3000000000,"fall_multiple":2.0,"must_ask_in":10000000000}}}}}}"#
+        )
+    }
+}
+
+impl Got {
+    pub fn new<'a>(what: &str, fields: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
+        let fields = fields.into_iter().map(|(k, v)| (k.to_owned(), v.to_owned())).collect();
+        Got { what: what.into(), fields, answer: None }
+    }
+
+    pub fn call(mut self, answer: mpsc::UnboundedSender<Said>) -> Self {
+        self.answer = Some(answer);
+        self
+    }
+}
+
+fn said_to(words: &Said) -> Option<&str> {
+    said(words, "to")
+}
+
+fn millis(text: &str) -> Result<Duration, String> {
+    text.parse().map(Duration::from_millis).map_err(|_| format!("'{text}' is no number of milliseconds"))
+}
+
+/// Whether something fits all words of an `expect`.
+fn fits(got: &Got, words: &[&str]) -> bool {
+    words.iter().all(|word| {
+        let Some(at) = word.find(['=', '<', '>']) else { return got.what == *word };
+        let Some(value) = got.fields.get(&word[..at]) else { return false };
+        let wanted = &word[at + 1..];
+        let number = |text: &str| text.parse::<f64>().unwrap_or(f64::NAN);
+        match &word[at..=at] {
+            "<" => number(value) < number(wanted),
+            ">" => number(value) > number(wanted),
+            _ if got.what == "log" => value.contains(&wanted.replace('_', " ")),
+            _ => wanted == "*" || value == wanted,
+        }
+    })
+}
