--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -491,3 +491,49 @@
     }
     Ok(locations)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = include_str!("../../deploy/push.toml");
+
+    fn fault(from: &str, to: &str) -> String {
+        assert!(FILE.contains(from), "{from}");
+        push_text(&FILE.replacen(from, to, 1)).err().unwrap_or_default()
+    }
+
+    #[test]
+    fn the_file_under_deploy_is_sound_and_repeats_no_order() {
+        let push = push_text(FILE).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(push.rules.settings.classes[0].effect, Effect::Unsafe);
+        assert_eq!(push.rules.settings.classes[1].effect, Effect::Safe);
+        assert_eq!(push.gateways.instances.len(), 2);
+    }
+
+    #[test]
+    fn faults_name_their_key() {
+        let cases = [
+            ("aim_ms = 4000", "aim_ms = \"soon\"", "class[0].aim_ms"),
+            ("aim_ms = 4000", "aim_ms = 40000", "class[0].aim_ms"),
+            ("slots = 64", "slots = 0", "limits"),
+            ("slots = 64", "slot = 64", "limits"),
+            ("repeat = \"safe\"", "repeat = \"often\"", "class[1].repeat"),
+            ("127.0.0.1:8480", "localhost", "push.listen"),
+            ("disk_mb = 64", "disk_mb = nan", "push.disk_mb"),
+            ("upstream = \"apps\"", "upstream = \"app\"", "location[0].upstream"),
+            ("127.0.0.1:9002", "nowhere", "upstream[0].server[1].address"),
+            ("path = \"/order/\"", "path = \"order\"", "location[1].path"),
+        ];
+        for (from, to, key) in cases {
+            let fault = fault(from, to);
+            assert!(fault.contains(key), "{to}: {fault}");
+        }
+    }
+
+    #[test]
+    fn json_faults_name_their_path() {
+        let fault = decode::<NodeList>(br#"{"generation":1,"reset":true,"instances":[{"instanceId":4}]}"#);
+        assert!(fault.is_err_and(|f| f.starts_with("instances[0].instanceId")));
+    }
+}
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -280,3 +280,103 @@
     let record = postcard::from_bytes(inner).ok()?;
     Some((text.slice(at..at + 8 + length), record))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::NoticeEnd;
+    use std::time::Duration;
+
+    fn job(id: &str, size: usize) -> Job {
+        Job {
+            id: id.into(),
+            class: "c".into(),
+            dest: 7,
+            deadline: SystemTime::UNIX_EPOCH + Duration::from_secs(9),
+            retry: false,
+            reconnect: true,
+            fields: vec![("key".into(), Bytes::from_static(b"\xff\x00"))],
+            body: Bytes::from(vec![3; size]),
+        }
+    }
+
+    fn claim(at: u64) -> MayHaveRun {
+        let sent = SystemTime::UNIX_EPOCH + Duration::from_secs(at);
+        MayHaveRun { sent, node: "n1".into(), zone: None }
+    }
+
+    fn disk_use(folder: &Path) -> u64 {
+        let files = std::fs::read_dir(folder).expect("a folder").map(|f| f.expect("a file"));
+        files.map(|f| f.metadata().expect("a file").len().div_ceil(512) * 512).sum()
+    }
+
+    #[test]
+    fn what_is_open_comes_back_as_it_was() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+        let keys = ["a", "b", "c", "d"].map(|id| journal.job(&job(id, 9)).expect("written").expect("room"));
+        journal.claim(keys[0], claim(1)).expect("written");
+        journal.never_ran(keys[0]).expect("written");
+        journal.claim(keys[0], claim(2)).expect("written");
+        journal.claim(keys[0], claim(3)).expect("written");
+        journal.never_ran(keys[0]).expect("written");
+        journal.end(keys[1]).expect("written");
+        let notice = Notice { id: "c".into(), end: NoticeEnd::Returned { after: None } };
+        journal.ending(keys[2], &notice).expect("written");
+        // Once as it was appended, once as it was rewritten.
+        for _ in 0..2 {
+            let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+            let ids: Vec<_> = open.iter().map(|o| o.job.id.as_str()).collect();
+            assert_eq!(ids, ["a", "c", "d"]);
+            assert_eq!((open[0].tries, open[0].risk.clone()), (3, Some(claim(2))));
+            assert_eq!(open[1].ending, Some(notice.clone()));
+            assert_eq!(open[2].job, job("d", 9));
+        }
+    }
+
+    #[test]
+    fn a_torn_tail_is_dropped_and_what_follows_is_kept() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+        for id in ["a", "b"] {
+            journal.job(&job(id, 50)).expect("written");
+        }
+        drop(journal);
+        let file = folder.path().join("journal");
+        let text = std::fs::read(&file).expect("it is there");
+        for cut in 1..text.len() / 2 {
+            std::fs::write(&file, &text[..text.len() - cut]).expect("written");
+            let (mut journal, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+            assert_eq!(open.len(), 1, "{cut} bytes are missing");
+            journal.job(&job("z", 5)).expect("written");
+            let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+            assert_eq!(open.last().map(|o| o.job.id.as_str()), Some("z"));
+        }
+    }
+
+    #[test]
+    fn the_folder_never_holds_more_than_its_limit() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let limit = 200_000;
+        let (mut journal, _) = Journal::open(folder.path(), limit).expect("it opens");
+        let mut open = std::collections::VecDeque::new();
+        let mut refused = 0;
+        for round in 0..3000 {
+            match journal.job(&job(&format!("j{round}"), (round * 37) % 3000)).expect("written") {
+                Some(key) => open.push_back(key),
+                None => refused += 1,
+            }
+            for key in &open {
+                journal.claim(*key, claim(round as u64)).expect("written");
+            }
+            if round % 3 > 0 {
+                open.pop_front().into_iter().for_each(|key| journal.end(key).expect("written"));
+            }
+            // The successor is there for a moment only: what both take is bounded by what is live.
+            assert!(disk_use(folder.path()) + journal.live_size <= limit, "round {round}");
+        }
+        assert!(refused > 0, "the folder was never full");
+        let (_, recovered) = Journal::open(folder.path(), limit).expect("it opens");
+        assert_eq!(recovered.len(), open.len());
+    }
+}
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -29,13 +29,15 @@
 const IDLE_LOOK: Duration = Duration::from_secs(1);
 
 pub struct Gateways {
-    /// For each address its connections; the lock keeps claims that wait for one from dialling each their own.
-    lines: RefCell<HashMap<SocketAddr, Rc<tokio::sync::Mutex<Vec<Rc<Line>>>>>>,
+    lines: RefCell<HashMap<SocketAddr, Rc<Lines>>>,
     notices: SocketAddr,
     dial_timeout: Duration,
     idle: Duration,
 }
 
+/// A gateway's connections; the lock keeps claims that wait for one from dialling each their own.
+type Lines = tokio::sync::Mutex<Vec<Rc<Line>>>;
+
 /// One HTTP/2 connection.
 struct Line {
     sender: SendRequest<Bytes>,
--- /dev/null
+++ b/relay/tests/push.rs
@@ -0,0 +1,282 @@
+//! Scenarios for the second front: submitters and gateways over HTTP/2, by RFC 8030.
+mod scenario;
+
+use scenario::play;
+
+const FILE: &str = r#"
+[push]
+listen = "127.0.0.1:0"
+notices = "ends"
+state = "STATE"
+body_limit = 100
+
+[[class]]
+name = "order"
+aim_ms = 4000
+give_up_ms = 28000
+repeat = "never"
+worth = 2.0
+
+[[class]]
+name = "notice"
+aim_ms = 1000
+give_up_ms = 6000
+repeat = "safe"
+
+[[upstream]]
+name = "apps"
+rate = 200.0
+server = [{ address = "g1" }]
+
+[[upstream]]
+name = "shops"
+rate = 200.0
+server = [{ address = "g2" }]
+
+[[location]]
+path = "/push/"
+target = "/p/"
+upstream = "apps"
+class = "notice"
+
+[[location]]
+path = "/order/"
+upstream = "shops"
+class = "order"
+
+[[location]]
+path = "/apporder/"
+upstream = "apps"
+class = "order"
+"#;
+
+fn push(scenario: &str) {
+    play(Some(FILE), scenario);
+}
+
+#[test]
+fn a_push_message_is_taken_delivered_and_passed_unchanged() {
+    push(
+        "send relay start
+         send p POST /push/abc?x=1 ttl=5 topic=t1 urgency=high authorization=vapid content-encoding=aes128gcm body=m1
+         expect p 201 to=m1 ttl=5 location=*
+         expect g1 POST path=/p/abc body=m1 topic=t1 urgency=high authorization=vapid content-encoding=aes128gcm ttl<6
+         send g1 201
+         expect relay log=Delivered
+         send p POST /push/abc ttl=0 prefer=respond-async body=m2
+         expect p 202 to=m2 ttl=0
+         expect g1 POST body=m2 ttl=0
+         send g1 201
+         send p POST /push/abc ttl=99999999999999999999999 body=m3
+         expect p 201 to=m3 ttl=6             # no longer than the class is worth anything
+         expect g1 POST body=m3
+         send g1 204
+         expect ends nothing 200
+         expect g1 nothing 50",
+    );
+}
+
+#[test]
+fn unfit_requests_are_told_why() {
+    push(
+        "send relay start
+         send p POST /push/abc body=m1
+         expect p 400 to=m1
+         send p POST /push/abc ttl=-1 body=m2
+         expect p 400 to=m2
+         send p POST /nowhere ttl=1 body=m3
+         expect p 404 to=m3
+         send p GET /push/abc ttl=1
+         expect p 405 allow=POST
+         send p GET /message/none
+         expect p 404
+         send p POST /push/abc ttl=1 body=0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789x
+         expect p 413
+         send p POST /push/abc ttl=2 body=m4
+         expect p 201 to=m4
+         expect g1 POST body=m4
+         send g1 201",
+    );
+}
+
+#[test]
+fn a_gateways_final_word_ends_the_job_with_its_status() {
+    push(
+        "send relay start
+         send p POST /push/a ttl=5 body=m1
+         expect g1 POST body=m1
+         send g1 410
+         expect ends failed status=410
+         send p POST /push/b ttl=5 body=m2
+         expect g1 POST body=m2
+         send g1 404
+         expect ends failed status=404
+         send p POST /push/c ttl=5 body=m3
+         expect g1 POST body=m3
+         send g1 413
+         expect ends failed status=413
+         expect g1 nothing 100",
+    );
+}
+
+#[test]
+fn nothing_is_sent_while_a_gateway_asks_to_wait() {
+    push(
+        "send relay start
+         send p POST /push/a ttl=6 body=m1
+         expect g1 POST body=m1
+         send g1 429 retry-after=1
+         expect relay log=Full
+         send p POST /push/b ttl=6 body=m2
+         expect p 201 to=m2
+         expect g1 nothing 800
+         expect g1 POST
+         send g1 201
+         expect g1 POST
+         send g1 201",
+    );
+}
+
+#[test]
+fn what_cannot_be_done_in_time_is_refused_or_ended() {
+    push(
+        "send relay start
+         send p POST /push/a ttl=6 body=m1
+         expect g1 POST body=m1
+         expect g1 givenup body=m1            # after the tightest aim, as long as nothing is measured
+         expect g1 POST body=m1
+         wait 1200
+         send g1 201 to=m1
+         expect relay log=Delivered
+         send p POST /push/b ttl=1 body=m2    # one takes 1.2 s there
+         expect p 429 to=m2 retry-after>1
+         send p POST /push/c ttl=2 body=m3
+         expect p 201 to=m3
+         expect g1 POST body=m3
+         expect ends returned after_ms>0
+         expect g1 nothing 100",
+    );
+}
+
+#[test]
+fn an_order_whose_stream_is_reset_is_never_sent_again() {
+    // 7 is REFUSED_STREAM, 8 CANCEL, 2 INTERNAL_ERROR: a gateway that resets at random gives any of them for
+    // what it has processed.
+    push(
+        "send relay start
+         send p POST /order/a ttl=9 body=m1
+         expect g2 POST body=m1
+         send g2 reset=7
+         expect ends failed
+         send p POST /order/b ttl=9 body=m2
+         expect g2 POST body=m2
+         send g2 reset=8
+         expect ends failed
+         send p POST /order/c ttl=9 body=m3
+         expect g2 POST body=m3
+         send g2 reset=2
+         expect ends failed
+         send p POST /order/d ttl=9 body=m4
+         expect g2 POST body=m4
+         close g2 call                        # nor one whose connection breaks
+         expect ends failed
+         expect g2 nothing 500
+         send p POST /push/a ttl=5 body=m5
+         expect g1 POST body=m5
+         send g1 reset=7
+         expect g1 POST body=m5               # safe to repeat
+         send g1 201
+         expect ends nothing 100",
+    );
+}
+
+#[test]
+fn a_gateway_that_resets_at_random_sees_no_order_twice() {
+    let mut scenario = String::from("send relay start\n");
+    let mut random = 7_u32;
+    for order in 0..40 {
+        // A quarter of the streams is reset, for any reason; the order is fixed, as is the test.
+        random = random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        let reset = (random >> 24).is_multiple_of(4);
+        let answer = if reset { format!("reset={}", (random >> 16) % 14) } else { "201".into() };
+        let told = if reset { "expect ends failed\n" } else { "" };
+        scenario += &format!(
+            "send p POST /order/x ttl=20 body=o{order}
+             expect g2 POST body=o{order}
+             send g2 {answer}
+             {told}"
+        );
+    }
+    scenario += "expect g2 nothing 1000\nexpect ends nothing 50";
+    push(&scenario);
+}
+
+#[test]
+fn a_goaway_with_twenty_streams_open_keeps_the_lower_ones_and_repeats_the_others() {
+    // The window grows by one for each success while full: twenty in all, then twenty calls at once.
+    let mut scenario = String::from("send relay start\n");
+    for wave in 1..=20 {
+        for call in 0..wave {
+            scenario += &format!("send p POST /order/x ttl=20 body=w{wave}.{call}\n");
+        }
+        for call in 0..wave {
+            scenario += &format!("expect g2 POST body=w{wave}.{call}\n");
+        }
+        if wave < 20 {
+            for call in 0..wave {
+                scenario += &format!("send g2 201 to=w{wave}.{call}\n");
+            }
+        }
+    }
+    // Streams 1, 3, 5 ...: 190 lie before the last twenty, the tenth of which is 399.
+    scenario += "send g2 goaway=399\n";
+    for call in 10..20 {
+        scenario += &format!("expect g2 POST body=w20.{call} stream<50\n"); // on a new connection
+    }
+    scenario += "send g2 201 to=w20.0\n"; // below the last id they go on
+    for call in 10..20 {
+        scenario += &format!("send g2 201 to=w20.{call}\n");
+    }
+    scenario += "expect ends nothing 100
+         close g2 call                        # and are lost with the connection: they may have run
+         ";
+    for _ in 1..10 {
+        scenario += "expect ends failed\n";
+    }
+    scenario += "expect g2 nothing 300\nexpect ends nothing 50";
+    push(&scenario);
+}
+
+#[test]
+fn a_draining_gateway_gets_nothing_new_from_the_word_on() {
+    let file = FILE.replace(r#"[{ address = "g2" }]"#, r#"[{ address = "g2", draining = true }]"#);
+    play(
+        Some(&file),
+        "send relay start
+         send p POST /order/a ttl=2 body=m1
+         expect p 201 to=m1
+         expect ends returned after_ms>0
+         expect g2 nothing 50",
+    );
+}
+
+#[test]
+fn push_messages_outlast_the_process() {
+    push(
+        "send relay start
+         send p POST /order/a ttl=20 body=m1
+         expect p 201 to=m1
+         expect g2 POST body=m1
+         send p POST /push/b ttl=6 body=m2
+         expect p 201 to=m2
+         expect g1 POST body=m2
+         send relay kill
+         expect relay exit
+         send relay start
+         expect relay log=recovered=2
+         expect ends failed                   # the order was out: it may have run
+         expect g1 POST body=m2 ttl<6
+         send g1 201
+         expect g2 nothing 200",
+    );
+}
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -75,10 +75,9 @@
         };
         for (number, line) in scenario.lines().enumerate() {
             let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
-            if let [verb, party, rest @ ..] = &words[..] {
-                if let Err(why) = stage.step(verb, party, rest).await {
-                    panic!("line {}: {}: {why}", number + 1, line.trim());
-                }
+            let [verb, party, rest @ ..] = &words[..] else { continue };
+            if let Err(why) = stage.step(verb, party, rest).await {
+                panic!("line {}: {}: {why}", number + 1, line.trim());
             }
         }
     });
