Plug-ins in rhai with hooks at admission and outcome; a job's life made one course

A script named by [hook] in the relay's own file may refuse a job, shorten its time or label it, before the module sees it and after each outcome that does not end it. It is bounded in steps, call depth, text, arrays and maps, has no eval, files or modules, and keeps nothing between calls; when it fails, that is logged and the job goes on. Off unless a file names one.

Tests: hook.rs (ten failing or greedy scripts rule nothing), scenarios for refusing, shortening, failing scripts, and drains by SIGHUP.

--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -181,7 +181,15 @@
     value.map(|v| v.parse().map_err(|_| format!("{name}: '{v}' is no address and port"))).transpose()
 }
 
-/// What the file of the second front says; the front is off without one.
+/// What the relay's own file says.
+pub struct Own {
+    /// The second front, if it is on.
+    pub push: Option<Push>,
+    /// A plug-in for the fronts that are on.
+    pub hook: Option<HookTable>,
+}
+
+/// The second front.
 pub struct Push {
     pub listen: SocketAddr,
     /// The folder that lasts.
@@ -213,11 +221,12 @@
 /// The file as it is written. The importer writes this form, the push front runs it.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
-pub struct PushFile {
-    pub push: PushTable,
+pub struct OwnFile {
+    pub push: Option<PushTable>,
+    pub hook: Option<HookTable>,
     #[serde(default)]
     pub limits: LimitsTable,
-    #[serde(rename = "class")]
+    #[serde(rename = "class", default)]
     pub classes: Vec<ClassTable>,
     #[serde(rename = "upstream", default)]
     pub upstreams: Vec<UpstreamTable>,
@@ -239,6 +248,15 @@
     pub connections: usize,
 }
 
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HookTable {
+    pub script: PathBuf,
+    /// Steps that one call of a hook may take.
+    #[serde(default = "default_operations")]
+    pub operations: u64,
+}
+
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitsTable {
@@ -324,6 +342,10 @@
     pub class: String,
 }
 
+fn default_operations() -> u64 {
+    20_000
+}
+
 fn default_push_disk_mb() -> f64 {
     64.0
 }
@@ -340,45 +362,57 @@
     1.0
 }
 
-/// Reads the second front's file.
-pub fn push(path: &Path) -> Result<Push, String> {
+/// Reads the relay's own file.
+pub fn own(path: &Path) -> Result<Own, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
-    push_text(&text).map_err(|e| format!("{name}: {e}"))
+    own_text(&text).map_err(|e| format!("{name}: {e}"))
 }
 
 /// The same from the file's text.
-pub fn push_text(text: &str) -> Result<Push, String> {
+pub fn own_text(text: &str) -> Result<Own, String> {
     let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
-    let file: PushFile = serde_path_to_error::deserialize(reader)
+    let mut file: OwnFile = serde_path_to_error::deserialize(reader)
         .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+    let hook = file.hook.take();
+    if hook.as_ref().is_some_and(|h| h.operations == 0) {
+        return Err("hook.operations: must be at least 1".into());
+    }
+    let push = file.push.take().map(|table| push(table, &file)).transpose()?;
+    Ok(Own { push, hook })
+}
+
+fn push(table: PushTable, file: &OwnFile) -> Result<Push, String> {
     if file.classes.is_empty() {
         return Err("class: no class of message is given".into());
     }
-    let disk = file.push.disk_mb;
-    if !disk.is_finite() || disk < 0.1 {
-        return Err(format!("push.disk_mb: {disk} is too small to keep a journal in"));
+    if !table.disk_mb.is_finite() || table.disk_mb < 0.1 {
+        return Err(format!("push.disk_mb: {} is too small to keep a journal in", table.disk_mb));
     }
-    if file.limits.slots == 0 || file.limits.jobs == 0 || file.limits.tries == 0 {
-        return Err("limits: slots, jobs and tries must be at least 1".into());
+    for (key, value) in
+        [("slots", file.limits.slots), ("jobs", file.limits.jobs), ("tries", file.limits.tries)]
+    {
+        if value == 0 {
+            return Err(format!("limits.{key}: must be at least 1"));
+        }
     }
     let one = |key: &str, value: &str| {
         value.parse::<SocketAddr>().map_err(|_| format!("{key}: '{value}' is no address and port"))
     };
     Ok(Push {
-        listen: one("push.listen", &file.push.listen)?,
-        notices: one("push.notices", &file.push.notices)?,
-        state: file.push.state.clone(),
-        disk: (disk * 1e6) as u64,
-        body_limit: file.push.body_limit,
-        connections: file.push.connections.max(1),
-        rules: push_rules(&file)?,
+        listen: one("push.listen", &table.listen)?,
+        notices: one("push.notices", &table.notices)?,
+        state: table.state,
+        disk: (table.disk_mb * 1e6) as u64,
+        body_limit: table.body_limit,
+        connections: table.connections.max(1),
+        rules: push_rules(file)?,
         gateways: gateways(&file.upstreams)?,
-        locations: locations(&file)?,
+        locations: locations(file)?,
     })
 }
 
-fn push_rules(file: &PushFile) -> Result<Rules, String> {
+fn push_rules(file: &OwnFile) -> Result<Rules, String> {
     let millis = |ms: u64| ms.saturating_mul(1_000_000);
     let mut classes = Vec::new();
     for (i, class) in file.classes.iter().enumerate() {
@@ -468,7 +502,7 @@
     Ok(NodeList { generation: 0, reset: true, instances })
 }
 
-fn locations(file: &PushFile) -> Result<Vec<Location>, String> {
+fn locations(file: &OwnFile) -> Result<Vec<Location>, String> {
     let mut locations = Vec::new();
     for (i, location) in file.locations.iter().enumerate() {
         if !file.upstreams.iter().any(|u| u.name == location.upstream) {
@@ -500,12 +534,12 @@
 
     fn fault(from: &str, to: &str) -> String {
         assert!(FILE.contains(from), "{from}");
-        push_text(&FILE.replacen(from, to, 1)).err().unwrap_or_default()
+        own_text(&FILE.replacen(from, to, 1)).err().unwrap_or_default()
     }
 
     #[test]
     fn the_file_under_deploy_is_sound_and_repeats_no_order() {
-        let push = push_text(FILE).unwrap_or_else(|e| panic!("{e}"));
+        let push = own_text(FILE).ok().and_then(|own| own.push).expect("a push front");
         assert_eq!(push.rules.settings.classes[0].effect, Effect::Unsafe);
         assert_eq!(push.rules.settings.classes[1].effect, Effect::Safe);
         assert_eq!(push.gateways.instances.len(), 2);
@@ -516,7 +550,7 @@
         let cases = [
             ("aim_ms = 4000", "aim_ms = \"soon\"", "class[0].aim_ms"),
             ("aim_ms = 4000", "aim_ms = 40000", "class[0].aim_ms"),
-            ("slots = 64", "slots = 0", "limits"),
+            ("slots = 64", "slots = 0", "limits.slots"),
             ("slots = 64", "slot = 64", "limits"),
             ("repeat = \"safe\"", "repeat = \"often\"", "class[1].repeat"),
             ("127.0.0.1:8480", "localhost", "push.listen"),
--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use slatethread::{Action, Condition, Courier, DestId, EndpointId, Event, MsgId, Nanos, Request, Risk};
-use slatethread::{ClassId, Effect, Endpoint, KindId, ListScope, Report, ZoneId};
+use slatethread::{ClassId, Effect, Endpoint, Group, KindId, ListScope, Report, ZoneId};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::config::{Lifecycle, NodeList, Rules};
+use crate::hook::Hooks;
 use crate::journal::{Journal, Key, MayHaveRun, Open};
 
 /// A message that a submitter hands in: what the core reads of it, and what passes through unread.
@@ -29,6 +30,8 @@
     pub retry: bool,
     /// A relay that had it has died.
     pub reconnect: bool,
+    /// What a plug-in calls it, for the log.
+    pub label: Option<String>,
     /// What passes through unchanged and only the front reads.
     pub fields: Vec<(String, Bytes)>,
     pub body: Bytes,
@@ -205,11 +208,14 @@
 pub struct Core<C> {
     pub carrier: C,
     pub rules: Rules,
+    hooks: Option<Hooks>,
     state: RefCell<State>,
     journal: RefCell<Journal>,
     wake: Notify,
     follow: Notify,
     start: Instant,
+    /// Told when the last round has been played.
+    closing: Notify,
     /// No further rounds: what is out comes home, the rest stays in the journal.
     winding_down: Cell<bool>,
 }
@@ -218,11 +224,14 @@
 const CLOCK_START: Duration = Duration::from_secs(3600);
 /// The told backoff where the module did not get to decide.
 const DEFAULT_BACKOFF: Duration = Duration::from_secs(1);
-/// Longest time between two tries to tell an end.
-const NOTICE_PAUSE: Duration = Duration::from_secs(1);
-/// How long an end is tried to be told; by then nobody waits for it.
-const NOTICE_TRIES: Duration = Duration::from_secs(300);
-
+/// Shortest and longest time between two tries to tell an end.
+const NOTICE_FIRST_PAUSE: Duration = Duration::from_millis(50);
+const NOTICE_PAUSE: Duration = Duration::from_secs(2);
+/// When nothing else is due.
+const FAR_OFF: Duration = Duration::from_secs(3600);
+
+/// Longest name of a node, and of a zone together with it, that fits into a journal record.
+const LONGEST_NODE_NAME: usize = 200;
 /// Longest wait that is believed.
 const LONGEST_WAIT: Duration = Duration::from_secs(24 * 3600);
 
@@ -242,7 +251,7 @@
 }
 
 impl<C: Carrier> Core<C> {
-    pub fn new(carrier: C, rules: Rules, seed: u64, journal: Journal) -> Rc<Self> {
+    pub fn new(carrier: C, rules: Rules, hooks: Option<Hooks>, seed: u64, journal: Journal) -> Rc<Self> {
         let state = State {
             courier: Courier::new(rules.settings.clone(), seed),
             inbox: Vec::new(),
@@ -259,11 +268,13 @@
         Rc::new(Core {
             carrier,
             rules,
+            hooks,
             state: RefCell::new(state),
             journal: RefCell::new(journal),
             wake: Notify::new(),
             follow: Notify::new(),
             start: Instant::now(),
+            closing: Notify::new(),
             winding_down: Cell::new(false),
         })
     }
@@ -281,7 +292,7 @@
             return Answer::Taken;
         }
         let (answer, answered) = oneshot::channel();
-        actix_rt::spawn(self.clone().life(Origin::Submitter(job, answer)));
+        actix_rt::spawn(self.clone().life(job, Course::default(), Some(answer)));
         answered.await.unwrap_or(Answer::Failed)
     }
 
@@ -293,90 +304,107 @@
     /// Goes on with a job that outlived its process.
     pub fn resume(self: &Rc<Self>, open: Open) {
         self.state.borrow_mut().ids.insert(open.job.id.clone());
-        actix_rt::spawn(self.clone().life(Origin::Journal(open)));
+        let Open { key, job, tries, risk, ending } = open;
+        let course = Course { key, tries, risk, ending, ..Course::default() };
+        actix_rt::spawn(self.clone().life(job, course, None));
     }
 
     /// The whole life of a job: admitted, journaled, answered, claimed as the module orders, ended.
-    async fn life(self: Rc<Self>, origin: Origin) {
-        let (job, recovered, answer) = match origin {
-            Origin::Submitter(job, answer) => (job, None, Some(answer)),
-            Origin::Journal(open) => (open.job, Some((open.key, open.tries, open.risk, open.ending)), None),
-        };
-        if let Some((key, _, _, Some(notice))) = recovered {
-            return self.finish(key, &job, Some(notice)).await;
+    async fn life(self: Rc<Self>, mut job: Job, mut course: Course, answer: Option<oneshot::Sender<Answer>>) {
+        // Admit.
+        if let Some(notice) = course.ending.take() {
+            return self.finish(&job, &course, Some(notice)).await;
         }
-        let (key, tries, mut risk) = match recovered {
-            Some((key, tries, risk, _)) => (Some(key), tries, risk),
-            None => (None, 0, None),
-        };
         let Some(class) = self.rules.class(&job.class) else {
             // Only a journal from before a change of the settings can hold such a job.
             tracing::warn!(id = job.id, class = job.class, "class is no longer known; the job fails");
-            let notice = Notice { id: job.id.clone(), end: NoticeEnd::Failed { status: None } };
-            return if let Some(key) = key {
-                self.finish(key, &job, Some(notice)).await
-            };
+            return self.finish(&job, &course, Some(job.failed(None))).await;
         };
-        let mut seat = self.take_seat(&job, class, tries, risk.as_ref());
-        let mut order = seat.next().await;
-        let key = match (key, answer) {
-            (Some(key), _) => key,
-            (None, None) => return,
-            (None, Some(answer)) => {
-                let refusal = match order {
-                    Order::Refuse { after } => Some(Answer::Refused { after }),
-                    Order::Fail => Some(Answer::Failed),
-                    _ => None,
-                };
-                let recorded = match refusal {
-                    Some(refusal) => Err(refusal),
-                    None => self.record(&job).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
-                };
-                match recorded {
-                    Ok(key) => {
-                        // A submitter that is gone was not told: it hands the message in again.
-                        if answer.send(Answer::Taken).is_err() {
-                            seat.withdraw();
-                            return self.finish(key, &job, None).await;
-                        }
-                        key
-                    }
-                    Err(refusal) => {
-                        seat.withdraw();
-                        self.state.borrow_mut().ids.remove(&job.id);
-                        let _ = answer.send(refusal);
-                        return;
-                    }
-                }
+        course.class = class;
+        if let (Some(hooks), Some(_)) = (&self.hooks, &answer) {
+            let ruling = hooks.admit(&job, job.left());
+            if ruling.refuse {
+                return self.turn_away(&job, answer, Answer::Refused { after: ruling.after });
             }
+            job.deadline =
+                ruling.left.map_or(job.deadline, |left| job.deadline.min(SystemTime::now() + left));
+            job.label = ruling.label;
+        }
+        let mut seat = self.take_seat(&job, &course);
+        let mut order = tokio::select! {
+            order = seat.next() => order,
+            // No round will decide on it any more.
+            () = self.closed(), if answer.is_some() => Order::Refuse { after: Some(DEFAULT_BACKOFF) },
         };
+
+        // Journal and answer.
+        if let Some(answer) = answer {
+            let taken_on = match order {
+                Order::Refuse { after } => Err(Answer::Refused { after }),
+                Order::Fail => Err(Answer::Failed),
+                _ => self.record(&job).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
+            };
+            match taken_on {
+                Ok(key) => course.key = key,
+                Err(refusal) => {
+                    seat.leave(order);
+                    return self.turn_away(&job, Some(answer), refusal);
+                }
+            }
+            if answer.send(Answer::Taken).is_err() {
+                // A submitter that is gone was not told: it hands the message in again.
+                seat.leave(order);
+                return self.finish(&job, &course, None).await;
+            }
+        }
+
+        // Claim as the module orders.
         let end = loop {
             match order {
                 Order::Held | Order::Cancel { .. } => {}
+                Order::Fail => break Some(job.failed(None)),
+                Order::Refuse { after } => break Some(job.returned(after)),
                 Order::Claim { node, limit } => {
-                    match self.claim(key, &job, class, &mut risk, &mut seat, &node, limit).await {
+                    let outcome = self.claim(&job, &mut course, &mut seat, &node, limit).await;
+                    match outcome {
                         Outcome::Delivered | Outcome::Over => break None,
-                        Outcome::Rejected(status) => break Some(NoticeEnd::Failed { status: Some(status) }),
+                        Outcome::Rejected(status) => break Some(job.failed(Some(status))),
                         _ => {}
                     }
+                    if let Some(hooks) = &self.hooks {
+                        let ruling = hooks.outcome(&job, job.left(), outcome, seat.next_attempt, &node.name);
+                        job.label = ruling.label.or(job.label);
+                        let cut = if ruling.refuse { Some(Duration::ZERO) } else { ruling.left };
+                        let cut = cut.map(|left| Instant::now() + left);
+                        course.cut = course.cut.into_iter().chain(cut).min();
+                        course.cut_after = ruling.after.or(course.cut_after);
+                    }
                 }
-                Order::Fail => break Some(NoticeEnd::Failed { status: None }),
-                Order::Refuse { after } => break Some(NoticeEnd::Returned { after }),
             }
-            order = seat.next().await;
+            let cut = course.cut.unwrap_or_else(|| Instant::now() + FAR_OFF);
+            order = tokio::select! {
+                order = seat.next() => order,
+                () = sleep_until(cut.into()) => {
+                    seat.leave(Order::Held);
+                    break Some(if self.may_return(&job, &course) {
+                        job.returned(course.cut_after.or(Some(DEFAULT_BACKOFF)))
+                    } else {
+                        job.failed(None)
+                    });
+                }
+            };
         };
+
+        // End.
         drop(seat);
-        self.finish(key, &job, end.map(|end| Notice { id: job.id.clone(), end })).await;
+        self.finish(&job, &course, end).await;
     }
 
     /// Carries out one claim and reports its outcome to the module.
-    #[allow(clippy::too_many_arguments)]
     async fn claim(
         &self,
-        key: Key,
         job: &Job,
-        class: usize,
-        risk: &mut Option<MayHaveRun>,
+        course: &mut Course,
         seat: &mut Seat<'_, C>,
         node: &Rc<Node>,
         limit: Duration,
@@ -384,6 +412,7 @@
         let sent = Instant::now();
         let attempt = seat.next_attempt;
         seat.next_attempt += 1;
+        let limit = course.cut.map_or(limit, |cut| limit.min(cut.saturating_duration_since(sent)));
         let this = MayHaveRun {
             sent: SystemTime::now(),
             node: node.name.clone(),
@@ -392,10 +421,10 @@
         let ticket = Rc::new(Ticket {
             node: node.clone(),
             wait: self.wait_of(node),
-            not_after: risk.as_ref().and_then(|risk| self.memory_ends(class, risk)),
+            not_after: course.risk.as_ref().and_then(|risk| self.memory_ends(course.class, risk)),
             sent: Cell::new(false),
         });
-        let recorded = self.journal.borrow_mut().claim(key, this.clone());
+        let recorded = self.journal.borrow_mut().claim(course.key, this.clone());
         let outcome = if let Err(e) = recorded {
             tracing::error!(id = job.id, error = %e, "journal cannot record a claim; it is not sent");
             Outcome::NotSent
@@ -412,54 +441,67 @@
             self.state.borrow_mut().claims_out -= 1;
             outcome
         };
-        tracing::debug!(id = job.id, node = node.name, attempt, ?outcome, took = ?sent.elapsed(), "claim");
+        let label = job.label.as_deref().unwrap_or("");
+        tracing::debug!(id = job.id, node = node.name, attempt, ?outcome, took = ?sent.elapsed(), label, "claim");
         if outcome.never_ran() {
-            if let Err(e) = self.journal.borrow_mut().never_ran(key) {
+            if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
             }
         } else {
-            risk.get_or_insert(this);
+            course.risk.get_or_insert(this);
         }
         if let Outcome::Full { wait: Some(wait) } = outcome {
             let until = self.wait_of(node);
             until.set(until.get().max(Instant::now() + wait));
         }
-        seat.report(Event::Closed {
-            msg: seat.msg,
-            attempt,
-            endpoint: node.id,
-            outcome: outcome.for_module(),
-            latency: nanos(sent.elapsed()),
-            no_more: outcome.ends_job(),
-            report: Report::default(),
-        });
+        seat.report_closed(attempt, node, outcome, sent.elapsed());
         outcome
     }
 
     /// Tells the end of a job, if it has one to tell, and forgets it.
-    async fn finish(&self, key: Key, job: &Job, notice: Option<Notice>) {
+    async fn finish(&self, job: &Job, course: &Course, notice: Option<Notice>) {
         if let Some(notice) = notice {
-            if let Err(e) = self.journal.borrow_mut().ending(key, &notice) {
+            if let Err(e) = self.journal.borrow_mut().ending(course.key, &notice) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record an end");
             }
-            let since = Instant::now();
-            let mut pause = Duration::from_millis(50);
+            let label = job.label.as_deref().unwrap_or("");
+            tracing::debug!(id = job.id, end = ?notice.end, label, "ended undelivered");
+            let mut pause = NOTICE_FIRST_PAUSE;
             while let Err(e) = self.carrier.notify(&notice).await {
-                if since.elapsed() > NOTICE_TRIES {
-                    tracing::error!(id = job.id, error = e, "an end could not be told and is dropped");
-                    break;
+                // Its room in the journal is kept: should nobody listen for long, new jobs are refused.
+                if pause == NOTICE_FIRST_PAUSE {
+                    tracing::warn!(id = job.id, error = e, "an end could not be told; trying on");
                 }
-                tracing::warn!(id = job.id, error = e, "an end could not be told; trying again");
                 sleep(pause).await;
                 pause = (pause * 2).min(NOTICE_PAUSE);
             }
         }
-        if let Err(e) = self.journal.borrow_mut().end(key) {
+        if let Err(e) = self.journal.borrow_mut().end(course.key) {
             tracing::error!(id = job.id, error = %e, "journal cannot record that nothing more is owed");
         }
         self.state.borrow_mut().ids.remove(&job.id);
     }
 
+    /// Gives a new job its answer instead of taking it on.
+    fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
+        self.state.borrow_mut().ids.remove(&job.id);
+        if let Some(answer) = answer {
+            // A submitter that is gone needs none.
+            let _ = answer.send(refusal);
+        }
+    }
+
+    /// Whether handing the job in again is harmless, as the rules have it.
+    fn may_return(&self, job: &Job, course: &Course) -> bool {
+        let class = &self.rules.settings.classes[course.class];
+        let repeatable = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => course.risk.is_none() || class.group == Group::All,
+            Effect::Unsafe => course.risk.is_none(),
+        };
+        repeatable && !job.left().is_zero()
+    }
+
     fn record(&self, job: &Job) -> Option<Key> {
         match self.journal.borrow_mut().job(job) {
             Ok(Some(key)) => Some(key),
@@ -497,10 +539,10 @@
         nanos(CLOCK_START + at.duration_since(self.start))
     }
 
-    fn take_seat(&self, job: &Job, class: usize, tries: u32, risk: Option<&MayHaveRun>) -> Seat<'_, C> {
+    fn take_seat(&self, job: &Job, course: &Course) -> Seat<'_, C> {
         let now = SystemTime::now();
         let mut state = self.state.borrow_mut();
-        let risk = risk.map(|risk| {
+        let risk = course.risk.as_ref().map(|risk| {
             let ago = now.duration_since(risk.sent).unwrap_or_default();
             let zone = risk.zone.as_ref().and_then(|z| self.rules.names.zones.iter().position(|n| n == z));
             Risk {
@@ -522,17 +564,17 @@
         state.inbox.push(Event::Request(Request {
             msg,
             dest: DestId(job.dest),
-            class: ClassId(class),
+            class: ClassId(course.class),
             tenant: None,
             key: None,
             patience: nanos(job.deadline.duration_since(now).unwrap_or_default()),
             retry: job.retry,
             reconnect: job.reconnect,
-            tries,
+            tries: course.tries,
             risk,
         }));
         self.wake.notify_one();
-        Seat { core: self, msg, orders, next_attempt: tries }
+        Seat { core: self, msg, orders, next_attempt: course.tries, kept: None }
     }
 
     /// Takes in news of the list of execute nodes.
@@ -541,6 +583,11 @@
         let mut entries = Vec::with_capacity(list.instances.len());
         let mut listed = HashSet::new();
         for entry in &list.instances {
+            if entry.instance_id.len() > LONGEST_NODE_NAME {
+                // Journal records must stay within the room that is kept for them.
+                tracing::warn!(address = entry.host_port, "a node's name is too long; left out");
+                continue;
+            }
             let Ok(address) = entry.host_port.parse::<SocketAddr>() else {
                 tracing::warn!(node = entry.instance_id, address = entry.host_port, "no address; left out");
                 continue;
@@ -634,7 +681,7 @@
     /// Lets what is out come home, for so long at most; what is still open then stays in the journal.
     pub async fn wind_down(&self, most: Duration) {
         self.winding_down.set(true);
-        self.wake.notify_one();
+        self.closing.notify_waiters();
         let end = Instant::now() + most;
         while self.state.borrow().claims_out > 0 && Instant::now() < end {
             sleep(Duration::from_millis(10)).await;
@@ -647,13 +694,20 @@
         );
     }
 
+    /// Done when no more rounds are played.
+    async fn closed(&self) {
+        while !self.winding_down.get() {
+            self.closing.notified().await;
+        }
+    }
+
     /// Plays rounds, no closer than the settings' step, until the relay winds down.
     pub async fn rounds(&self) {
         let step = self.rules.step();
         let mut last = Instant::now();
         while !self.winding_down.get() {
             let timer = self.state.borrow().timers.peek().map(|t| t.0.0);
-            let due = timer.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
+            let due = timer.unwrap_or_else(|| Instant::now() + FAR_OFF);
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = sleep_until(due.into()) => {}
@@ -665,7 +719,9 @@
                 tokio::task::yield_now().await;
             }
             last = Instant::now();
-            self.round(last);
+            if !self.winding_down.get() {
+                self.round(last);
+            }
         }
     }
 
@@ -721,9 +777,34 @@
     }
 }
 
-enum Origin {
-    Submitter(Job, oneshot::Sender<Answer>),
-    Journal(Open),
+/// What is known of a job's course.
+#[derive(Default)]
+struct Course {
+    key: Key,
+    class: usize,
+    /// Claims made by an earlier process.
+    tries: u32,
+    /// The first claim that may have run.
+    risk: Option<MayHaveRun>,
+    /// Its end was decided by an earlier process.
+    ending: Option<Notice>,
+    /// A plug-in lets it live no longer, and what it tells then.
+    cut: Option<Instant>,
+    cut_after: Option<Duration>,
+}
+
+impl Job {
+    fn left(&self) -> Duration {
+        self.deadline.duration_since(SystemTime::now()).unwrap_or_default()
+    }
+
+    fn failed(&self, status: Option<u16>) -> Notice {
+        Notice { id: self.id.clone(), end: NoticeEnd::Failed { status } }
+    }
+
+    fn returned(&self, after: Option<Duration>) -> Notice {
+        Notice { id: self.id.clone(), end: NoticeEnd::Returned { after } }
+    }
 }
 
 /// A job's place at the module. Leaving it frees the place.
@@ -733,10 +814,15 @@
     orders: mpsc::Receiver<Order>,
     /// Number of the next claim, as the module counts them.
     next_attempt: u32,
+    /// An order that came while a claim was out.
+    kept: Option<Order>,
 }
 
 impl<C> Seat<'_, C> {
     async fn next(&mut self) -> Order {
+        if let Some(order) = self.kept.take() {
+            return order;
+        }
         // The sender stays in the core for as long as the seat is taken.
         self.orders.recv().await.unwrap_or(Order::Fail)
     }
@@ -744,10 +830,11 @@
     /// Done when the module calls the claim off.
     async fn cancelled(&mut self, number: u32) {
         loop {
-            match self.next().await {
+            match self.orders.recv().await.unwrap_or(Order::Fail) {
                 Order::Cancel { attempt } if attempt == number => return,
                 Order::Held | Order::Cancel { .. } => {}
-                _ => tracing::error!(msg = self.msg.0, "the module gave an order while a claim was out"),
+                // Not to be expected while a claim is out, and not to be lost either.
+                order => self.kept = Some(order),
             }
         }
     }
@@ -757,8 +844,29 @@
         self.core.wake.notify_one();
     }
 
-    /// Tells the module that nobody wants the job any more.
-    fn withdraw(&self) {
+    fn report_closed(&self, attempt: u32, node: &Node, outcome: Outcome, took: Duration) {
+        self.report(Event::Closed {
+            msg: self.msg,
+            attempt,
+            endpoint: node.id,
+            outcome: outcome.for_module(),
+            latency: nanos(took),
+            no_more: outcome.ends_job(),
+            report: Report::default(),
+        });
+    }
+
+    /// Tells the module that nobody wants the job any more. Guards against claims that it has ordered and that
+    /// are not carried out: without an outcome they would hold their slots for ever.
+    fn leave(&mut self, order: Order) {
+        let mut order = Some(order);
+        while let Some(this) = order.or_else(|| self.kept.take()) {
+            if let Order::Claim { node, .. } = this {
+                self.report_closed(self.next_attempt, &node, Outcome::NotSent, Duration::ZERO);
+                self.next_attempt += 1;
+            }
+            order = self.orders.try_recv().ok();
+        }
         self.report(Event::Expired { msg: self.msg });
     }
 }
--- /dev/null
+++ b/relay/src/hook.rs
@@ -0,0 +1,212 @@
+//! Plug-ins: a script in rhai with a hook at admission and one at each outcome.
+//!
+//! A script may refuse a job, shorten its time and label it. It cannot send, lengthen or repeat: what it says
+//! is a [`Ruling`], which the core keeps within the rules. It runs inside fixed bounds, sees no files and no
+//! network, and keeps nothing from one call to the next. When it fails, that is logged and the job goes on.
+use rhai::{AST, Dynamic, Engine, EvalAltResult, Map, Scope};
+use std::time::Duration;
+
+use crate::config::HookTable;
+use crate::core::{Job, Outcome};
+
+/// What a script says of a job.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ruling {
+    pub refuse: bool,
+    /// With a refusal: when to come again.
+    pub after: Option<Duration>,
+    /// The job has no more time than this from now on.
+    pub left: Option<Duration>,
+    pub label: Option<String>,
+}
+
+pub struct Hooks {
+    engine: Engine,
+    script: AST,
+}
+
+/// Longest text that a script may build, and longest label.
+const LONGEST_TEXT: usize = 4096;
+const LONGEST_LABEL: usize = 64;
+
+impl Hooks {
+    /// Reads a script; a fault names its place in the file.
+    pub fn load(table: &HookTable) -> Result<Hooks, String> {
+        let name = table.script.display();
+        let text = std::fs::read_to_string(&table.script).map_err(|e| format!("hook.script: {name}: {e}"))?;
+        Hooks::new(&text, table.operations).map_err(|e| format!("hook.script: {name}: {e}"))
+    }
+
+    fn new(text: &str, operations: u64) -> Result<Hooks, String> {
+        let mut engine = Engine::new();
+        engine
+            .set_max_operations(operations)
+            .set_max_call_levels(16)
+            .set_max_expr_depths(32, 32)
+            .set_max_functions(64)
+            .set_max_variables(64)
+            .set_max_string_size(LONGEST_TEXT)
+            .set_max_array_size(256)
+            .set_max_map_size(64)
+            .disable_symbol("eval")
+            .on_print(|text| tracing::debug!("script: {text}"))
+            .on_debug(|text, _, _| tracing::debug!("script: {text}"));
+        let script = engine.compile(text).map_err(|e| e.to_string())?;
+        let known = [("admit", 1), ("outcome", 2)];
+        let hooks = script.iter_functions().filter(|f| known.contains(&(f.name, f.params.len()))).count();
+        if hooks == 0 {
+            return Err("it has neither admit(job) nor outcome(job, outcome)".into());
+        }
+        Ok(Hooks { engine, script })
+    }
+
+    /// Asked before the module sees a new job.
+    pub fn admit(&self, job: &Job, left: Duration) -> Ruling {
+        self.ask("admit", job, (describe(job, left),))
+    }
+
+    /// Asked after each outcome that does not end the job.
+    pub fn outcome(&self, job: &Job, left: Duration, outcome: Outcome, tries: u32, node: &str) -> Ruling {
+        let mut told = Map::new();
+        told.insert("kind".into(), kind(outcome).into());
+        told.insert("may_have_run".into(), (!outcome.never_ran()).into());
+        told.insert("tries".into(), i64::from(tries).into());
+        told.insert("node".into(), node.into());
+        self.ask("outcome", job, (describe(job, left), told))
+    }
+
+    fn ask(&self, hook: &str, job: &Job, arguments: impl rhai::FuncArgs) -> Ruling {
+        let said = self.engine.call_fn::<Dynamic>(&mut Scope::new(), &self.script, hook, arguments);
+        let ruling = match said {
+            Ok(said) => read(said),
+            // A script may leave a hook out.
+            Err(e) if matches!(&*e, EvalAltResult::ErrorFunctionNotFound(name, _) if name.starts_with(hook)) => {
+                Ok(Ruling::default())
+            }
+            Err(e) => Err(e.to_string()),
+        };
+        ruling.unwrap_or_else(|fault| {
+            tracing::warn!(id = job.id, hook, fault, "script failed; the job goes on without it");
+            Ruling::default()
+        })
+    }
+}
+
+fn describe(job: &Job, left: Duration) -> Map {
+    let mut map = Map::new();
+    map.insert("id".into(), job.id.as_str().into());
+    map.insert("class".into(), job.class.as_str().into());
+    map.insert("dest".into(), (job.dest as i64).into());
+    map.insert("size".into(), (job.body.len() as i64).into());
+    map.insert("left_ms".into(), (left.as_millis() as i64).into());
+    map.insert("label".into(), job.label.as_deref().unwrap_or("").into());
+    map
+}
+
+fn kind(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Delivered => "delivered",
+        Outcome::Rejected(_) => "rejected",
+        Outcome::Over => "over",
+        Outcome::NotSent => "not-sent",
+        Outcome::Full { .. } => "full",
+        Outcome::Error => "error",
+        Outcome::TimedOut => "timed-out",
+        Outcome::Reset => "reset",
+        Outcome::Unconnected => "unconnected",
+        Outcome::Cancelled => "cancelled",
+    }
+}
+
+/// Decodes what a hook returned: nothing, or a map with known keys.
+fn read(said: Dynamic) -> Result<Ruling, String> {
+    let mut ruling = Ruling::default();
+    if said.is_unit() {
+        return Ok(ruling);
+    }
+    let map = said.try_cast::<Map>().ok_or("a hook must return nothing or a map")?;
+    let millis = |key: &str, value: &Dynamic| {
+        let value = value.as_int().ok().and_then(|ms| u64::try_from(ms).ok());
+        value.map(Duration::from_millis).ok_or(format!("{key} must be a whole number of milliseconds"))
+    };
+    for (key, value) in &map {
+        match key.as_str() {
+            "refuse" => ruling.refuse = value.as_bool().map_err(|_| "refuse must be true or false")?,
+            "after_ms" => ruling.after = Some(millis("after_ms", value)?),
+            "left_ms" => ruling.left = Some(millis("left_ms", value)?),
+            "label" => {
+                let label = value.clone().into_string().map_err(|_| "label must be a string")?;
+                ruling.label = Some(label.chars().take(LONGEST_LABEL).collect());
+            }
+            other => return Err(format!("a hook returned '{other}', which means nothing")),
+        }
+    }
+    Ok(ruling)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::{Instant, SystemTime};
+
+    fn job() -> Job {
+        Job {
+            id: "j".into(),
+            class: "order".into(),
+            dest: 7,
+            deadline: SystemTime::now(),
+            retry: false,
+            reconnect: false,
+            label: None,
+            fields: Vec::new(),
+            body: vec![0; 10].into(),
+        }
+    }
+
+    fn admit(body: &str) -> Ruling {
+        let hooks = Hooks::new(&format!("fn admit(job) {{ {body} }}"), 20_000).expect("it compiles");
+        hooks.admit(&job(), Duration::from_secs(2))
+    }
+
+    #[test]
+    fn a_hook_refuses_shortens_and_labels() {
+        let said =
+            admit(r##"if job.size == 10 && job.left_ms == 2000 { #{ left_ms: 500, label: job.class } }"##);
+        let wanted = Ruling {
+            left: Some(Duration::from_millis(500)),
+            label: Some("order".into()),
+            ..Ruling::default()
+        };
+        assert_eq!(said, wanted);
+        assert!(admit("#{ refuse: true }").refuse);
+        assert_eq!(admit(""), Ruling::default());
+    }
+
+    #[test]
+    fn a_failing_or_greedy_hook_rules_nothing() {
+        let began = Instant::now();
+        let faulty = [
+            "throw \"no\"",
+            "job.nothing.size",
+            "#{ send: true }",
+            "#{ left_ms: -1 }",
+            "3",
+            "loop {}",
+            "let s = \"x\"; loop { s += s; }",
+            "let a = []; loop { a.push(a); }",
+            "let m = #{}; for i in 0..100000 { m[`${i}`] = i; }",
+            "admit(job)",
+        ];
+        for body in faulty {
+            assert_eq!(admit(body), Ruling::default(), "{body}");
+        }
+        assert!(began.elapsed() < Duration::from_secs(5));
+    }
+
+    #[test]
+    fn a_script_without_hooks_or_with_eval_is_no_plug_in() {
+        for text in ["fn other() {}", "fn admit(job) { eval(\"1\") }", "fn admit(job) {"] {
+            assert!(Hooks::new(text, 1000).is_err(), "{text}");
+        }
+    }
+}
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -295,6 +295,7 @@
             deadline: SystemTime::UNIX_EPOCH + Duration::from_secs(9),
             retry: false,
             reconnect: true,
+            label: Some("l".into()),
             fields: vec![("key".into(), Bytes::from_static(b"\xff\x00"))],
             body: Bytes::from(vec![3; size]),
         }
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -5,6 +5,7 @@
 mod core;
 mod discovery;
 mod door;
+mod hook;
 mod journal;
 mod notice;
 mod platform;
@@ -18,8 +19,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
-use crate::config::{Limits, NodeList, Rules};
+use crate::config::{Limits, Own, Rules};
 use crate::core::{Carrier, Core};
+use crate::hook::Hooks;
 use crate::journal::Journal;
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
@@ -61,16 +63,21 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let platform = config::platform()?;
-    let push = file.as_deref().map(config::push).transpose()?;
-    if platform.is_none() && push.is_none() {
-        return Err(format!("no front is configured: set BALANCER_CONFIG or name a file; {USAGE}"));
+    let own = file.as_deref().map(config::own).transpose()?;
+    let own = own.unwrap_or(Own { push: None, hook: None });
+    if platform.is_none() && own.push.is_none() {
+        return Err(format!(
+            "no front is configured: set BALANCER_CONFIG or name a file with [push]; {USAGE}"
+        ));
     }
+    // Each front has its own, read from the same script.
+    let hooks = || own.hook.as_ref().map(Hooks::load).transpose();
     let platform = match platform {
-        Some(platform) => Some(start_platform(platform).await?),
+        Some(platform) => Some(start_platform(platform, hooks()?).await?),
         None => None,
     };
-    let push = match push {
-        Some(push) => Some(start_push(push).await?),
+    let push = match own.push {
+        Some(push) => Some(start_push(push, hooks()?).await?),
         None => None,
     };
     loop {
@@ -122,20 +129,18 @@
     accepting: actix_rt::task::JoinHandle<()>,
 }
 
-/// A core with its journal, its first list and what the journal holds open, playing rounds.
+/// A core with its journal and what that holds open, playing rounds.
 fn start_core<C: Carrier>(
     carrier: C,
     rules: Rules,
+    hooks: Option<Hooks>,
     seed: u64,
     state: &Path,
     disk: u64,
-    known: &NodeList,
-    stale: bool,
 ) -> Result<Rc<Core<C>>, String> {
     let (journal, open) =
         Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
-    let core = Core::new(carrier, rules, seed, journal);
-    core.take_list(known, stale);
+    let core = Core::new(carrier, rules, hooks, seed, journal);
     tracing::info!(recovered = open.len(), "journal read");
     open.into_iter().for_each(|open| core.resume(open));
     let rounds = core.clone();
@@ -147,12 +152,13 @@
     TcpListener::bind(address).await.map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
 }
 
-async fn start_platform(config: config::Platform) -> Result<PlatformFront, String> {
+async fn start_platform(config: config::Platform, hooks: Option<Hooks>) -> Result<PlatformFront, String> {
     let to_nodes = platform::carrier::ToNodes::new(&config.rules, config.discovery);
     let client = to_nodes.platform();
     let Limits { disk, sockets } = config.limits;
-    let core = start_core(to_nodes, config.rules, config.seed, &config.state, disk, &config.known, true)
+    let core = start_core(to_nodes, config.rules, hooks, config.seed, &config.state, disk)
         .map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    core.take_list(&config.known, true);
     actix_rt::spawn(discovery::follow(core.clone(), client, config.discovery));
     actix_rt::spawn(platform::carrier::close_idle(core.clone()));
     let listener = listen("BALANCER_LISTEN", config.listen).await?;
@@ -165,13 +171,13 @@
     Ok(PlatformFront { core, server, accepting })
 }
 
-async fn start_push(config: config::Push) -> Result<PushFront, String> {
+async fn start_push(config: config::Push, hooks: Option<Hooks>) -> Result<PushFront, String> {
     // Not told by anybody: this front's own, new with each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = push::gateways::Gateways::new(&config.rules, config.notices);
-    let core =
-        start_core(gateways, config.rules.clone(), seed, &config.state, config.disk, &config.gateways, false)
-            .map_err(|e| format!("push.state: {e}"))?;
+    let core = start_core(gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
+        .map_err(|e| format!("push.state: {e}"))?;
+    core.take_list(&config.gateways, false);
     actix_rt::spawn(push::gateways::close_idle(core.clone()));
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
@@ -184,7 +190,7 @@
 impl PushFront {
     /// Reads the file anew: gateways and locations change at once, all else with the next start.
     fn reload(&self, file: &Path) {
-        match config::push(file) {
+        match config::own(file).and_then(|own| own.push.ok_or("push: the table is gone".into())) {
             Ok(push) => {
                 self.core.take_list(&push.gateways, false);
                 self.server.set_locations(push.locations);
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -134,6 +134,7 @@
             deadline: SystemTime::now() + left,
             retry: retried.as_deref() == Some("1"),
             reconnect: retried.as_deref() == Some("again"),
+            label: None,
             fields: key.map(|k| (KEY.to_owned(), k)).into_iter().collect(),
             body,
         })
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -154,6 +154,7 @@
             deadline: SystemTime::now() + left,
             retry: false,
             reconnect: false,
+            label: None,
             fields,
             body: body.map_err(|_| Unfit::bad("body is not whole"))??,
         };
--- a/relay/tests/push.rs
+++ b/relay/tests/push.rs
@@ -7,7 +7,7 @@
 [push]
 listen = "127.0.0.1:0"
 notices = "ends"
-state = "STATE"
+state = "FOLDER/push"
 body_limit = 100
 
 [[class]]
@@ -249,14 +249,54 @@
 
 #[test]
 fn a_draining_gateway_gets_nothing_new_from_the_word_on() {
-    let file = FILE.replace(r#"[{ address = "g2" }]"#, r#"[{ address = "g2", draining = true }]"#);
+    push(
+        "send relay start
+         send p POST /order/a ttl=9 body=m1
+         expect g2 POST body=m1
+         send relay hup drain=g2
+         expect relay log=read_anew
+         send g2 201 to=m1                    # it finishes what it has
+         expect relay log=Delivered
+         send p POST /order/b ttl=2 body=m2
+         expect p 201 to=m2
+         expect ends returned after_ms>0
+         expect g2 nothing 50
+         send relay hup
+         expect relay log=read_anew
+         send p POST /order/c ttl=9 body=m3
+         expect g2 POST body=m3
+         send g2 201",
+    );
+}
+
+#[test]
+fn a_plug_in_refuses_shortens_and_ends_but_breaks_no_rule() {
+    let file = format!("{FILE}\n[hook]\nscript = \"FOLDER/hook.rhai\"");
     play(
         Some(&file),
         "send relay start
-         send p POST /order/a ttl=2 body=m1
-         expect p 201 to=m1
-         expect ends returned after_ms>0
-         expect g2 nothing 50",
+         send p POST /push/a ttl=5 body=123456789
+         expect p 429 to=123456789 retry-after=7
+         send p POST /push/a ttl=5 body=1234567
+         expect g1 POST body=1234567
+         expect ends returned                 # after 0.3 s, not 5
+         send p POST /push/a ttl=5 body=12345
+         expect p 201 to=12345                # the script fails; the job goes on
+         expect relay log=script_failed
+         expect g1 POST body=12345
+         send g1 500
+         expect ends returned after_ms>0      # given up by the script: safe to hand in again
+         expect g1 nothing 200
+         send p POST /order/a ttl=9 body=m1
+         expect g2 POST body=m1
+         send g2 500
+         expect ends failed                   # the script refuses it, but it may have run
+         expect g2 nothing 100
+         send p POST /push/a ttl=5 body=m2
+         expect g1 POST body=m2
+         send g1 429 retry-after=3
+         expect ends returned                 # shortened to 0.2 s: it does not wait for the gateway
+         expect g1 nothing 100",
     );
 }
 
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -1,7 +1,7 @@
 //! A small language for scenarios, and the stand-ins that play them round the relay's own program.
 //!
 //! A line is a verb, a party and words: `send`, `expect`, `close` or `wait`. Parties:
-//! - `relay`: send start, term, kill, hup; expect log=PART or exit.
+//! - `relay`: send start, term, kill, hup (drain=GATEWAY: the second front's file says so); expect log=PART or exit.
 //! - `list`: discovery. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
 //!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
@@ -17,6 +17,7 @@
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -24,6 +25,18 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
+/// The plug-in of scenarios whose file names one.
+const HOOK: &str = r##"
+    fn admit(job) {
+        if job.size == 9 { return #{ refuse: true, after_ms: 7000 }; }
+        if job.size == 7 { return #{ left_ms: 300, label: "short" }; }
+        if job.size == 5 { throw "no"; }
+    }
+    fn outcome(job, outcome) {
+        if outcome.kind == "error" { #{ refuse: true, label: "given-up" } }
+        if outcome.kind == "full" { #{ left_ms: 200 } }
+    }"##;
+
 const PATIENCE: Duration = Duration::from_secs(8);
 
 /// Something that a party got: its first word and what belongs to it.
@@ -184,6 +197,7 @@
         match said[0].0.as_str() {
             "start" => self.start(said).await,
             signal => {
+                self.write_file(said)?;
                 let relay = self.relay.as_mut().ok_or("it does not run")?;
                 let id = relay.id().ok_or("it has ended")?.to_string();
                 let name = format!("-{}", signal.to_uppercase());
@@ -198,17 +212,7 @@
         let (tell, got) = mpsc::unbounded_channel();
         let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
         command.env_clear().env("ONYXGLADE_LOG", "onyxglade=debug").stdout(Stdio::piped()).kill_on_drop(true);
-        if let Some(text) = self.push.clone() {
-            let file = self.folder.path().join("push.toml");
-            let mut text = text.replace("STATE", &self.folder.path().join("push").display().to_string());
-            for name in ["ends", "g1", "g2"] {
-                let address = self.party(name).address.expect("it listens").to_string();
-                text = text.replace(&format!("\"{name}\""), &format!("\"{address}\""));
-            }
-            for (key, value) in said.iter().filter(|(_, value)| !value.is_empty()) {
-                text = text.replace(&format!("{key} = 0"), &format!("{key} = {value}"));
-            }
-            fs::write(&file, text).map_err(|e| e.to_string())?;
+        if let Some(file) = self.write_file(said)? {
             command.arg("--config").arg(file);
         } else {
             let file = self.folder.path().join("config.json");
@@ -250,6 +254,21 @@
         }
     }
 
+    /// Writes the second front's file, with the gateway named by `drain` as draining.
+    fn write_file(&mut self, words: &Said) -> Result<Option<PathBuf>, String> {
+        let Some(mut text) = self.push.clone() else { return Ok(None) };
+        for name in ["ends", "g1", "g2"] {
+            let address = self.party(name).address.expect("it listens").to_string();
+            let drains = if said(words, "drain") == Some(name) { ", draining = true" } else { "" };
+            text = text.replace(&format!("\"{name}\""), &format!("\"{address}\"{drains}"));
+        }
+        let file = self.folder.path().join("push.toml");
+        let folder = self.folder.path().display().to_string();
+        fs::write(self.folder.path().join("hook.rhai"), HOOK).map_err(|e| e.to_string())?;
+        fs::write(&file, text.replace("FOLDER", &folder)).map_err(|e| e.to_string())?;
+        Ok(Some(file))
+    }
+
     fn settings(&mut self, words: &Said) -> String {
         let of = |key: &str, default: &str| said(words, key).unwrap_or(default).to_owned();
         let (slots, held, disk) = (of("slots", "8"), of("held", "40"), of("disk_mb", "3"));
