A plug-in's refusal ends a job before any further claim; its scenario mended

Checked in the relay's log: the outcome hook ruled nothing, so the job was claimed again after the 500, as it should be then. Found beside it: a refusal was turned into a cut at "now", and the select in core.rs (life) could take the module's next claim first. The cut is now looked at before any order is waited for, and first while waiting.

--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -381,17 +381,19 @@
                     }
                 }
             }
+            // Guards against a claim between a plug-in's word and the end: the cut is looked at first.
             let cut = course.cut.unwrap_or_else(|| Instant::now() + FAR_OFF);
+            if cut <= Instant::now() {
+                seat.leave(Order::Held);
+                break Some(match self.may_return(&job, &course) {
+                    true => job.returned(course.cut_after.or(Some(DEFAULT_BACKOFF))),
+                    false => job.failed(None),
+                });
+            }
             order = tokio::select! {
+                biased;
+                () = sleep_until(cut.into()) => Order::Held,
                 order = seat.next() => order,
-                () = sleep_until(cut.into()) => {
-                    seat.leave(Order::Held);
-                    break Some(if self.may_return(&job, &course) {
-                        job.returned(course.cut_after.or(Some(DEFAULT_BACKOFF)))
-                    } else {
-                        job.failed(None)
-                    });
-                }
             };
         };
 
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -33,8 +33,8 @@
         if job.size == 5 { throw "no"; }
     }
     fn outcome(job, outcome) {
-        if outcome.kind == "error" { #{ refuse: true, label: "given-up" } }
-        if outcome.kind == "full" { #{ left_ms: 200 } }
+        if outcome.kind == "error" { return #{ refuse: true, label: "given-up" }; }
+        if outcome.kind == "full" { return #{ left_ms: 200 }; }
     }"##;
 
 const PATIENCE: Duration = Duration::from_secs(8);
