--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -216,6 +216,7 @@
     start: Instant,
     /// Told when the last round has been played.
     closing: Notify,
+    tally: Cell<Tally>,
     /// No further rounds: what is out comes home, the rest stays in the journal.
     winding_down: Cell<bool>,
 }
@@ -227,6 +228,8 @@
 /// Shortest and longest time between two tries to tell an end.
 const NOTICE_FIRST_PAUSE: Duration = Duration::from_millis(50);
 const NOTICE_PAUSE: Duration = Duration::from_secs(2);
+/// How often the log has a line on what was done.
+const TALLY_PAUSE: Duration = Duration::from_secs(60);
 /// When nothing else is due.
 const FAR_OFF: Duration = Duration::from_secs(3600);
 
@@ -275,6 +278,7 @@
             follow: Notify::new(),
             start: Instant::now(),
             closing: Notify::new(),
+            tally: Cell::default(),
             winding_down: Cell::new(false),
         })
     }
@@ -285,6 +289,7 @@
         let full =
             self.rules.settings.max_held.is_some_and(|m| self.state.borrow().seats.len() >= m as usize);
         if full || self.winding_down.get() {
+            self.count(|tally| tally.turned_away += 1);
             return Answer::Refused { after: Some(DEFAULT_BACKOFF) };
         }
         if !self.state.borrow_mut().ids.insert(job.id.clone()) {
@@ -345,7 +350,10 @@
                 _ => self.record(&job).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
             };
             match taken_on {
-                Ok(key) => course.key = key,
+                Ok(key) => {
+                    course.key = key;
+                    self.count(|tally| tally.taken += 1);
+                }
                 Err(refusal) => {
                     seat.leave(order);
                     return self.turn_away(&job, Some(answer), refusal);
@@ -456,6 +464,10 @@
             let until = self.wait_of(node);
             until.set(until.get().max(Instant::now() + wait));
         }
+        self.count(|tally| {
+            tally.claims += 1;
+            tally.delivered += u32::from(outcome == Outcome::Delivered);
+        });
         seat.report_closed(attempt, node, outcome, sent.elapsed());
         outcome
     }
@@ -466,6 +478,10 @@
             if let Err(e) = self.journal.borrow_mut().ending(course.key, &notice) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record an end");
             }
+            self.count(|tally| match notice.end {
+                NoticeEnd::Failed { .. } => tally.failed += 1,
+                NoticeEnd::Returned { .. } => tally.returned += 1,
+            });
             let label = job.label.as_deref().unwrap_or("");
             tracing::debug!(id = job.id, end = ?notice.end, label, "ended undelivered");
             let mut pause = NOTICE_FIRST_PAUSE;
@@ -484,8 +500,38 @@
         self.state.borrow_mut().ids.remove(&job.id);
     }
 
+    fn count(&self, change: impl FnOnce(&mut Tally)) {
+        let mut tally = self.tally.get();
+        change(&mut tally);
+        self.tally.set(tally);
+    }
+
+    /// Tells what has become of jobs and claims, every so often if there was anything.
+    pub async fn tell_tally(&self, front: &'static str) {
+        loop {
+            sleep(TALLY_PAUSE).await;
+            let tally = self.tally.take();
+            if tally != Tally::default() {
+                let Tally { taken, turned_away, claims, delivered, returned, failed } = tally;
+                let open = self.state.borrow().ids.len();
+                tracing::info!(
+                    front,
+                    taken,
+                    turned_away,
+                    claims,
+                    delivered,
+                    returned,
+                    failed,
+                    open,
+                    "last minute"
+                );
+            }
+        }
+    }
+
     /// Gives a new job its answer instead of taking it on.
     fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
+        self.count(|tally| tally.turned_away += 1);
         self.state.borrow_mut().ids.remove(&job.id);
         if let Some(answer) = answer {
             // A submitter that is gone needs none.
@@ -770,7 +816,7 @@
                     self.carrier.close_idle(node);
                 }
             }
-            Action::Log { line } => tracing::info!("module: {line}"),
+            Action::Log { line } => tracing::info!("module: {}", named(state, &line)),
             Action::Follow { want: true } | Action::Reload => self.follow.notify_one(),
             Action::Follow { want: false } | Action::Probe { .. } | Action::Tell { .. } => {
                 tracing::error!(?action, "the module asked for what no front offers");
@@ -779,6 +825,17 @@
     }
 }
 
+/// What has become of jobs and claims since it was last told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Tally {
+    taken: u32,
+    turned_away: u32,
+    claims: u32,
+    delivered: u32,
+    returned: u32,
+    failed: u32,
+}
+
 /// What is known of a job's course.
 #[derive(Default)]
 struct Course {
@@ -879,6 +936,16 @@
     }
 }
 
+/// A line of the module's with the name of its execute node in place of the number.
+fn named(state: &State, line: &str) -> String {
+    let rest = line.strip_prefix("endpoint ").and_then(|rest| rest.split_once(' '));
+    let node = rest.and_then(|(id, _)| state.nodes.get(&EndpointId(id.parse().ok()?)));
+    match (node, rest) {
+        (Some(node), Some((_, what))) => format!("execute node {} {what}", node.name),
+        _ => line.to_owned(),
+    }
+}
+
 fn order(state: &State, msg: MsgId, order: Order) {
     if let Some(seat) = state.seats.get(&msg)
         && seat.try_send(order).is_err()
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -6,11 +6,13 @@
 mod discovery;
 mod door;
 mod hook;
+mod import;
 mod journal;
 mod notice;
 mod platform;
 mod push;
 
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -33,7 +35,7 @@
 /// Part of the descriptors that submitters' connections may take; the rest is for nodes and files.
 const SUBMITTERS_PART: f64 = 0.4;
 
-const USAGE: &str = "usage: onyxglade [--config FILE]";
+const USAGE: &str = "usage: onyxglade [--config FILE] | onyxglade import-nginx FILE";
 
 fn main() -> ExitCode {
     let filter = tracing_subscriber::EnvFilter::try_from_env("ONYXGLADE_LOG")
@@ -44,6 +46,7 @@
     let file = match arguments[..] {
         [] => None,
         ["--config", file] => Some(PathBuf::from(file)),
+        ["import-nginx", file] => return import_nginx(Path::new(file)),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
@@ -58,6 +61,23 @@
     }
 }
 
+/// Prints the file of ours, and beside it what was not carried over.
+fn import_nginx(file: &Path) -> ExitCode {
+    match import::file(file) {
+        Ok((text, remarks)) => {
+            remarks.iter().for_each(|remark| eprintln!("{}: {remark}", file.display()));
+            match std::io::stdout().write_all(text.as_bytes()) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(_) => ExitCode::FAILURE,
+            }
+        }
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs the fronts that are configured until SIGTERM.
 async fn run(file: Option<PathBuf>) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -131,6 +151,7 @@
 
 /// A core with its journal and what that holds open, playing rounds.
 fn start_core<C: Carrier>(
+    front: &'static str,
     carrier: C,
     rules: Rules,
     hooks: Option<Hooks>,
@@ -143,8 +164,9 @@
     let core = Core::new(carrier, rules, hooks, seed, journal);
     tracing::info!(recovered = open.len(), "journal read");
     open.into_iter().for_each(|open| core.resume(open));
-    let rounds = core.clone();
+    let (rounds, tally) = (core.clone(), core.clone());
     actix_rt::spawn(async move { rounds.rounds().await });
+    actix_rt::spawn(async move { tally.tell_tally(front).await });
     Ok(core)
 }
 
@@ -156,7 +178,7 @@
     let to_nodes = platform::carrier::ToNodes::new(&config.rules, config.discovery);
     let client = to_nodes.platform();
     let Limits { disk, sockets } = config.limits;
-    let core = start_core(to_nodes, config.rules, hooks, config.seed, &config.state, disk)
+    let core = start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk)
         .map_err(|e| format!("BALANCER_STATE: {e}"))?;
     core.take_list(&config.known, true);
     actix_rt::spawn(discovery::follow(core.clone(), client, config.discovery));
@@ -175,7 +197,7 @@
     // Not told by anybody: this front's own, new with each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = push::gateways::Gateways::new(&config.rules, config.notices);
-    let core = start_core(gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
+    let core = start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
         .map_err(|e| format!("push.state: {e}"))?;
     core.take_list(&config.gateways, false);
     actix_rt::spawn(push::gateways::close_idle(core.clone()));
