--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -567,7 +567,7 @@
     /// Until when an earlier claim is surely remembered, where a repeat matters.
     fn memory_ends(&self, class: usize, risk: &MayHaveRun) -> Option<Instant> {
         let class = &self.rules.settings.classes[class];
-        let ago = SystemTime::now().duration_since(risk.sent).unwrap_or_default();
+        let ago = risk.ago(SystemTime::now());
         let memory = match class.effect {
             Effect::Safe => return None,
             Effect::Keyed => Duration::from_nanos(class.window.unwrap_or(0)),
@@ -591,7 +591,7 @@
         let now = SystemTime::now();
         let mut state = self.state.borrow_mut();
         let risk = course.risk.as_ref().map(|risk| {
-            let ago = now.duration_since(risk.sent).unwrap_or_default();
+            let ago = risk.ago(now);
             let zone = risk.zone.as_ref().and_then(|z| self.rules.names.zones.iter().position(|n| n == z));
             Risk {
                 sent: self.module_time(Instant::now()).saturating_sub(nanos(ago)),
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -9,7 +9,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use crate::core::{Job, Notice};
 
@@ -25,6 +25,14 @@
     pub zone: Option<String>,
 }
 
+impl MayHaveRun {
+    /// How long ago it was sent. By a clock that was set back it lies in the future: then nobody can say, and it
+    /// counts as longer ago than any memory lasts.
+    pub fn ago(&self, now: SystemTime) -> Duration {
+        now.duration_since(self.sent).unwrap_or(Duration::MAX)
+    }
+}
+
 /// A job that was open when the last process ended.
 pub struct Open {
     pub key: Key,
@@ -285,7 +293,6 @@
 mod tests {
     use super::*;
     use crate::core::NoticeEnd;
-    use std::time::Duration;
 
     fn job(id: &str, size: usize) -> Job {
         Job {
@@ -335,6 +342,12 @@
         }
     }
 
+    #[test]
+    fn a_claim_from_the_future_is_remembered_by_nobody() {
+        assert_eq!(claim(9).ago(claim(7).sent), Duration::MAX);
+        assert_eq!(claim(7).ago(claim(9).sent), Duration::from_secs(2));
+    }
+
     #[test]
     fn a_torn_tail_is_dropped_and_what_follows_is_kept() {
         let folder = tempfile::tempdir().expect("a folder");
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -122,6 +122,7 @@
     if let Some(push) = &push {
         push.accepting.abort();
     }
+    tracing::info!("winding down: no connections are taken any more");
     sleep(STILL_SENDING).await;
     let first = async {
         if let Some(platform) = &platform {
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -22,8 +22,9 @@
 const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
 /// A submitter's connection may stand idle for so long: shorter, and submitters pay for new ones.
 const KEEP_ALIVE: Duration = Duration::from_secs(300);
-/// A request's head must be whole within this time.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+/// A connection's first head must be whole within this time. Not shorter than the above: a connection that was
+/// opened ahead of its use would get a 408, and the submitter take it for the answer to what it sends then.
+const HEAD_TIME: Duration = KEEP_ALIVE;
 /// A request's body must be whole within this time.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
@@ -102,6 +103,7 @@
 
     /// Decodes a job, once.
     async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
+        let arrived = SystemTime::now();
         // Read even where the rest is bad: a connection with an unread body has to be closed.
         let body =
             tokio::time::timeout(BODY_TIME, body(request)).await.map_err(|_| bad("body is not whole"))??;
@@ -130,8 +132,8 @@
             id,
             class,
             dest,
-            // From here on the wall clock counts, so that a restart takes no time off.
-            deadline: SystemTime::now() + left,
+            // By the wall clock, so that a restart takes no time off.
+            deadline: arrived + left,
             retry: retried.as_deref() == Some("1"),
             reconnect: retried.as_deref() == Some("again"),
             label: None,
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -114,6 +114,7 @@
 
     /// Decodes a push message, once.
     async fn read(&self, request: &mut Request) -> Result<Asked, Unfit> {
+        let arrived = SystemTime::now();
         let whole = request.uri().path_and_query().map_or("/", |p| p.as_str());
         let path = request.path();
         let (class, dest, target) = {
@@ -151,7 +152,7 @@
             id: format!("{}-{}", self.prefix, self.next_id.get()),
             class,
             dest,
-            deadline: SystemTime::now() + left,
+            deadline: arrived + left,
             retry: false,
             reconnect: false,
             label: None,
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -270,6 +270,8 @@
         None,
         "send list n1:7 n2:8
          send relay start
+         send s3 GET /ready
+         expect s3 200
          send s1 POST /notice id=j1 dest=7 left=20000
          expect n1 POST
          send relay term
@@ -280,6 +282,8 @@
          expect s1 200 connection=close
          expect n2 POST
          send n2 200
+         expect s3 closed                     # idle: a request that crosses the end would be lost
+         expect relay log=no_connections_are_taken
          expect relay exit
          send relay start
          expect relay log=recovered=1
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -197,7 +197,14 @@
 pub fn submitter(relay: SocketAddr, tell: Tell, mut words: Words) {
     tokio::spawn(async move {
         let mut stream = TcpStream::connect(relay).await.expect("the relay listens");
-        while let Some(words) = words.recv().await {
+        let mut byte = [0; 1];
+        loop {
+            // Read ahead, but nothing away: the relay may close an idle connection.
+            let words = tokio::select! {
+                words = words.recv() => words,
+                _ = stream.peek(&mut byte) => None,
+            };
+            let Some(words) = words else { break };
             if words[0].0 == "close" || stream.write_all(&request(&words)).await.is_err() {
                 break;
             }
