Push front waits for a gateway's settings before its first stream

Seen in h2's sources: a new connection opens up to 100 streams on trust until the peer's SETTINGS come, and queues inside h2 what the peer then does not allow. Such a claim looks sent, is refused or waits, and a ticket order among them would be failed for nothing. dial (push/gateways.rs) now waits for a pong, which comes after the settings; a peer that does not speak HTTP/2 is thereby not connected instead of possibly reached.

Faults of a class's effect or of the zone in the settings name their key now (wirehost/src/env.rs), as the others did; a scenario starts the relay on three faulty configurations.

--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -189,7 +189,8 @@
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let mut builder = h2::client::Builder::new();
     builder.enable_push(false).max_concurrent_reset_streams(RESET_STREAMS);
-    let (sender, connection) = builder.handshake(stream).await.map_err(|e| e.to_string())?;
+    let (sender, mut connection) = builder.handshake(stream).await.map_err(|e| e.to_string())?;
+    let mut pings = connection.ping_pong().ok_or("no pings on a new connection")?;
     let retired = Rc::new(Cell::new(false));
     actix_rt::spawn({
         let retired = retired.clone();
@@ -200,6 +201,10 @@
             retired.set(true);
         }
     });
+    // A peer's settings come before its first pong. Guards against streams that wait within h2 because the
+    // gateway allows fewer than were opened on trust, and against a peer that speaks something else: both
+    // would look as if they had been sent.
+    pings.ping(h2::Ping::opaque()).await.map_err(|e| e.to_string())?;
     let now = Instant::now();
     Ok(Line { sender, open: Cell::new(0), retired, heard: Cell::new(now), used: Cell::new(now) })
 }
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -355,3 +355,19 @@
          send n1 200",
     );
 }
+
+#[test]
+fn a_faulty_configuration_names_its_key() {
+    play(
+        None,
+        "send relay start faulty listen=nowhere
+         expect relay log=CONFIG:_listen:
+         expect relay exit
+         send relay start faulty slots=many
+         expect relay log=CONFIG:_settings.extra
+         expect relay exit
+         send relay start faulty disk_mb=0
+         expect relay log=CONFIG:_limits.disk
+         expect relay exit",
+    );
+}
--- a/relay/tests/push.rs
+++ b/relay/tests/push.rs
@@ -190,6 +190,29 @@
     );
 }
 
+#[test]
+fn a_gateway_that_allows_one_stream_gets_one_on_each_connection() {
+    // Two upstreams at one address and jobs from the journal, so that two claims go out on a new connection at
+    // once, before it has told what it allows.
+    let file = FILE.replace("\"g1\"", "\"g3\"").replace("\"g2\"", "\"g3\"");
+    play(
+        Some(&file),
+        "send relay start drain=g3
+         send p POST /order/a ttl=9 body=m1
+         expect p 201 to=m1
+         send p POST /apporder/a ttl=9 body=m2
+         expect p 201 to=m2
+         send relay kill
+         expect relay exit
+         send relay start
+         expect g3 POST body=m1
+         expect g3 POST body=m2               # not behind the other, which is not answered yet
+         send g3 201 to=m1
+         send g3 201 to=m2
+         expect ends nothing 100",
+    );
+}
+
 #[test]
 fn a_gateway_that_resets_at_random_sees_no_order_twice() {
     let mut scenario = String::from("send relay start\n");
--- a/relay/tests/scenario/http2.rs
+++ b/relay/tests/scenario/http2.rs
@@ -30,7 +30,7 @@
 
 /// A gateway. A call is answered with a status or with `reset=CODE`; `goaway=ID` tells all connections that
 /// streams above that one never ran, and ends them as soon as the rest is answered.
-pub fn gateway(tell: Tell, words: Words) -> SocketAddr {
+pub fn gateway(tell: Tell, words: Words, streams: u32) -> SocketAddr {
     let (listener, address) = listener();
     tokio::spawn(async move {
         let serve = |stream: TcpStream, mut broken: watch::Receiver<u32>, mut said: Words| {
@@ -40,7 +40,9 @@
                 let stream = stream.into_std().expect("a socket");
                 let mut raw = stream.try_clone().expect("a socket");
                 let stream = TcpStream::from_std(stream).expect("a socket");
-                let Ok(mut connection) = h2::server::handshake(stream).await else { return };
+                let mut builder = h2::server::Builder::new();
+                let opened = builder.max_concurrent_streams(streams).handshake(stream).await;
+                let Ok(mut connection) = opened else { return };
                 loop {
                     tokio::select! {
                         call = connection.accept() => match call {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -5,9 +5,9 @@
 //! - `list`: discovery. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
 //!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
-//! - `n...`: an execute node; `g...`: a gateway. Expect POST, send a status (to=BODY of the call meant), reset=CODE or
-//!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call`: only breaks
-//!   the connections it has.
+//! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
+//!   status (to=BODY of the call meant), reset=CODE or goaway=LAST_STREAM. Close: breaks its connections and
+//!   refuses new ones; `close n1 call` only breaks the connections it has.
 //!
 //! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
 //! `expect X nothing` and `wait` take milliseconds.
@@ -170,10 +170,10 @@
             match &name[..1] {
                 "n" => address = Some(http1::node(tell, words)),
                 "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
-                "g" => address = Some(http2::gateway(tell, words)),
+                "g" => address = Some(http2::gateway(tell, words, if name == "g3" { 1 } else { 200 })),
                 "s" => http1::submitter(front(self, "platform"), tell, words),
                 "p" => http2::submitter(front(self, "push"), tell, words),
-                "e" if self.push.is_some() => address = Some(http2::gateway(tell, words)),
+                "e" if self.push.is_some() => address = Some(http2::gateway(tell, words, 200)),
                 // The relay's log, and notices to discovery: both are put in from elsewhere.
                 _ => drop((tell, words)),
             }
@@ -257,7 +257,7 @@
     /// Writes the second front's file, with the gateway named by `drain` as draining.
     fn write_file(&mut self, words: &Said) -> Result<Option<PathBuf>, String> {
         let Some(mut text) = self.push.clone() else { return Ok(None) };
-        for name in ["ends", "g1", "g2"] {
+        for name in ["ends", "g1", "g2", "g3"] {
             let address = self.party(name).address.expect("it listens").to_string();
             let drains = if said(words, "drain") == Some(name) { ", draining = true" } else { "" };
             text = text.replace(&format!("\"{name}\""), &format!("\"{address}\"{drains}"));
--- a/wirehost/src/env.rs
+++ b/wirehost/src/env.rs
@@ -117,11 +117,14 @@
         zones: env.zones,
         columns: env.report.unwrap_or_default().columns,
     };
-    let classes = env.categories.into_iter().map(class).collect::<Result<_, _>>()?;
+    let numbered = env.categories.into_iter().enumerate();
+    let classes = numbered.map(|(i, c)| class(c).map_err(|e| format!("categories[{i}].effect: {e}")));
+    let classes = classes.collect::<Result<_, _>>()?;
     let kinds = (0..names.kinds.len())
         .map(|i| Kind { apart: extra.own_limits.get(i).copied(), bundle: extra.bundle_max.get(i).copied() })
         .collect();
-    let zone = env.zone.map(|z| place(&names.zones, &z, "zone")).transpose()?.map(ZoneId);
+    let zone = env.zone.map(|z| place(&names.zones, &z, "zone").map_err(|e| format!("zone: {e}")));
+    let zone = zone.transpose()?.map(ZoneId);
     let settings = Settings {
         couriers: env.replicas_of_me,
         zone,
