Notices share posts: no connection for each end when many jobs end at once

Looked at recovery: a restart with hundreds of open jobs past their time would have posted each notice on a connection of its own, against the limit on sockets and all at discovery's one queue. carrier.rs (notify) keeps eight posts under way at most; each takes what waits by then, up to 60,000 bytes. Ruled out: a single post at a time, since a notice must arrive within 300 ms and an answer may take as long as a round trip between halls. A line that cannot be read no longer keeps the others of its post from being heard. Test: 35 jobs ending together are all told, once each.

A gateway that closes each new connection counts as not connected after three (gateways.rs, ready).

--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -6,10 +6,12 @@
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::sync::oneshot::{self, error::TryRecvError};
 use tokio::time::timeout;
 
 use super::line::{CLAIM, Lines, Trace};
@@ -26,6 +28,9 @@
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 /// Most bytes of an answer that are read for that.
 const LONGEST_ANSWER: usize = 64 * 1024;
+/// Posts of notices under way at once, and the longest: bodies are no larger than 64 KiB.
+const POSTS: usize = 8;
+const LONGEST_POST: usize = 60_000;
 /// How long the platform may take to acknowledge a notice.
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 
@@ -34,11 +39,16 @@
     exits: RefCell<HashMap<SocketAddr, Rc<Exit>>>,
     reports: String,
     platform: Client,
+    /// Notices that wait to be told, and who waits for that.
+    outbox: RefCell<VecDeque<(Vec<u8>, Teller)>>,
+    posts: Semaphore,
     dial_timeout: Duration,
     /// Connections idle for so long are closed: before the node does, with time for both ways.
     idle: Duration,
 }
 
+type Teller = oneshot::Sender<Result<(), String>>;
+
 struct Exit {
     client: Client,
     lines: Rc<Lines>,
@@ -76,6 +86,8 @@
         ToNodes {
             exits: RefCell::new(HashMap::new()),
             reports: format!("http://{discovery}/reports"),
+            outbox: RefCell::default(),
+            posts: Semaphore::new(POSTS),
             platform: client(&Rc::new(Lines::default()), dial_timeout, idle),
             dial_timeout,
             idle,
@@ -126,6 +138,63 @@
     }
 }
 
+/// Why notices were not heard.
+#[derive(Clone)]
+enum Unheard {
+    /// The platform says that it cannot read them: a fault of ours, which no repetition mends.
+    Unreadable,
+    Failed(String),
+}
+
+impl ToNodes {
+    /// What waits to be told, as far as one post may hold it.
+    fn take_outbox(&self) -> Vec<(Vec<u8>, Teller)> {
+        let mut outbox = self.outbox.borrow_mut();
+        let mut size = 0;
+        let fits = |(line, _): &&(Vec<u8>, Teller)| {
+            size += line.len();
+            size <= LONGEST_POST
+        };
+        let count = outbox.iter().take_while(fits).count();
+        outbox.drain(..count).collect()
+    }
+
+    /// Tells notices in one post, or each by itself if one of them cannot be read.
+    async fn tell(&self, batch: Vec<(Vec<u8>, Teller)>) {
+        let alone = batch.len() == 1;
+        let all = self.post(batch.iter().flat_map(|(line, _)| line).copied().collect()).await;
+        for (line, teller) in batch {
+            let heard = match &all {
+                Err(Unheard::Unreadable) if !alone => self.post(line).await,
+                all => all.clone(),
+            };
+            let heard = match heard {
+                Ok(()) | Err(Unheard::Unreadable) => Ok(()),
+                Err(Unheard::Failed(e)) => Err(e),
+            };
+            // Nobody waits for the notice of a life that is over.
+            let _ = teller.send(heard);
+        }
+    }
+
+    async fn post(&self, body: Vec<u8>) -> Result<(), Unheard> {
+        let call = async {
+            let request = self.platform.post(&self.reports).no_decompress();
+            let mut response = request.send_body(body).await.map_err(|e| Unheard::Failed(e.to_string()))?;
+            let _ = response.body().limit(LONGEST_ANSWER).await;
+            match response.status().as_u16() {
+                204 => Ok(()),
+                400 => {
+                    tracing::error!("the platform cannot read a notice");
+                    Err(Unheard::Unreadable)
+                }
+                other => Err(Unheard::Failed(format!("status {other}"))),
+            }
+        };
+        timeout(NOTICE_TIME, call).await.unwrap_or_else(|_| Err(Unheard::Failed("no answer".into())))
+    }
+}
+
 /// The meaning of an answer's status.
 fn outcome<'a>(status: StatusCode, header: impl Fn(&str) -> Option<&'a str>) -> Outcome {
     match status.as_u16() {
@@ -158,21 +227,25 @@
     }
 
     async fn notify(&self, notice: &Notice) -> Result<(), String> {
-        let body = crate::notice::line(notice);
-        let call = async {
-            let request = self.platform.post(&self.reports).no_decompress();
-            let mut response = request.send_body(body).await.map_err(|e| e.to_string())?;
-            let _ = response.body().limit(LONGEST_ANSWER).await;
-            match response.status().as_u16() {
-                204 => Ok(()),
-                400 => {
-                    tracing::error!(id = notice.id, "the platform cannot read a notice");
-                    Ok(())
-                }
-                other => Err(format!("status {other}")),
+        let (told, mut hear) = oneshot::channel();
+        self.outbox.borrow_mut().push_back((crate::notice::line(notice), told));
+        // Guards against as many connections as notices, after a restart above all: a few posts are under way
+        // at once, and each takes what waits by then.
+        let post = self.posts.acquire().await.map_err(|e| e.to_string())?;
+        loop {
+            match hear.try_recv() {
+                Ok(heard) => return heard,
+                Err(TryRecvError::Closed) => return Err("it was dropped".into()),
+                Err(TryRecvError::Empty) => {}
             }
-        };
-        timeout(NOTICE_TIME, call).await.unwrap_or_else(|_| Err("no answer".into()))
+            let batch = self.take_outbox();
+            if batch.is_empty() {
+                // It is on its way with others.
+                drop(post);
+                return hear.await.map_err(|e| e.to_string())?;
+            }
+            self.tell(batch).await;
+        }
     }
 
     fn close_idle(&self, node: &Node) {
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -21,6 +21,8 @@
 const STREAMS: usize = 100;
 /// Streams of claims given up that a late answer may still come for without ending the connection.
 const RESET_STREAMS: usize = 1024;
+/// Connections found closed before a claim counts as not connected.
+const CLOSED_ONES: usize = 3;
 /// Most bytes of an answer that are read.
 const LONGEST_ANSWER: usize = 64 * 1024;
 /// How long the reader of notices may take to acknowledge one.
@@ -106,7 +108,20 @@
         Ok(Place::take(line))
     }
 
-    /// Sends a request on a stream of its own, once `may_begin`, and waits for its answer's head.
+    /// The same, passing over connections that turn out closed before anything was sent. Guards against a
+    /// gateway that closes each new connection: a few are enough to count as none.
+    async fn ready(&self, address: SocketAddr) -> Result<(Place, SendRequest<Bytes>), String> {
+        for _ in 0..CLOSED_ONES {
+            let place = self.place(address).await?;
+            match place.line.sender.clone().ready().await {
+                Ok(sender) => return Ok((place, sender)),
+                Err(_) => place.line.retired.set(true),
+            }
+        }
+        Err("connections close at once".into())
+    }
+
+    /// Sends a request on a stream of its own, once `begin` says so, and waits for its answer's head.
     async fn call(
         &self,
         address: SocketAddr,
@@ -114,14 +129,7 @@
         body: Bytes,
         begin: impl Fn() -> bool,
     ) -> Result<Response<()>, Fault> {
-        // Connections that turn out closed before anything was sent are passed over.
-        let (mut place, mut sender) = loop {
-            let place = self.place(address).await.map_err(Fault::Unconnected)?;
-            match place.line.sender.clone().ready().await {
-                Ok(sender) => break (place, sender),
-                Err(_) => place.line.retired.set(true),
-            }
-        };
+        let (mut place, mut sender) = self.ready(address).await.map_err(Fault::Unconnected)?;
         if !begin() {
             place.answered();
             return Err(Fault::NotSent);
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -280,6 +280,19 @@
     );
 }
 
+#[test]
+fn many_ends_at_once_are_all_told_in_time() {
+    let mut scenario = String::from("send list n1:7\nsend relay start held=400   # n1 answers nothing\n");
+    for job in 0..35 {
+        scenario += &format!("send s POST /notice id=j{job} dest=7 left=1500\nexpect s 202\n");
+    }
+    for job in 0..35 {
+        scenario += &format!("expect list returned id=j{job}\n");
+    }
+    scenario += "expect list nothing 100";
+    play(None, &scenario);
+}
+
 #[test]
 fn a_planned_restart_goes_on_answering_and_loses_nothing() {
     play(
