Door closes silent, stuck and idle connections; spoilt answers judged by their first line

Excluded: memory (4 of 32 MB) and CPU (0.07 of a core at most).

At fault: platform/server.rs KEEP_ALIVE and HEAD_TIME of 300 s with door.rs taking no connection beyond its places; carrier.rs fault() calling every unreadable answer a reset, taking a 1xx for the answer and trusting 503 or 410 whatever their bodies; awc using connections again that carry surplus.

Now door.rs has manners (first request whole in 2.5 s, idle 5 s, silent ones make room), line.rs passes 1xx over, reads the status of the first line, and gives a connection back only if a head and its Content-Length is all that came. Ways out are kept per node id, not per address.

Tests: scenarios for half requests, room, bodies, spoilt answers, 1xx and surplus, and unit tests in line.rs.

--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -174,7 +174,8 @@
                 }
             };
             self.state.borrow_mut().claims_out -= 1;
-            outcome
+            // Guards against a time-out or a cancellation between the node's word and the end of its answer.
+            if ticket.is_delivered() { Outcome::Delivered } else { outcome }
         };
         let label = job.label.as_deref().unwrap_or("");
         tracing::debug!(id = job.id, node = node.name, attempt, ?outcome, took = ?sent.elapsed(), label, "claim");
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -33,6 +33,7 @@
     wait: Rc<Cell<Instant>>,
     not_after: Option<Instant>,
     sent: Cell<bool>,
+    delivered: Cell<bool>,
 }
 
 impl Ticket {
@@ -51,6 +52,15 @@
     pub fn is_sent(&self) -> bool {
         self.sent.get()
     }
+
+    /// To be called once the node has said that the message is delivered, whatever it says after that.
+    pub fn mark_delivered(&self) {
+        self.delivered.set(true);
+    }
+
+    pub fn is_delivered(&self) -> bool {
+        self.delivered.get()
+    }
 }
 
 impl<C: Carrier> Core<C> {
@@ -152,7 +162,13 @@
 
     /// A claim's leave to be sent to a node, before that time if one is given.
     pub(super) fn ticket(&self, node: &Rc<Node>, not_after: Option<Instant>) -> Rc<Ticket> {
-        Rc::new(Ticket { node: node.clone(), wait: self.wait_of(node), not_after, sent: Cell::new(false) })
+        Rc::new(Ticket {
+            node: node.clone(),
+            wait: self.wait_of(node),
+            not_after,
+            sent: Cell::new(false),
+            delivered: Cell::new(false),
+        })
     }
 
     /// End of the wait told by a node's destination, or by the node where nodes are routes apart.
@@ -198,6 +214,7 @@
             wait: Rc::new(Cell::new(now + wait)),
             not_after: memory.map(|left| now + left),
             sent: Cell::new(false),
+            delivered: Cell::new(false),
         })
     }
 
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -16,9 +16,11 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::config::{Limits, Own, Rules};
@@ -188,7 +190,7 @@
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = platform::server::Server::new(core.clone());
     let places = ((sockets as f64 * SUBMITTERS_PART) as usize).max(1);
-    let accepting = actix_rt::spawn(server.clone().accept(listener, places));
+    let accepting = actix_rt::spawn(server.clone().accept(listener, Arc::new(Semaphore::new(places))));
     server.set_ready();
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
     Ok(PlatformFront { core, server, accepting })
@@ -205,7 +207,8 @@
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = push::server::Server::new(core.clone(), &config, seed);
-    let accepting = actix_rt::spawn(server.clone().accept(listener, config.connections));
+    let accepting =
+        actix_rt::spawn(server.clone().accept(listener, Arc::new(Semaphore::new(config.connections))));
     tracing::info!(listen = %address, "push front is ready");
     Ok(PushFront { core, server, accepting })
 }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -1,12 +1,16 @@
 //! The way out: claims to execute nodes and notices to the platform, over awc.
-use actix_rt::net::TcpStream;
+use actix_rt::net::{ActixStream, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::error::SendRequestError;
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
+use slatethread::EndpointId;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
+use std::fmt::Debug;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +28,8 @@
 const LIFETIME: Duration = Duration::from_secs(365 * 24 * 3600);
 /// How often idle connections are looked at.
 const IDLE_LOOK: Duration = Duration::from_millis(250);
+/// How long the rest of a head is waited for whose first line says that the message is delivered.
+const REST_OF_HEAD: Duration = Duration::from_millis(50);
 /// How long the rest of an answer is read for, so that its connection can be used again.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 /// Most bytes of an answer that are read for that.
@@ -35,8 +41,9 @@
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
 
 pub struct ToNodes {
-    /// awc clients, one for each address, so that a node that is gone leaves nothing behind.
-    exits: RefCell<HashMap<SocketAddr, Rc<Exit>>>,
+    /// Ways out, one for each node, so that one that is gone leaves nothing behind, not even a connection that
+    /// another one at its address would be called on.
+    exits: RefCell<HashMap<EndpointId, Rc<Exit>>>,
     reports: String,
     platform: Client,
     /// Notices that wait to be told, and who waits for that.
@@ -56,17 +63,19 @@
 
 /// An awc client with every default that costs connections, time or a second call set. Without its own
 /// limits (0 is none: the module's slots bound the calls), redirects, time-outs and extra headers.
-pub fn client(lines: &Rc<Lines>, dial_timeout: Duration, idle: Duration) -> Client {
-    let lines = lines.clone();
+fn client<F, L, D>(dial_timeout: Duration, idle: Duration, dial: F) -> Client
+where
+    F: Fn(SocketAddr) -> D + Clone + 'static,
+    D: Future<Output = io::Result<L>> + 'static,
+    L: ActixStream + Debug + 'static,
+{
     let connect = fn_service(move |info: ConnectInfo<Uri>| {
-        let lines = lines.clone();
+        let uri = info.request().clone();
+        let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+        let line = address.map(&dial);
         async move {
-            let uri = info.request().clone();
-            let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
-            let address = address.ok_or(ConnectError::Unresolved)?;
-            let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
-            stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            Ok(Connection::new(uri, lines.add(stream)))
+            let line = line.ok_or(ConnectError::Unresolved)?.await.map_err(ConnectError::Io)?;
+            Ok(Connection::new(uri, line))
         }
     });
     let connector = Connector::new()
@@ -78,19 +87,31 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
+/// A client for the platform's own addresses, whose connections awc keeps.
+pub fn platform_client(rules: &Rules) -> Client {
+    client(rules.dial_timeout(), idle(rules), |address| async move {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    })
+}
+
+/// Connections idle for so long are closed: before the node does, with time for both ways.
+fn idle(rules: &Rules) -> Duration {
+    let idle_close = rules.idle_close();
+    idle_close.saturating_sub((idle_close / 20).max(Duration::from_millis(400)))
+}
+
 impl ToNodes {
     pub fn new(rules: &Rules, discovery: SocketAddr) -> Self {
-        let idle_close = rules.idle_close();
-        let dial_timeout = rules.dial_timeout();
-        let idle = idle_close.saturating_sub((idle_close / 20).max(Duration::from_millis(400)));
         ToNodes {
             exits: RefCell::new(HashMap::new()),
             reports: format!("http://{discovery}/reports"),
             outbox: RefCell::default(),
             posts: Semaphore::new(POSTS),
-            platform: client(&Rc::new(Lines::default()), dial_timeout, idle),
-            dial_timeout,
-            idle,
+            platform: platform_client(rules),
+            dial_timeout: rules.dial_timeout(),
+            idle: idle(rules),
         }
     }
 
@@ -99,17 +120,20 @@
         self.platform.clone()
     }
 
-    fn exit(&self, address: SocketAddr) -> Rc<Exit> {
+    fn exit(&self, node: &Node) -> Rc<Exit> {
         let mut exits = self.exits.borrow_mut();
-        let exit = exits.entry(address).or_insert_with(|| {
+        let exit = exits.entry(node.id).or_insert_with(|| {
             let lines = Rc::new(Lines::default());
-            Rc::new(Exit { client: client(&lines, self.dial_timeout, self.idle), lines })
+            let home = lines.clone();
+            // A line is for one call: what awc keeps of it is nothing.
+            let client = client(self.dial_timeout, Duration::ZERO, move |to| home.clone().lease(to));
+            Rc::new(Exit { client, lines })
         });
         exit.clone()
     }
 
     async fn call(&self, job: &Job, node: &Node, limit: Duration, trace: &Rc<Trace>) -> Outcome {
-        let exit = self.exit(node.address);
+        let exit = self.exit(node);
         let mut request = exit
             .client
             .post(format!("http://{}/v1/messages", node.address))
@@ -119,22 +143,30 @@
         for (name, value) in &job.fields {
             request = request.insert_header((name.as_str(), value.as_ref()));
         }
-        match request.send_body(job.body.clone()).await {
-            Ok(mut response) => {
-                let outcome = outcome(response.status(), |name| {
-                    response.headers().get(name).and_then(|v| v.to_str().ok())
-                });
-                let trace = trace.clone();
-                actix_rt::spawn(async move {
-                    let rest = response.body().limit(LONGEST_ANSWER);
-                    if let Ok(Ok(_)) = timeout(REST_OF_ANSWER, rest).await {
-                        trace.done();
-                    }
-                });
-                outcome
+        let mut response = match request.send_body(job.body.clone()).await {
+            Ok(response) => response,
+            Err(e) => return fault(&e, trace),
+        };
+        let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+        let outcome = outcome(response.status(), header);
+        let keeps = !header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+        let length = header("content-length").and_then(|v| v.trim().parse().ok()).filter(|_| keeps);
+        let trace = trace.clone();
+        let rest = async move {
+            let read = timeout(REST_OF_ANSWER, response.body().limit(LONGEST_ANSWER)).await;
+            let whole = matches!(read, Ok(Ok(_)));
+            if whole {
+                trace.done(length);
             }
-            Err(e) => fault(&e, trace),
+            whole
+        };
+        if outcome == Outcome::Delivered {
+            // True by its first line, whatever follows.
+            actix_rt::spawn(rest);
+            return outcome;
         }
+        // Guards against answers that are spoilt behind their heads: the call has run, whatever they say.
+        if rest.await { outcome } else { Outcome::Error }
     }
 }
 
@@ -210,8 +242,12 @@
 
 /// What a call without an answer means. Whether it may have run is told by the socket, not by awc.
 fn fault(error: &SendRequestError, trace: &Trace) -> Outcome {
+    if trace.ticket().is_delivered() {
+        return Outcome::Delivered;
+    }
     if trace.ticket().is_sent() {
-        return Outcome::Reset;
+        // What cannot be read is the node's word all the same: it is there, and the connection did not break.
+        return if trace.answered() { Outcome::Error } else { Outcome::Reset };
     }
     if trace.refused() {
         return Outcome::NotSent;
@@ -222,8 +258,22 @@
 
 impl Carrier for ToNodes {
     async fn claim(&self, job: &Job, node: &Node, limit: Duration, ticket: &Rc<Ticket>) -> Outcome {
+        // Guards against a way out for a node that is gone by now, which nobody would take away again.
+        if !ticket.may_begin() {
+            return Outcome::NotSent;
+        }
         let trace = Trace::new(ticket.clone());
-        CLAIM.scope(trace.clone(), self.call(job, node, limit, &trace)).await
+        let call = CLAIM.scope(trace.clone(), self.call(job, node, limit, &trace));
+        let mut call = std::pin::pin!(call);
+        tokio::select! {
+            biased;
+            outcome = &mut call => outcome,
+            () = trace.confirmed() => {
+                // The rest of its head may be on its way, or never come.
+                let _ = timeout(REST_OF_HEAD, call).await;
+                Outcome::Delivered
+            }
+        }
     }
 
     async fn notify(&self, notice: &Notice) -> Result<(), String> {
@@ -249,13 +299,13 @@
     }
 
     fn close_idle(&self, node: &Node) {
-        if let Some(exit) = self.exits.borrow().get(&node.address) {
+        if let Some(exit) = self.exits.borrow().get(&node.id) {
             exit.lines.close_idle(Duration::ZERO);
         }
     }
 
     fn forget(&self, node: &Node) {
-        self.exits.borrow_mut().remove(&node.address);
+        self.exits.borrow_mut().remove(&node.id);
     }
 }
 
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -1,20 +1,31 @@
-//! One TCP connection under awc: what awc does not tell, and closing when we say so.
+//! One TCP connection to an execute node, below awc: what awc does not tell, and who may use it again.
 //!
-//! awc hides whether a call's bytes were written, keeps idle connections until somebody asks for one, and
-//! cannot be told to close them. A [`Line`] is the socket that awc gets: it asks the claim's ticket before
-//! the first byte, marks it after the last one, and can be closed from outside.
+//! awc hides whether a call's bytes were written, takes a 1xx answer for the answer, loses what stands in the
+//! first line of an answer it cannot read, and uses a connection again whatever was on it. So awc gets a
+//! [`Line`] for one call only. It asks the claim's ticket before the first byte, marks it after the last one,
+//! and watches the answer; the socket goes back to [`Lines`] only if the answer was all that came on it.
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::sync::Notify;
 
 use crate::core::Ticket;
 
+/// A connection rests for so long after an answer. Guards against surplus that the node writes right behind an
+/// answer and that is not here yet when the next call would go out: it would be read as the next answer.
+const REST: Duration = Duration::from_millis(2);
+/// Most bytes of 1xx answers that are passed over, and of a first line that is waited for.
+const LONGEST_PRELUDE: usize = 16 * 1024;
+
 tokio::task_local! {
     /// The claim whose future is being polled; awc writes and reads within it.
     pub static CLAIM: Rc<Trace>;
@@ -23,18 +34,18 @@
 /// What the socket tells of one claim.
 pub struct Trace {
     ticket: Rc<Ticket>,
-    line: RefCell<Option<Rc<Socket>>>,
-    begun: Cell<bool>,
+    socket: RefCell<Option<Rc<Socket>>>,
     refused: Cell<bool>,
+    confirmed: Notify,
 }
 
 impl Trace {
     pub fn new(ticket: Rc<Ticket>) -> Rc<Self> {
         Rc::new(Trace {
             ticket,
-            line: RefCell::new(None),
-            begun: Cell::new(false),
+            socket: RefCell::new(None),
             refused: Cell::new(false),
+            confirmed: Notify::new(),
         })
     }
 
@@ -47,50 +58,74 @@
         self.refused.get()
     }
 
-    /// The answer has been read to its end: the connection is idle again.
-    pub fn done(&self) {
-        if let Some(line) = self.line.borrow().as_ref() {
-            line.busy.set(false);
-            line.used.set(Instant::now());
+    /// Done when the answer's first line says 200, whatever follows it.
+    pub async fn confirmed(&self) {
+        self.confirmed.notified().await;
+    }
+
+    /// Something came back, whether or not it can be read.
+    pub fn answered(&self) -> bool {
+        self.socket.borrow().as_ref().is_some_and(|socket| socket.answer.borrow().seen > 0)
+    }
+
+    /// The answer has been read to its end, and its body should have had so many bytes: the connection may be
+    /// used again if nothing but that came.
+    pub fn done(&self, body: Option<u64>) {
+        let Some(socket) = self.socket.take() else { return };
+        let clean = socket.answer.borrow().was_just(body);
+        if let Some(stream) = socket.stream.borrow_mut().take().filter(|stream| clean && silent(stream)) {
+            socket.home.idle.borrow_mut().push(Idle { stream, since: Instant::now() });
         }
     }
 }
 
-/// A socket, shared by awc and the list that closes idle ones.
-pub struct Socket {
-    stream: RefCell<Option<TcpStream>>,
-    used: Cell<Instant>,
-    busy: Cell<bool>,
+/// Whether nothing waits to be read on a connection, not even its end. Asks the system, not the runtime, which
+/// may not have looked yet.
+fn silent(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
 }
 
-/// The connections to one execute node, as far as they are open.
+/// The idle connections to one execute node, the longest idle first.
 #[derive(Default)]
-pub struct Lines(RefCell<Vec<Weak<Socket>>>);
+pub struct Lines {
+    idle: RefCell<Vec<Idle>>,
+}
 
 impl Lines {
-    pub fn add(&self, stream: TcpStream) -> Line {
-        let socket = Rc::new(Socket {
-            stream: RefCell::new(Some(stream)),
-            used: Cell::new(Instant::now()),
-            busy: Cell::new(true),
-        });
-        self.0.borrow_mut().push(Rc::downgrade(&socket));
-        Line(socket)
+    /// A connection for one call: a warm one, or a new one.
+    pub async fn lease(self: Rc<Self>, address: SocketAddr) -> io::Result<Line> {
+        loop {
+            let Some(Idle { stream, since }) = self.idle.borrow_mut().pop() else { break };
+            tokio::time::sleep_until((since + REST).into()).await;
+            if silent(&stream) {
+                return Ok(Line::new(stream, self));
+            }
+        }
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Line::new(stream, self))
     }
 
     /// Closes what has stood idle for so long. Guards against the node closing first, which would make a
     /// claim written just then a reset.
     pub fn close_idle(&self, idle: Duration) {
-        self.0.borrow_mut().retain(|socket| {
-            let Some(socket) = socket.upgrade() else { return false };
-            if !socket.busy.get() && socket.used.get().elapsed() >= idle {
-                socket.stream.borrow_mut().take();
-            }
-            socket.stream.borrow().is_some()
-        });
+        self.idle.borrow_mut().retain(|line| line.since.elapsed() < idle);
     }
 }
 
+/// A socket that is leased for a call.
+struct Socket {
+    stream: RefCell<Option<TcpStream>>,
+    answer: RefCell<Answer>,
+    home: Rc<Lines>,
+}
+
 pub struct Line(Rc<Socket>);
 
 impl std::fmt::Debug for Line {
@@ -99,7 +134,19 @@
     }
 }
 
+/// Guards against connections that stay open because a trace still knows them: what awc gives up is closed.
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.0.stream.take();
+    }
+}
+
 impl Line {
+    fn new(stream: TcpStream, home: Rc<Lines>) -> Self {
+        let answer = RefCell::new(Answer::default());
+        Line(Rc::new(Socket { stream: RefCell::new(Some(stream)), answer, home }))
+    }
+
     /// Does something with the stream; a closed one reads as ended and cannot be written.
     fn with<T>(
         &self,
@@ -119,22 +166,50 @@
 
 impl AsyncRead for Line {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_read(cx, buf), Ok(()))
+        let mut answer = self.0.answer.borrow_mut();
+        loop {
+            if answer.status.is_some() && answer.prelude.is_empty() {
+                let before = buf.filled().len();
+                ready!(self.with(|stream| stream.poll_read(cx, buf), Ok(())))?;
+                answer.passed(&buf.filled()[before..]);
+                return Poll::Ready(Ok(()));
+            }
+            if answer.status.is_some() {
+                let prelude = std::mem::take(&mut answer.prelude);
+                let (now, later) = prelude.split_at(prelude.len().min(buf.remaining()));
+                buf.put_slice(now);
+                answer.passed(now);
+                answer.prelude = later.to_vec();
+                return Poll::Ready(Ok(()));
+            }
+            let mut room = [0; 2048];
+            let mut part = ReadBuf::new(&mut room);
+            ready!(self.with(|stream| stream.poll_read(cx, &mut part), Ok(())))?;
+            let ended = part.filled().is_empty();
+            answer.begin(part.filled(), ended);
+            if answer.status == Some(200)
+                && let Ok(trace) = CLAIM.try_with(Rc::clone)
+            {
+                trace.ticket.mark_delivered();
+                trace.confirmed.notify_one();
+            }
+            if ended && answer.prelude.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 }
 
 impl AsyncWrite for Line {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let trace = CLAIM.try_with(Rc::clone).ok();
-        if let Some(trace) = trace.as_ref().filter(|t| !t.begun.get()) {
+        if let Some(trace) = trace.as_ref().filter(|t| t.socket.borrow().is_none()) {
             if !trace.ticket.may_begin() {
                 trace.refused.set(true);
                 return Poll::Ready(Err(io::Error::other("the claim may no longer be sent")));
             }
-            trace.begun.set(true);
-            *trace.line.borrow_mut() = Some(self.0.clone());
+            *trace.socket.borrow_mut() = Some(self.0.clone());
         }
-        self.0.busy.set(true);
         let written = self.with(|stream| stream.poll_write(cx, buf), Err(broken()));
         // awc gathers a call's head and body and hands all that is left to each write, or (a head of over
         // 8 KiB) the head first; taken whole, the last byte may have gone.
@@ -150,8 +225,9 @@
         self.with(|stream| stream.poll_flush(cx), Err(broken()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_shutdown(cx), Ok(()))
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.stream.take();
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -165,6 +241,91 @@
     }
 }
 
+/// What has been seen of one answer.
+#[derive(Default)]
+struct Answer {
+    /// What came and is not passed on yet: 1xx answers and the beginning of a first line.
+    prelude: Vec<u8>,
+    /// Bytes of 1xx answers passed over.
+    skipped: usize,
+    /// What its first line says; 0 if that is no such line.
+    status: Option<u16>,
+    /// Bytes seen, and passed on.
+    seen: usize,
+    bytes: u64,
+    /// Bytes up to the end of its head, once that was passed on.
+    head: Option<u64>,
+    /// How much of a head's end (CR LF CR LF) came last.
+    end: usize,
+}
+
+impl Answer {
+    /// Takes in the beginning of an answer. Guards against 1xx answers, which are passed over, within bounds.
+    fn begin(&mut self, part: &[u8], ended: bool) {
+        self.seen += part.len();
+        self.prelude.extend_from_slice(part);
+        loop {
+            let text = &self.prelude[..];
+            let status = match text.get(..13) {
+                Some(line) => status(line).unwrap_or(0),
+                None if ended || text.contains(&b'\n') => 0,
+                None => return,
+            };
+            if !(100..200).contains(&status) || status == 101 || self.skipped > LONGEST_PRELUDE {
+                self.status = Some(status);
+                return;
+            }
+            match text.windows(4).position(|end| end == b"\r\n\r\n") {
+                Some(end) => {
+                    self.skipped += end + 4;
+                    self.prelude.drain(..end + 4);
+                }
+                None if ended || text.len() > LONGEST_PRELUDE => {
+                    self.status = Some(0);
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Counts what is passed on.
+    fn passed(&mut self, part: &[u8]) {
+        for (i, byte) in part.iter().enumerate() {
+            if self.head.is_some() {
+                break;
+            }
+            self.end = match (byte, self.end) {
+                (b'\r', 0 | 2) | (b'\n', 1 | 3) => self.end + 1,
+                (b'\r', _) => 1,
+                _ => 0,
+            };
+            if self.end == 4 {
+                self.head = Some(self.bytes + i as u64 + 1);
+            }
+        }
+        self.bytes += part.len() as u64;
+    }
+
+    /// Whether a head and a body of so many bytes is all that came.
+    fn was_just(&self, body: Option<u64>) -> bool {
+        let whole = self.head.zip(body).and_then(|(head, body)| head.checked_add(body));
+        self.status.is_some_and(|status| status >= 200)
+            && self.prelude.is_empty()
+            && whole == Some(self.bytes)
+    }
+}
+
+/// The status in the first bytes of an answer.
+fn status(line: &[u8]) -> Option<u16> {
+    let rest = line.strip_prefix(b"HTTP/1.")?;
+    let (minor, rest) = rest.split_first()?;
+    let digits = rest.strip_prefix(b" ")?.get(..3)?;
+    let ends = matches!(rest.get(4), Some(b' ' | b'\r' | b'\n'));
+    let sound = minor.is_ascii_digit() && ends && digits.iter().all(u8::is_ascii_digit);
+    sound.then(|| digits.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0')))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -173,38 +334,96 @@
     use tokio::net::{TcpListener, TcpSocket};
 
     /// Writes on a fresh line as a claim; gives its trace, and how much of `size` bytes was written.
-    async fn write(lines: &Lines, open: bool, size: usize) -> (Rc<Trace>, usize) {
+    async fn write(open: bool, size: usize) -> (Rc<Trace>, usize) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.set_send_buffer_size(4096).expect("a small buffer");
         let stream = socket.connect(listener.local_addr().expect("an address")).await.expect("connected");
-        let mut line = lines.add(stream);
+        let mut line = Line::new(stream, Rc::default());
         let trace = Trace::new(ticket(open, Duration::ZERO, None));
         let written = CLAIM.scope(trace.clone(), line.write(&vec![0; size])).await.unwrap_or(0);
-        let mut other = listener.accept().await.expect("accepted").0;
-        if trace.ticket().is_sent() {
-            // Idle once the answer is read; closed from outside while the other side still holds it.
-            lines.close_idle(Duration::ZERO);
-            trace.done();
-            lines.close_idle(Duration::from_secs(9));
-            let mut got = vec![0; size];
-            other.read_exact(&mut got).await.expect("all of it");
-            lines.close_idle(Duration::ZERO);
-            assert_eq!(other.read(&mut got).await.expect("the end"), 0);
-        }
         (trace, written)
     }
 
     #[test]
     fn a_claim_is_sent_only_with_leave_and_once_its_last_byte_is_written() {
         actix_rt::System::new().block_on(async {
-            let lines = Lines::default();
-            let (trace, written) = write(&lines, true, 100).await;
+            let (trace, written) = write(true, 100).await;
             assert!(trace.ticket().is_sent() && !trace.refused() && written == 100);
-            let (trace, written) = write(&lines, true, 64 * 1024 * 1024).await;
+            let (trace, written) = write(true, 64 * 1024 * 1024).await;
             assert!(!trace.ticket().is_sent() && written > 0, "a part of it went out: it never ran");
-            let (trace, written) = write(&lines, false, 100).await;
+            let (trace, written) = write(false, 100).await;
             assert!(trace.refused() && !trace.ticket().is_sent() && written == 0);
         });
     }
+
+    /// What is read of an answer that comes in such parts, and whether its connection is used again.
+    async fn read(parts: &[&str], body: u64) -> (String, bool, bool) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let lines = Rc::new(Lines::default());
+        let address = listener.local_addr().expect("an address");
+        let mut line = lines.clone().lease(address).await.expect("connected");
+        let mut other = listener.accept().await.expect("accepted").0;
+        let trace = Trace::new(ticket(true, Duration::ZERO, None));
+        let text = CLAIM.scope(trace.clone(), async {
+            line.write_all(b"call").await.expect("written");
+            let mut text = Vec::new();
+            for part in parts {
+                other.write_all(part.as_bytes()).await.expect("written");
+                let read = tokio::time::timeout(Duration::from_millis(20), line.read_buf(&mut text));
+                let _ = read.await;
+            }
+            String::from_utf8(text).expect("text")
+        });
+        let text = text.await;
+        trace.done(Some(body));
+        drop(line);
+        let warm = !lines.idle.borrow().is_empty();
+        (text, trace.ticket().is_delivered(), warm)
+    }
+
+    #[test]
+    fn only_an_answer_that_is_all_that_came_leaves_its_connection_in_use() {
+        const OK: &str = "HTTP/1.1 200 x\r\ncontent-length: 2\r\n\r\nok";
+        actix_rt::System::new().block_on(async {
+            let whole = (OK.to_owned(), true, true);
+            assert_eq!(read(&[OK], 2).await, whole);
+            assert_eq!(read(&["HTT", &OK[3..]], 2).await, whole);
+            // 1xx answers are passed over, in one piece or several.
+            let early = "HTTP/1.1 103 Early\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
+            assert_eq!(read(&[&[early, OK].concat()], 2).await, whole);
+            assert_eq!(read(&[&early[..25], &[&early[25..], OK].concat()], 2).await, whole);
+            // Surplus bytes, at once or right behind.
+            assert!(!read(&[&[OK, OK].concat()], 2).await.2);
+            assert!(!read(&[OK, "", "noise"], 2).await.2);
+            // What cannot be read says what its first line says, if anything.
+            let (_, delivered, warm) = read(&["HTTP/1.1 200 OK\r\n\x01\x02"], 0).await;
+            assert!(delivered && !warm);
+            let (text, delivered, warm) = read(&["\x01\x02 HTTP/1.1 200 OK\r\n\r\n"], 0).await;
+            assert!(text.starts_with('\x01') && !delivered && !warm);
+            // Not for ever.
+            let endless = "HTTP/1.1 102 x\r\n\r\n".repeat(3 + LONGEST_PRELUDE / 18);
+            let (text, delivered, _) = read(&[&endless, "", "", "", "", "", "", "", "", ""], 0).await;
+            assert!(text.starts_with("HTTP/1.1 102") && !delivered);
+        });
+    }
+
+    #[test]
+    fn a_connection_on_which_something_came_while_idle_is_not_used_again() {
+        actix_rt::System::new().block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let lines = Rc::new(Lines::default());
+            for (late, again) in [("", true), ("noise", false)] {
+                let stream = TcpStream::connect(address).await.expect("connected");
+                let local = stream.local_addr().expect("an address");
+                let mut other = listener.accept().await.expect("accepted").0;
+                lines.idle.borrow_mut().push(Idle { stream, since: Instant::now() });
+                other.write_all(late.as_bytes()).await.expect("written");
+                let line = lines.clone().lease(address).await.expect("connected");
+                let leased = line.0.stream.borrow().as_ref().and_then(|s| s.local_addr().ok());
+                assert_eq!(leased == Some(local), again, "{late}");
+            }
+        });
+    }
 }
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -1,4 +1,5 @@
 //! The way in: submitters over actix-http.
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
@@ -6,13 +7,14 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use super::carrier::KEY;
 use crate::core::{Answer, Carrier, Core, Job};
-use crate::door;
+use crate::door::{self, Gate, Manners, Seen};
 
 /// Largest body; the platform sends none larger.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -20,13 +22,14 @@
 const LONGEST_NAME: usize = 512;
 /// Longest time that a message may still have; a longer one is no sensible figure.
 const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
-/// A submitter's connection may stand idle for so long: shorter, and submitters pay for new ones.
-const KEEP_ALIVE: Duration = Duration::from_secs(300);
-/// A connection's first head must be whole within this time. Not shorter than the above: a connection that was
-/// opened ahead of its use would get a 408, and the submitter take it for the answer to what it sends then.
-const HEAD_TIME: Duration = KEEP_ALIVE;
-/// A request's body must be whole within this time.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// A connection's manners. They end silently: a 408 would be taken for the answer to what is sent just then.
+const MANNERS: Manners = Manners {
+    first: Duration::from_millis(2500),
+    whole: Some(Duration::from_millis(2500)),
+    idle: Duration::from_secs(5),
+};
+/// What a submitter goes on sending after its answer is read for so long, so that it gets to see the answer.
+const LINGER: Duration = Duration::from_millis(500);
 
 pub struct Server<C> {
     core: Rc<Core<C>>,
@@ -61,13 +64,14 @@
     }
 
     /// Takes connections.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: usize) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Arc<Semaphore>) {
         let leave = self.leave.clone();
         let service = HttpService::build()
-            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-            .client_request_timeout(HEAD_TIME)
-            .client_disconnect_timeout(Duration::from_secs(1))
-            .tcp_nodelay(true)
+            // The door sees to time, with manners of its own.
+            .keep_alive(KeepAlive::Os)
+            .client_request_timeout(Duration::ZERO)
+            .client_disconnect_timeout(LINGER)
+            .on_connect_ext(|gate: &Gate, data| drop(data.insert(gate.seen())))
             .graceful_shutdown_signal(move || {
                 let leave = leave.clone();
                 async move { leave.notified().await }
@@ -75,26 +79,30 @@
             .h1(fn_service(move |request: Request| {
                 let server = self.clone();
                 async move { Ok::<_, Infallible>(server.serve(request).await) }
-            }))
-            .tcp();
-        door::accept(listener, places, service).await;
+            }));
+        door::accept(listener, places, MANNERS, service).await;
     }
 }
 
 impl<C: Carrier> Server<C> {
     async fn serve(&self, mut request: Request) -> Response<&'static str> {
+        let seen = request.conn_data::<Rc<Seen>>().cloned();
         let mut response = match (request.method(), request.path()) {
             (&Method::GET, "/ready") if self.ready.get() => Response::with_body(StatusCode::OK, "ready\n"),
             (&Method::GET, "/ready") => answer(StatusCode::SERVICE_UNAVAILABLE),
             (&Method::POST, _) => match self.read(&mut request).await {
-                Ok(job) => told(self.core.admit(job).await),
+                Ok(job) => {
+                    seen.iter().for_each(|seen| seen.serving());
+                    told(self.core.admit(job).await)
+                }
                 Err(Unfit { status, why }) => {
-                    tracing::info!(why, path = request.path(), "request is no job");
+                    tracing::debug!(why, path = request.path(), "request is no job");
                     Response::with_body(status, why)
                 }
             },
             _ => answer(StatusCode::NOT_FOUND),
         };
+        seen.iter().for_each(|seen| seen.answered());
         if self.leaving.get() {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
@@ -105,8 +113,7 @@
     async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
         let arrived = SystemTime::now();
         // Read even where the rest is bad: a connection with an unread body has to be closed.
-        let body =
-            tokio::time::timeout(BODY_TIME, body(request)).await.map_err(|_| bad("body is not whole"))??;
+        let body = body(request).await?;
         let text = |name: &str| match request.headers().get(name) {
             None => Ok(None),
             Some(value) => match value.to_str() {
@@ -118,7 +125,7 @@
         let first = request.path().split('/').nth(1).unwrap_or("").to_owned();
         let class = text("x-priority-class")?.unwrap_or(first);
         self.core.rules.class(&class).ok_or(bad("unknown class"))?;
-        let left = text("x-timeout-ms")?.and_then(|v| v.trim().parse().ok()).map(Duration::from_millis);
+        let left = text("x-timeout-ms")?.and_then(|v| digits(&v)).map(Duration::from_millis);
         let left =
             left.filter(|l| *l <= LONGEST_TIME).ok_or(bad("X-Timeout-Ms is no time in milliseconds"))?;
         let dest =
@@ -156,12 +163,18 @@
 
 /// Reads a body to its end, no further than is allowed.
 async fn body(request: &mut Request) -> Result<Bytes, Unfit> {
+    let too_large = Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" };
+    let told =
+        request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+    if told.is_some_and(|length| length > LONGEST_BODY as u64) {
+        return Err(too_large);
+    }
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| bad("body cannot be read"))?;
         if body.len() + chunk.len() > LONGEST_BODY {
-            return Err(Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" });
+            return Err(too_large);
         }
         body.extend_from_slice(&chunk);
     }
@@ -171,7 +184,12 @@
 /// The number behind `dest=` among an envelope's parts.
 fn destination(envelope: &str) -> Option<u64> {
     let parts = envelope.split([',', ';', '&', ' ']).map(str::trim);
-    parts.filter_map(|part| part.strip_prefix("dest=")).next()?.parse().ok()
+    parts.filter_map(|part| part.strip_prefix("dest=")).next().and_then(digits)
+}
+
+/// A whole number, without the sign that parsing lets pass.
+fn digits(text: &str) -> Option<u64> {
+    text.trim().parse().ok().filter(|_| !text.contains('+'))
 }
 
 fn answer(status: StatusCode) -> Response<&'static str> {
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -7,18 +7,22 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 use super::{PATH, TTL};
 use crate::config::{Location, Push};
 use crate::core::{Answer, Carrier, Core, Job};
-use crate::door;
+use crate::door::{self, Gate, Manners};
 
 /// A submitter's connection may stand idle for so long; then it is pinged, and closed if nothing comes back.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 /// HTTP/2's opening must be done, and a body be whole, within this time.
 const READ_TIME: Duration = Duration::from_secs(10);
+/// Silent connections make room; the rest is HTTP/2's own, with pings.
+const MANNERS: Manners = Manners { first: READ_TIME, whole: None, idle: KEEP_ALIVE };
 /// Where a message that was taken on can be asked for while it is open.
 const MESSAGE: &str = "/message/";
 /// All header names and values that a job carries.
@@ -66,17 +70,16 @@
         *self.locations.borrow_mut() = locations;
     }
 
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: usize) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Arc<Semaphore>) {
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
             .client_request_timeout(READ_TIME)
-            .tcp_nodelay(true)
+            .on_connect_ext(|_: &Gate, _| ())
             .h2(fn_service(move |request: Request| {
                 let server = self.clone();
                 async move { Ok::<_, Infallible>(server.serve(request).await) }
-            }))
-            .tcp();
-        door::accept(listener, places, service).await;
+            }));
+        door::accept(listener, places, MANNERS, service).await;
     }
 
     async fn serve(&self, mut request: Request) -> Response<String> {
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -384,3 +384,101 @@
          expect relay exit",
     );
 }
+
+#[test]
+fn half_requests_and_silent_connections_end_in_time() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 raw=POST_/order_HTTP/1.1|host:_x|
+         send s2 raw=POST_/order_HTTP/1.1|host:_x|content-length:_9||abc
+         expect s3 nothing 1
+         send s4 POST /order id=j1 dest=7 left=2000
+         expect s4 202
+         expect n1 POST
+         send n1 200
+         expect s1 closed
+         expect s2 400                        # its body ended early, as far as the relay lets it
+         expect s3 closed
+         expect s4 closed                     # idle for long",
+    );
+}
+
+#[test]
+fn silent_and_idle_connections_make_room_for_the_next() {
+    let mut scenario = String::from("send list n1:7\nsend relay start sockets=10   # four places\n");
+    for guest in 0..8 {
+        scenario += &format!("expect s{guest} nothing 1\n");
+    }
+    for guest in 10..15 {
+        scenario += &format!("send s{guest} GET /ready\nexpect s{guest} 200\n");
+    }
+    play(None, &scenario);
+}
+
+#[test]
+fn a_body_too_large_or_with_two_lengths_is_refused_from_its_head() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 raw=POST_/order_HTTP/1.1|host:_x|x-request-id:_j1|x-timeout-ms:_900|x-envelope:_dest=7|content-length:_60000000||
+         expect s1 413
+         send s2 raw=POST_/order_HTTP/1.1|host:_x|x-request-id:_j2|x-timeout-ms:_900|x-envelope:_dest=7|content-length:_3|transfer-encoding:_chunked||0||
+         expect s2 400
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn spoilt_answers_count_as_run_and_end_their_connections() {
+    play(
+        None,
+        "send list n1:7 n2:8 n3:9 n4:10
+         send relay start window=500
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect n1 POST connection=0
+         send n1 raw=HTTP/1.1_200_OK|content-length:_-5||    # true by its first line
+         expect relay log=Delivered
+         send s1 POST /notice id=j2 dest=7 left=5000
+         expect n1 POST connection=1
+         send n1 raw=noise||                  # failed, and safe to repeat
+         expect relay log=Error
+         expect n1 POST connection=2
+         send n1 raw=HTTP/1.1_200_OK|content-length:_3000000000||and_so_on
+         expect relay log=Delivered
+         send s1 POST /order id=j3 dest=8 left=5000
+         expect n2 POST
+         wait 600
+         send n2 raw=HTTP/1.1_503_no|content-length:_3000000000||ab   # says never ran, but cannot be trusted
+         expect list returned id=j3           # so its memory has ended by now
+         expect n2 nothing 100
+         send s1 POST /order id=j4 dest=9 left=5000
+         expect n3 POST
+         send n3 raw=HTTP/1.1_200_OK|endless: # the rest of the head never comes
+         expect relay log=Delivered
+         expect n3 nothing 100",
+    );
+}
+
+#[test]
+fn early_answers_are_passed_over_and_surplus_is_no_answer() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect n1 POST connection=0
+         send n1 raw=HTTP/1.1_103_x|link:_y||HTTP/1.1_100_x||HTTP/1.1_200_x|content-length:_2||ok
+         expect relay log=Delivered
+         send s1 POST /order id=j2 dest=7 left=5000
+         expect n1 POST connection=0
+         send n1 raw=HTTP/1.1_200_x|content-length:_2||okHTTP/1.1_200_x|content-length:_2||ok
+         expect relay log=Delivered
+         send s1 POST /order id=j3 dest=7 left=5000
+         expect n1 POST connection=1
+         send n1 200
+         expect n1 nothing 100",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -86,7 +86,15 @@
     Some(got)
 }
 
+/// Text as a scenario's word has it.
+fn raw(word: &str) -> String {
+    word.replace('_', " ").replace('|', "\r\n")
+}
+
 fn answer(words: &Said) -> String {
+    if let Some(word) = said(words, "raw") {
+        return raw(word);
+    }
     let headers = words[1..].iter().filter(|(k, _)| k != "to").map(|(k, v)| format!("{k}: {v}\r\n"));
     format!("HTTP/1.1 {} x\r\ncontent-length: 2\r\n{}\r\nok", words[0].0, headers.collect::<String>())
 }
@@ -173,8 +181,8 @@
 }
 
 fn request(words: &Said) -> Vec<u8> {
-    if let Some(raw) = said(words, "raw") {
-        return raw.replace('_', " ").replace('|', "\r\n").into_bytes();
+    if let Some(word) = said(words, "raw") {
+        return raw(word).into_bytes();
     }
     let id = said(words, "id").unwrap_or("");
     let mut text = format!("{} {} HTTP/1.1\r\nhost: relay\r\n", words[0].0, words[1].0);
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -6,7 +6,7 @@
 //!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
-//!   status (to=BODY of the call meant), reset=CODE or goaway=LAST_STREAM. Close: breaks its connections and
+//!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or goaway=LAST_STREAM. Close: breaks its connections and
 //!   refuses new ones; `close n1 call` only breaks the connections it has.
 //!
 //! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
@@ -272,10 +272,11 @@
     fn settings(&mut self, words: &Said) -> String {
         let of = |key: &str, default: &str| said(words, key).unwrap_or(default).to_owned();
         let (slots, held, disk) = (of("slots", "8"), of("held", "40"), of("disk_mb", "3"));
+        let sockets = of("sockets", "256");
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
         let discovery = self.party("list").address.expect("it listens");
         format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":256,"disk_mb":{disk}}},
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":{sockets},"disk_mb":{disk}}},
             "settings":{{"step":5000000,"categories":[
               {{"name":"notice","aim":1000000000,"give_up":6000000000,"effect":"read_like","late_worth":0.0,"credit":1.0}},
               {{"name":"order","aim":4000000000,"give_up":28000000000,"effect":"idempotency_key","group":"all","window":{window}000000,"late_worth":0.3,"credit":2.0}}],
