SIGHUP rereads the platform's configuration; known ids and unknown destinations answered at once

Now config::platform is read anew, the file's discovery wins over the variable, notices and the watch move at once, limits and settings are taken up (Courier::settle), a faulty file changes nothing. core/mod.rs admit answers a repeat of an id within 3 s as before, waits for a decision instead of polling for it each step, and refuses a destination that nobody lists.

Tests: scenarios for a moved discovery with a faulty file before it, and for known ids and unknown destinations.

--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -102,7 +102,7 @@
 struct Told {
     name: String,
     listen: SocketAddr,
-    discovery: SocketAddr,
+    discovery: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     limits: ToldLimits,
@@ -126,13 +126,16 @@
     3.0
 }
 
-/// Reads what the platform tells in `BALANCER_CONFIG`; the other variables override it. Without that one,
-/// this is no relay of the platform's.
+/// Reads what the platform tells in `BALANCER_CONFIG`; the variables for the name and the address to listen on
+/// override it. That for discovery does not: the file may be replaced while the process runs, a variable can't
+/// be. Without `BALANCER_CONFIG`, this is no relay of the platform's.
 pub fn platform() -> Result<Option<Platform>, String> {
     let Some(path) = variable("BALANCER_CONFIG")? else { return Ok(None) };
     let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG: cannot read {path}: {e}"))?;
     let told: Told = decode(&text).map_err(|e| format!("BALANCER_CONFIG: {e}"))?;
     let state = variable("BALANCER_STATE")?.ok_or("BALANCER_STATE is not set")?;
+    let discovery = told.discovery.map_or_else(|| address("BALANCER_DISCOVERY"), |told| Ok(Some(told)))?;
+    let discovery = discovery.ok_or("BALANCER_CONFIG: discovery: it is missing")?;
     let seed = if told.seed.is_empty() { Ok(0) } else { u64::from_str_radix(&told.seed, 16) };
     let known = NodeList { generation: 0, reset: true, instances: Vec::new() };
     let disk = told.limits.disk_mb;
@@ -142,7 +145,7 @@
     Ok(Some(Platform {
         name: variable("BALANCER_NAME")?.unwrap_or(told.name),
         listen: address("BALANCER_LISTEN")?.unwrap_or(told.listen),
-        discovery: address("BALANCER_DISCOVERY")?.unwrap_or(told.discovery),
+        discovery,
         state: Path::new(&state).to_owned(),
         seed: seed.map_err(|_| format!("BALANCER_CONFIG: seed: '{}' is not hexadecimal", told.seed))?,
         limits: Limits { disk: (disk * 1e6) as u64, sockets: told.limits.sockets },
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -48,7 +48,8 @@
         if let Some(notice) = course.ending.take() {
             return self.finish(&job, &course, Some(notice)).await;
         }
-        let Some(class) = self.rules.class(&job.class) else {
+        let known = self.rules().class(&job.class);
+        let Some(class) = known else {
             // Only a journal from before a change of the settings can hold such a job.
             tracing::warn!(id = job.id, class = job.class, "class is no longer known; the job fails");
             return self.finish(&job, &course, Some(job.failed(None))).await;
@@ -81,6 +82,7 @@
                 Ok(key) => {
                     course.key = key;
                     self.state.borrow_mut().ids.insert(job.id.clone(), true);
+                    self.decisions.notify_waiters();
                     self.count(|tally| tally.taken += 1);
                 }
                 Err(refusal) => {
@@ -91,7 +93,7 @@
             if answer.send(Answer::Taken).is_err() {
                 // A submitter that is gone was not told: it hands the message in again.
                 seat.leave(order);
-                return self.finish(&job, &course, None).await;
+                return self.forget(&job, &course, None);
             }
         }
 
@@ -155,7 +157,7 @@
         let this = MayHaveRun {
             sent: SystemTime::now(),
             node: node.name.clone(),
-            zone: self.rules.names.zones.get(node.zone.0).cloned(),
+            zone: self.rules().names.zones.get(node.zone.0).cloned(),
         };
         let not_after = course.risk.as_ref().and_then(|risk| self.memory_ends(course.class, risk));
         let ticket = self.ticket(node, not_after);
@@ -220,16 +222,29 @@
                 pause = (pause * 2).min(NOTICE_PAUSE);
             }
         }
+        self.forget(job, course, Some(Answer::Taken));
+    }
+
+    /// Nothing more is owed for a job; its id may have been `told` an answer that goes on to hold.
+    fn forget(&self, job: &Job, course: &Course, told: Option<Answer>) {
         if let Err(e) = self.journal.borrow_mut().end(course.key) {
             tracing::error!(id = job.id, error = %e, "journal cannot record that nothing more is owed");
         }
-        self.state.borrow_mut().ids.remove(&job.id);
+        self.decided(&job.id, told);
+    }
+
+    /// An id is no longer open.
+    fn decided(&self, id: &str, told: Option<Answer>) {
+        let mut state = self.state.borrow_mut();
+        state.ids.remove(id);
+        told.into_iter().for_each(|told| state.recent.add(id, told));
+        self.decisions.notify_waiters();
     }
 
     /// Gives a new job its answer instead of taking it on.
     fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
         self.count(|tally| tally.turned_away += 1);
-        self.state.borrow_mut().ids.remove(&job.id);
+        self.decided(&job.id, Some(refusal));
         if let Some(answer) = answer {
             // A submitter that is gone needs none.
             let _ = answer.send(refusal);
@@ -238,7 +253,8 @@
 
     /// Whether handing the job in again is harmless, as the rules have it.
     fn may_return(&self, job: &Job, course: &Course) -> bool {
-        let class = &self.rules.settings.classes[course.class];
+        let rules = self.rules();
+        let class = &rules.settings.classes[course.class];
         let repeatable = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => course.risk.is_none() || class.group == Group::All,
@@ -263,7 +279,8 @@
 
     /// Until when an earlier claim is surely remembered, where a repeat matters.
     fn memory_ends(&self, class: usize, risk: &MayHaveRun) -> Option<Instant> {
-        let class = &self.rules.settings.classes[class];
+        let rules = self.rules();
+        let class = &rules.settings.classes[class];
         let ago = risk.ago(SystemTime::now());
         let memory = match class.effect {
             Effect::Safe => return None,
@@ -278,7 +295,7 @@
         let mut state = self.state.borrow_mut();
         let risk = course.risk.as_ref().map(|risk| {
             let ago = risk.ago(now);
-            let zone = risk.zone.as_ref().and_then(|z| self.rules.names.zones.iter().position(|n| n == z));
+            let zone = risk.zone.as_ref().and_then(|z| self.rules().names.zones.iter().position(|n| n == z));
             Risk {
                 sent: self.module_time(Instant::now()).saturating_sub(nanos(ago)),
                 // One that is no longer listed has no number; none is ever given twice.
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -8,7 +8,7 @@
 use slatethread::{Courier, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,12 +57,48 @@
     waits: HashMap<(u64, Option<EndpointId>), Rc<Cell<Instant>>>,
     /// Ids of jobs that have no end yet, and whether they were taken on or are still being decided on.
     ids: HashMap<String, bool>,
+    recent: Recent,
+    /// Destinations whose nodes have gone, and when.
+    gone: HashMap<u64, Instant>,
     claims_out: usize,
 }
 
+/// Answers given a moment ago, by id.
+#[derive(Default)]
+struct Recent {
+    answers: HashMap<String, Answer>,
+    order: VecDeque<(Instant, String)>,
+}
+
+/// So long and so many answers are kept: a repeat right after an answer comes within this time.
+const RECENT: Duration = Duration::from_secs(3);
+const MOST_RECENT: usize = 4096;
+
+impl Recent {
+    fn add(&mut self, id: &str, answer: Answer) {
+        self.answers.insert(id.to_owned(), answer);
+        self.order.push_back((Instant::now(), id.to_owned()));
+        self.drop_old();
+    }
+
+    fn answer(&mut self, id: &str) -> Option<Answer> {
+        self.drop_old();
+        self.answers.get(id).copied()
+    }
+
+    fn drop_old(&mut self) {
+        while self.order.len() > MOST_RECENT
+            || self.order.front().is_some_and(|(at, _)| at.elapsed() > RECENT)
+        {
+            let old = self.order.pop_front();
+            old.and_then(|(_, id)| self.answers.remove(&id));
+        }
+    }
+}
+
 pub struct Core<C> {
     pub carrier: C,
-    pub rules: Rules,
+    rules: RefCell<Rc<Rules>>,
     hooks: Option<Hooks>,
     state: RefCell<State>,
     journal: RefCell<Journal>,
@@ -71,6 +107,8 @@
     start: Instant,
     /// Told when the last round has been played.
     closing: Notify,
+    /// Told with every answer.
+    decisions: Notify,
     tally: Cell<Tally>,
     /// No further rounds: what is out comes home, the rest stays in the journal.
     winding_down: Cell<bool>,
@@ -102,11 +140,13 @@
             next_node: 0,
             waits: HashMap::new(),
             ids: HashMap::new(),
+            recent: Recent::default(),
+            gone: HashMap::new(),
             claims_out: 0,
         };
         Rc::new(Core {
             carrier,
-            rules,
+            rules: RefCell::new(Rc::new(rules)),
             hooks,
             state: RefCell::new(state),
             journal: RefCell::new(journal),
@@ -114,17 +154,36 @@
             follow: Notify::new(),
             start: Instant::now(),
             closing: Notify::new(),
+            decisions: Notify::new(),
             tally: Cell::default(),
             winding_down: Cell::new(false),
         })
     }
 
+    pub fn rules(&self) -> Rc<Rules> {
+        self.rules.borrow().clone()
+    }
+
+    /// Takes up new rules without a job's notice; `disk` is what the journal may fill. Classes, kinds and zones
+    /// are known to open jobs and nodes by their places in the settings, so these can't change under them.
+    pub fn settle(&self, rules: Rules, disk: u64) {
+        self.journal.borrow_mut().set_limit(disk);
+        let old = self.rules();
+        if rules.names != old.names {
+            tracing::warn!("classes, kinds or zones differ: the settings are taken up with the next start");
+            return;
+        }
+        self.state.borrow_mut().courier.settle(rules.settings.clone());
+        *self.rules.borrow_mut() = Rc::new(rules);
+        self.wake.notify_one();
+    }
+
     /// Takes a job from a submitter. The answer comes as soon as the module has decided and, if it took the
     /// job, the journal holds it.
     pub async fn admit(self: &Rc<Self>, job: Job) -> Answer {
         let full =
-            self.rules.settings.max_held.is_some_and(|m| self.state.borrow().seats.len() >= m as usize);
-        if full || self.winding_down.get() {
+            self.rules().settings.max_held.is_some_and(|m| self.state.borrow().seats.len() >= m as usize);
+        if full || self.winding_down.get() || !self.knows(job.dest) {
             self.count(|tally| tally.turned_away += 1);
             return Answer::Refused { after: Some(DEFAULT_BACKOFF) };
         }
@@ -135,7 +194,12 @@
                 Some(false) => {}
                 None => break,
             }
-            sleep(self.rules.step()).await;
+            self.decisions.notified().await;
+        }
+        // Guards against the work of deciding anew on what comes again right after its answer, and against
+        // sending a second time what has only just been delivered.
+        if let Some(answer) = self.state.borrow_mut().recent.answer(&job.id) {
+            return answer;
         }
         self.state.borrow_mut().ids.insert(job.id.clone(), false);
         let (answer, answered) = oneshot::channel();
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Carrier, Core, State};
 use crate::config::{Lifecycle, NodeList};
@@ -12,6 +12,9 @@
 /// Longest name of a node, and of a zone together with it, that fits into a journal record.
 const LONGEST_NODE_NAME: usize = 200;
 
+/// For so long after its last node has gone, a destination is taken to get another.
+const GONE_KEPT: Duration = Duration::from_secs(30);
+
 /// An execute node.
 #[derive(Debug)]
 pub struct Node {
@@ -67,6 +70,8 @@
     /// Takes in news of the list of execute nodes.
     pub fn take_list(&self, list: &NodeList, stale: bool) {
         let mut state = self.state.borrow_mut();
+        let rules = self.rules();
+        let names = &rules.names;
         let mut entries = Vec::with_capacity(list.instances.len());
         let mut listed = HashSet::new();
         for entry in &list.instances {
@@ -92,15 +97,15 @@
             listed.insert(id);
             let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
             // A zone or kind that the settings do not name is none of theirs.
-            let zone = place(&self.rules.names.zones, &entry.zone).unwrap_or(self.rules.names.zones.len());
-            let kind = place(&self.rules.names.kinds, &entry.machine_type);
+            let zone = place(&names.zones, &entry.zone).unwrap_or(names.zones.len());
+            let kind = place(&names.kinds, &entry.machine_type);
             let node = Node {
                 id,
                 name: entry.instance_id.clone(),
                 address,
                 zone: ZoneId(zone),
                 dest: entry.cell,
-                kind: KindId(kind.unwrap_or(self.rules.names.kinds.len())),
+                kind: KindId(kind.unwrap_or(names.kinds.len())),
                 weight: entry.weight,
                 open: Cell::new(entry.lifecycle == Lifecycle::Serving),
             };
@@ -151,9 +156,20 @@
         self.carrier.forget(node);
         state.nodes.remove(&node.id);
         state.by_name.remove(&node.name);
+        let now = Instant::now();
+        state.gone.retain(|_, at| now < *at + GONE_KEPT);
+        state.gone.insert(node.dest, now);
         state.waits.remove(&(node.dest, Some(node.id)));
     }
 
+    /// Whether there is such a destination, or was one a moment ago. Guards against holding what nobody will ever
+    /// serve; while nothing is listed at all, nobody can say.
+    pub(super) fn knows(&self, dest: u64) -> bool {
+        let state = self.state.borrow();
+        let listed = state.nodes.is_empty() || state.nodes.values().any(|node| node.dest == dest);
+        listed || state.gone.get(&dest).is_some_and(|at| at.elapsed() < GONE_KEPT)
+    }
+
     /// The list could not be had.
     pub fn list_broken(&self) {
         self.state.borrow_mut().inbox.push(Event::List { scope: ListScope::Broken, entries: Vec::new() });
@@ -173,7 +189,7 @@
 
     /// End of the wait told by a node's destination, or by the node where nodes are routes apart.
     pub(super) fn wait_of(&self, node: &Node) -> Rc<Cell<Instant>> {
-        let apart = self.rules.settings.kinds.get(node.kind.0).and_then(|k| k.apart).unwrap_or(false);
+        let apart = self.rules().settings.kinds.get(node.kind.0).and_then(|k| k.apart).unwrap_or(false);
         let unit = (node.dest, apart.then_some(node.id));
         let mut state = self.state.borrow_mut();
         state.waits.entry(unit).or_insert_with(|| Rc::new(Cell::new(self.start))).clone()
@@ -194,7 +210,6 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
-    use std::time::Duration;
 
     /// A ticket for a node of its own.
     pub(crate) fn ticket(open: bool, wait: Duration, memory: Option<Duration>) -> Rc<Ticket> {
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -30,7 +30,6 @@
 impl<C: Carrier> Core<C> {
     /// Plays rounds, no closer than the settings' step, until the relay winds down.
     pub async fn rounds(&self) {
-        let step = self.rules.step();
         let mut last = Instant::now();
         while !self.winding_down.get() {
             let timer = self.state.borrow().timers.peek().map(|t| t.0.0);
@@ -39,7 +38,7 @@
                 () = self.wake.notified() => {}
                 () = sleep_until(due.into()) => {}
             }
-            sleep_until((last + step).into()).await;
+            sleep_until((last + self.rules().step()).into()).await;
             // Guards against acting on old news: what has arrived on sockets is read before the round. A
             // yielding task goes on after the runtime has looked at its sockets and run what they woke.
             for _ in 0..2 {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::config::{self, NodeList};
@@ -15,13 +16,33 @@
 /// A longer list is none.
 const LONGEST: usize = 8 * 1024 * 1024;
 
-/// Follows the list whenever the module asks for it, for as long as that goes well.
-pub async fn follow<C: Carrier>(core: Rc<Core<C>>, client: awc::Client, discovery: SocketAddr) {
+/// Where discovery is, and a client whose connections lead there.
+#[derive(Clone)]
+pub struct Place {
+    pub client: awc::Client,
+    pub address: SocketAddr,
+}
+
+/// Follows the list whenever the module asks for it, for as long as that goes well, and from its first word on
+/// wherever discovery has moved to.
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, mut place: watch::Receiver<Place>) {
+    let mut moved = false;
     loop {
-        core.asked_to_follow().await;
-        let fault = session(&core, &client, discovery).await;
-        tracing::warn!(fault, "discovery cannot be followed; the module asks again later");
-        core.list_broken();
+        if !std::mem::take(&mut moved) {
+            tokio::select! {
+                () = core.asked_to_follow() => {}
+                Ok(()) = place.changed() => {}
+            }
+        }
+        let Place { client, address } = place.borrow_and_update().clone();
+        tokio::select! {
+            // Guards against following the old one to its end, or asking the new one only after a pause.
+            Ok(()) = place.changed() => moved = true,
+            fault = session(&core, &client, address) => {
+                tracing::warn!(fault, "discovery cannot be followed; the module asks again later");
+                core.list_broken();
+            }
+        }
     }
 }
 
--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -41,6 +41,35 @@
     pub idle: Duration,
 }
 
+/// How many connections there may be; the number may change while they are taken.
+pub struct Places {
+    free: Arc<Semaphore>,
+    number: Cell<usize>,
+}
+
+impl Places {
+    pub fn new(number: usize) -> Self {
+        Places { free: Arc::new(Semaphore::new(number)), number: Cell::new(number) }
+    }
+
+    pub fn free(&self) -> Arc<Semaphore> {
+        self.free.clone()
+    }
+
+    /// Sets the number. Places that are taken and too many go as their connections end.
+    pub fn set(&self, number: usize) {
+        let old = self.number.replace(number);
+        self.free.add_permits(number.saturating_sub(old));
+        let surplus = old.saturating_sub(number);
+        let free = self.free.clone();
+        actix_rt::spawn(async move {
+            for _ in 0..surplus {
+                free.acquire().await.into_iter().for_each(|place| place.forget());
+            }
+        });
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     /// No request is open.
@@ -222,7 +251,7 @@
     }
 }
 
-/// A connection's first place is its own; `places` may change while connections are taken.
+/// Takes connections, each for a free place.
 pub async fn accept<F>(listener: TcpListener, places: Arc<Semaphore>, manners: Manners, factory: F)
 where
     F: ServiceFactory<(Gate, Option<SocketAddr>), Config = (), InitError = ()>,
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -146,6 +146,11 @@
         Ok((journal, open))
     }
 
+    /// What the folder may be filled up to from now on.
+    pub fn set_limit(&mut self, limit: u64) {
+        self.limit = limit;
+    }
+
     /// Takes in all whole records; gives the length up to the first that is torn.
     fn replay(&mut self, text: &Bytes, open: &mut BTreeMap<Key, Job>) -> u64 {
         let mut at = 0;
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -16,15 +16,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::config::{Limits, Own, Rules};
 use crate::core::{Carrier, Core};
+use crate::door::Places;
 use crate::hook::Hooks;
 use crate::journal::Journal;
 
@@ -106,6 +105,9 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => {
+                if let Some(platform) = &platform {
+                    platform.reload();
+                }
                 if let (Some(push), Some(file)) = (&push, &file) {
                     push.reload(file);
                 }
@@ -144,6 +146,8 @@
     core: Rc<Core<platform::carrier::ToNodes>>,
     server: Rc<platform::server::Server<platform::carrier::ToNodes>>,
     accepting: actix_rt::task::JoinHandle<()>,
+    places: Places,
+    listen: std::net::SocketAddr,
 }
 
 struct PushFront {
@@ -179,21 +183,48 @@
 
 async fn start_platform(config: config::Platform, hooks: Option<Hooks>) -> Result<PlatformFront, String> {
     let to_nodes = platform::carrier::ToNodes::new(&config.rules, config.discovery);
-    let client = to_nodes.platform();
+    let discovery = to_nodes.platform();
     let Limits { disk, sockets } = config.limits;
     let core = start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk)
         .map_err(|e| format!("BALANCER_STATE: {e}"))?;
     core.take_list(&config.known, true);
-    actix_rt::spawn(discovery::follow(core.clone(), client, config.discovery));
+    actix_rt::spawn(discovery::follow(core.clone(), discovery));
     actix_rt::spawn(platform::carrier::close_idle(core.clone()));
     let listener = listen("BALANCER_LISTEN", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = platform::server::Server::new(core.clone());
-    let places = ((sockets as f64 * SUBMITTERS_PART) as usize).max(1);
-    let accepting = actix_rt::spawn(server.clone().accept(listener, Arc::new(Semaphore::new(places))));
+    let places = Places::new(submitters(sockets));
+    let accepting = actix_rt::spawn(server.clone().accept(listener, places.free()));
     server.set_ready();
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
-    Ok(PlatformFront { core, server, accepting })
+    Ok(PlatformFront { core, server, accepting, places, listen: config.listen })
+}
+
+/// How many descriptors submitters may take.
+fn submitters(sockets: usize) -> usize {
+    ((sockets as f64 * SUBMITTERS_PART) as usize).max(1)
+}
+
+impl PlatformFront {
+    /// Reads the configuration anew and takes it up without dropping a job or a connection.
+    fn reload(&self) {
+        let config = match config::platform() {
+            Ok(Some(config)) => config,
+            Ok(None) => return,
+            Err(fault) => {
+                // Guards against half a file: nothing of it is taken up.
+                tracing::error!(fault, "SIGHUP: the configuration is faulty; nothing changes");
+                return;
+            }
+        };
+        if config.listen != self.listen {
+            tracing::warn!(listen = %config.listen, "SIGHUP: another address is listened on with the next start");
+        }
+        self.core.carrier.settle(&config.rules, config.discovery);
+        self.core.settle(config.rules, config.limits.disk);
+        self.places.set(submitters(config.limits.sockets));
+        tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
+    }
 }
 
 async fn start_push(config: config::Push, hooks: Option<Hooks>) -> Result<PushFront, String> {
@@ -207,8 +238,7 @@
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = push::server::Server::new(core.clone(), &config, seed);
-    let accepting =
-        actix_rt::spawn(server.clone().accept(listener, Arc::new(Semaphore::new(config.connections))));
+    let accepting = actix_rt::spawn(server.clone().accept(listener, Places::new(config.connections).free()));
     tracing::info!(listen = %address, "push front is ready");
     Ok(PushFront { core, server, accepting })
 }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -6,7 +6,7 @@
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
 use slatethread::EndpointId;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::fmt::Debug;
 use std::future::Future;
@@ -14,13 +14,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 use tokio::sync::oneshot::{self, error::TryRecvError};
+use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
 use super::line::{CLAIM, Lines, Trace};
 use crate::config::Rules;
 use crate::core::{Carrier, Core, Job, Node, Notice, Outcome, Ticket, told_seconds};
+use crate::discovery::Place;
 
 /// The header that passes a job's key through.
 pub const KEY: &str = "idempotency-key";
@@ -44,14 +45,14 @@
     /// Ways out, one for each node, so that one that is gone leaves nothing behind, not even a connection that
     /// another one at its address would be called on.
     exits: RefCell<HashMap<EndpointId, Rc<Exit>>>,
-    reports: String,
-    platform: Client,
+    /// Where ends are told, and the list is had from.
+    platform: watch::Sender<Place>,
     /// Notices that wait to be told, and who waits for that.
     outbox: RefCell<VecDeque<(Vec<u8>, Teller)>>,
     posts: Semaphore,
-    dial_timeout: Duration,
-    /// Connections idle for so long are closed: before the node does, with time for both ways.
-    idle: Duration,
+    dial_timeout: Cell<Duration>,
+    /// Connections idle for so long are closed.
+    idle: Cell<Duration>,
 }
 
 type Teller = oneshot::Sender<Result<(), String>>;
@@ -87,13 +88,14 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
-/// A client for the platform's own addresses, whose connections awc keeps.
-pub fn platform_client(rules: &Rules) -> Client {
-    client(rules.dial_timeout(), idle(rules), |address| async move {
+/// The platform at an address, with a client whose connections awc keeps.
+fn place(rules: &Rules, address: SocketAddr) -> Place {
+    let client = client(rules.dial_timeout(), idle(rules), |address| async move {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(stream)
-    })
+    });
+    Place { client, address }
 }
 
 /// Connections idle for so long are closed: before the node does, with time for both ways.
@@ -106,18 +108,26 @@
     pub fn new(rules: &Rules, discovery: SocketAddr) -> Self {
         ToNodes {
             exits: RefCell::new(HashMap::new()),
-            reports: format!("http://{discovery}/reports"),
             outbox: RefCell::default(),
             posts: Semaphore::new(POSTS),
-            platform: platform_client(rules),
-            dial_timeout: rules.dial_timeout(),
-            idle: idle(rules),
+            platform: watch::Sender::new(place(rules, discovery)),
+            dial_timeout: Cell::new(rules.dial_timeout()),
+            idle: Cell::new(idle(rules)),
         }
     }
 
-    /// The client for the platform's own addresses.
-    pub fn platform(&self) -> Client {
-        self.platform.clone()
+    /// Where the platform is, now and later on.
+    pub fn platform(&self) -> watch::Receiver<Place> {
+        self.platform.subscribe()
+    }
+
+    /// Takes up new rules, and discovery where it is now. What is under way goes on.
+    pub fn settle(&self, rules: &Rules, discovery: SocketAddr) {
+        self.dial_timeout.set(rules.dial_timeout());
+        self.idle.set(idle(rules));
+        if self.platform.borrow().address != discovery {
+            self.platform.send_replace(place(rules, discovery));
+        }
     }
 
     fn exit(&self, node: &Node) -> Rc<Exit> {
@@ -126,7 +136,7 @@
             let lines = Rc::new(Lines::default());
             let home = lines.clone();
             // A line is for one call: what awc keeps of it is nothing.
-            let client = client(self.dial_timeout, Duration::ZERO, move |to| home.clone().lease(to));
+            let client = client(self.dial_timeout.get(), Duration::ZERO, move |to| home.clone().lease(to));
             Rc::new(Exit { client, lines })
         });
         exit.clone()
@@ -211,7 +221,8 @@
 
     async fn post(&self, body: Vec<u8>) -> Result<(), Unheard> {
         let call = async {
-            let request = self.platform.post(&self.reports).no_decompress();
+            let Place { client, address } = self.platform.borrow().clone();
+            let request = client.post(format!("http://{address}/reports")).no_decompress();
             let mut response = request.send_body(body).await.map_err(|e| Unheard::Failed(e.to_string()))?;
             let _ = response.body().limit(LONGEST_ANSWER).await;
             match response.status().as_u16() {
@@ -314,6 +325,6 @@
     let to_nodes = &core.carrier;
     loop {
         tokio::time::sleep(IDLE_LOOK).await;
-        to_nodes.exits.borrow().values().for_each(|exit| exit.lines.close_idle(to_nodes.idle));
+        to_nodes.exits.borrow().values().for_each(|exit| exit.lines.close_idle(to_nodes.idle.get()));
     }
 }
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -57,7 +57,7 @@
         Rc::new(Server {
             locations: RefCell::new(push.locations.clone()),
             body_limit: push.body_limit,
-            most_read: core.rules.settings.max_held.map_or(usize::MAX, |m| m as usize),
+            most_read: core.rules().settings.max_held.map_or(usize::MAX, |m| m as usize),
             reading: Cell::new(0),
             prefix: format!("{seed:016x}"),
             next_id: Cell::new(0),
@@ -128,7 +128,8 @@
         if request.method() != Method::POST {
             return Err(Unfit { status: StatusCode::METHOD_NOT_ALLOWED, why: "push messages are POSTed" });
         }
-        let class_at = self.core.rules.class(&class).ok_or(Unfit::not_found())?;
+        let rules = self.core.rules();
+        let class_at = rules.class(&class).ok_or(Unfit::not_found())?;
         let asked = request.headers().get(TTL).ok_or(Unfit::bad("TTL is missing"))?;
         let asked: u64 = asked
             .to_str()
@@ -137,7 +138,7 @@
             .ok_or(Unfit::bad("TTL is no whole number of seconds"))?
             .parse()
             .unwrap_or(u64::MAX);
-        let class_of = &self.core.rules.settings.classes[class_at];
+        let class_of = &rules.settings.classes[class_at];
         let most = Duration::from_nanos(class_of.give_up);
         // At once or never: while it still earns its full worth, it counts as at once.
         let left = if asked == 0 {
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -482,3 +482,51 @@
          expect n1 nothing 100",
     );
 }
+
+#[test]
+fn a_new_configuration_moves_notices_and_the_watch_and_drops_nothing() {
+    play(
+        None,
+        "send list n1:7
+         send relay start held=400
+         send s1 POST /notice id=j1 dest=7 left=1500
+         expect s1 202
+         expect n1 POST body=j1
+         send relay hup slots=many      # faulty: nothing changes
+         expect relay log=SIGHUP:_the_configuration_is_faulty
+         send relay hup discovery=list2 held=0
+         expect relay log=configuration_read_anew
+         expect relay log=list_of_execute_nodes
+         close list                           # the old one is gone
+         expect list2 returned id=j1
+         send list2 n1:7 n2:8                 # news come from the new one
+         expect relay log=changed
+         send s1 POST /notice id=j2 dest=8 left=1500
+         expect s1 429                        # by the new settings, on the old connection
+         expect n2 nothing 50",
+    );
+}
+
+#[test]
+fn an_id_that_is_known_is_answered_as_before_and_a_destination_that_is_not_is_refused() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=2000
+         expect s1 202
+         expect n1 POST
+         wait 400
+         send n1 200
+         expect relay log=Delivered
+         send s2 POST /notice id=j1 dest=7 left=2000     # once more, after its delivery
+         expect s2 202
+         send s1 POST /notice id=j2 dest=7 left=100      # a call takes 400 ms there
+         expect s1 429
+         send s1 POST /notice id=j2 dest=7 left=5000     # the same again at once
+         expect s1 429
+         send s1 POST /notice id=j3 dest=99 left=5000
+         expect s1 429
+         expect n1 nothing 100",
+    );
+}
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -1,8 +1,9 @@
 //! A small language for scenarios, and the stand-ins that play them round the relay's own program.
 //!
 //! A line is a verb, a party and words: `send`, `expect`, `close` or `wait`. Parties:
-//! - `relay`: send start, term, kill, hup (drain=GATEWAY: the second front's file says so); expect log=PART or exit.
-//! - `list`: discovery. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
+//! - `relay`: send start, term, kill, hup (drain=GATEWAY: the second front's file says so; the platform's is
+//!   written anew with the words' settings); expect log=PART or exit.
+//! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
 //!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
@@ -105,10 +106,10 @@
         match (verb, party) {
             ("wait", ms) => tokio::time::sleep(millis(ms)?).await,
             ("send", "relay") => self.control(&said).await?,
-            ("send", "list") => {
+            ("send", "list" | "list2") => {
                 let list = rest.iter().map(|w| self.entry(w)).collect::<Vec<_>>().join(",");
                 let open = vec![("open".into(), String::new())];
-                self.party("list").say.send(open).map_err(|_| "nobody listens")?;
+                self.party(party).say.send(open).map_err(|_| "nobody listens")?;
                 self.list
                     .send_modify(|(generation, entries)| (*generation, *entries) = (*generation + 1, list));
             }
@@ -197,7 +198,12 @@
         match said[0].0.as_str() {
             "start" => self.start(said).await,
             signal => {
-                self.write_file(said)?;
+                if self.push.is_some() {
+                    self.write_file(said)?;
+                } else if signal == "hup" {
+                    let settings = self.settings(said);
+                    fs::write(self.folder.path().join("config.json"), settings).map_err(|e| e.to_string())?;
+                }
                 let relay = self.relay.as_mut().ok_or("it does not run")?;
                 let id = relay.id().ok_or("it has ended")?.to_string();
                 let name = format!("-{}", signal.to_uppercase());
@@ -274,7 +280,7 @@
         let (slots, held, disk) = (of("slots", "8"), of("held", "40"), of("disk_mb", "3"));
         let sockets = of("sockets", "256");
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
-        let discovery = self.party("list").address.expect("it listens");
+        let discovery = self.party(&of("discovery", "list")).address.expect("it listens");
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":{sockets},"disk_mb":{disk}}},
             "settings":{{"step":5000000,"categories":[
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -202,26 +202,24 @@
 impl Courier {
     /// A courier that knows its settings and nothing else. The seed feeds its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let slots = settings.slots.map_or(usize::MAX, |s| s as usize);
-        Courier {
-            couriers: f64::from(settings.couriers.unwrap_or(1).max(1)),
-            slots,
-            lost_slots: (slots as f64 * LOST_SHARE).ceil() as usize,
-            guard: GUARD_STEPS * settings.step.unwrap_or(LOOK),
-            quotas: vec![(1.0, 0); settings.tenants.len()],
-            by_kind: vec![
-                Learned::new(settings.idle_close.unwrap_or(SECOND), REST_START);
-                settings.kinds.len()
-            ],
-            cold: settings.rules.cold.unwrap_or(10 * SECOND).max(1),
-            fall: settings.rules.fall.unwrap_or(SECOND),
-            load: 1.0,
-            asking: ASK_AGAIN,
-            look: LOOK,
-            random: Random(seed),
-            settings,
-            ..Courier::default()
-        }
+        let start = Courier { load: 1.0, asking: ASK_AGAIN, look: LOOK, ..Courier::default() };
+        let mut courier = Courier { random: Random(seed), ..start };
+        courier.settle(settings);
+        courier
+    }
+
+    /// Takes up settings, at the start or in place of earlier ones; what was learned stays.
+    pub fn settle(&mut self, settings: Settings) {
+        let learned = Learned::new(settings.idle_close.unwrap_or(SECOND), REST_START);
+        self.couriers = f64::from(settings.couriers.unwrap_or(1).max(1));
+        self.slots = settings.slots.map_or(usize::MAX, |s| s as usize);
+        self.lost_slots = (self.slots as f64 * LOST_SHARE).ceil() as usize;
+        self.guard = GUARD_STEPS * settings.step.unwrap_or(LOOK);
+        self.quotas.resize(settings.tenants.len(), (1.0, 0));
+        self.by_kind.resize(settings.kinds.len(), learned);
+        self.cold = settings.rules.cold.unwrap_or(10 * SECOND).max(1);
+        self.fall = settings.rules.fall.unwrap_or(SECOND);
+        self.settings = settings;
     }
 
     /// Takes in all events of a round, then decides.
--- a/wirehost/src/env.rs
+++ b/wirehost/src/env.rs
@@ -86,7 +86,7 @@
 }
 
 /// The names of one instance's settings, in their order.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, PartialEq)]
 pub struct Names {
     /// Classes of message.
     pub classes: Vec<String>,
