Ranks weigh the worst served class and lost aims; admission counts what goes before

At fault in src/choice.rs: the ranks in ranked() by worth alone, with aims already lost (now + R past the aim) still taken as fresh; admit() counting unit.held; REST_START, PACE_BURST and PACE_GAIN_MORE.

Now the goal's weights are read (env.rs goal), the worst served class of about the last minute weighs more, and the wait on arrival counts only what goes before. REST_START 0.5 -> 0.25, PACE_BURST 0.5 -> 0.25, PACE_GAIN_MORE 0.03 -> 0.015.

With it the push front takes up its whole file on SIGHUP, and its READ_TIME is 2.5 s. Tests: three in tests/mechanism.rs, one scenario widened.

--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -154,6 +154,9 @@
     core: Rc<Core<push::gateways::Gateways>>,
     server: Rc<push::server::Server<push::gateways::Gateways>>,
     accepting: actix_rt::task::JoinHandle<()>,
+    places: Places,
+    listen: std::net::SocketAddr,
+    state: PathBuf,
 }
 
 /// A core with its journal and what that holds open, playing rounds.
@@ -238,18 +241,25 @@
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = push::server::Server::new(core.clone(), &config, seed);
-    let accepting = actix_rt::spawn(server.clone().accept(listener, Places::new(config.connections).free()));
+    let places = Places::new(config.connections);
+    let accepting = actix_rt::spawn(server.clone().accept(listener, places.free()));
     tracing::info!(listen = %address, "push front is ready");
-    Ok(PushFront { core, server, accepting })
+    Ok(PushFront { core, server, accepting, places, listen: config.listen, state: config.state })
 }
 
 impl PushFront {
-    /// Reads the file anew: gateways and locations change at once, all else with the next start.
+    /// Reads the file anew and takes it up without dropping a message or a connection.
     fn reload(&self, file: &Path) {
         match config::own(file).and_then(|own| own.push.ok_or("push: the table is gone".into())) {
             Ok(push) => {
+                if (push.listen, &push.state) != (self.listen, &self.state) {
+                    tracing::warn!("SIGHUP: push.listen and push.state are taken up with the next start");
+                }
+                self.core.carrier.settle(&push.rules, push.notices);
+                self.core.settle(push.rules, push.disk);
                 self.core.take_list(&push.gateways, false);
-                self.server.set_locations(push.locations);
+                self.server.settle(push.locations, push.body_limit);
+                self.places.set(push.connections);
                 tracing::info!(gateways = push.gateways.instances.len(), "SIGHUP: file read anew");
             }
             Err(fault) => tracing::error!(fault, "SIGHUP: the file is faulty; nothing changes"),
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -32,9 +32,9 @@
 
 pub struct Gateways {
     lines: RefCell<HashMap<SocketAddr, Rc<Lines>>>,
-    notices: SocketAddr,
-    dial_timeout: Duration,
-    idle: Duration,
+    notices: Cell<SocketAddr>,
+    dial_timeout: Cell<Duration>,
+    idle: Cell<Duration>,
 }
 
 /// A gateway's connections; the lock keeps claims that wait for one from dialling each their own.
@@ -84,12 +84,19 @@
 }
 
 impl Gateways {
+    /// Takes up new rules, and another reader of notices. What is under way goes on.
+    pub fn settle(&self, rules: &Rules, notices: SocketAddr) {
+        self.dial_timeout.set(rules.dial_timeout());
+        self.idle.set(rules.idle_close());
+        self.notices.set(notices);
+    }
+
     pub fn new(rules: &Rules, notices: SocketAddr) -> Self {
         Gateways {
             lines: RefCell::new(HashMap::new()),
-            notices,
-            dial_timeout: rules.dial_timeout(),
-            idle: rules.idle_close(),
+            notices: Cell::new(notices),
+            dial_timeout: Cell::new(rules.dial_timeout()),
+            idle: Cell::new(rules.idle_close()),
         }
     }
 
@@ -102,7 +109,8 @@
         if let Some(line) = lines.iter().find(room) {
             return Ok(Place::take(line.clone()));
         }
-        let line = timeout(self.dial_timeout, dial(address)).await.map_err(|_| "no connection in time")??;
+        let line =
+            timeout(self.dial_timeout.get(), dial(address)).await.map_err(|_| "no connection in time")??;
         let line = Rc::new(line);
         lines.push(line.clone());
         Ok(Place::take(line))
@@ -286,9 +294,9 @@
 
     async fn notify(&self, notice: &Notice) -> Result<(), String> {
         let body = Bytes::from(crate::notice::line(notice));
-        let request = Request::post(format!("http://{}/reports", self.notices)).body(());
+        let request = Request::post(format!("http://{}/reports", self.notices.get())).body(());
         let request = request.map_err(|e| e.to_string())?;
-        let call = self.call(self.notices, request, body, || true);
+        let call = self.call(self.notices.get(), request, body, || true);
         match timeout(NOTICE_TIME, call).await {
             Err(_) => Err("no answer".into()),
             Ok(Ok(answer)) if answer.status().is_success() => Ok(()),
@@ -329,7 +337,7 @@
         let gateways = &core.carrier;
         let addresses: Vec<_> = gateways.lines.borrow().keys().copied().collect();
         for address in addresses {
-            let idle = |line: &Line| line.open.get() == 0 && line.used.get().elapsed() >= gateways.idle;
+            let idle = |line: &Line| line.open.get() == 0 && line.used.get().elapsed() >= gateways.idle.get();
             gateways.drop_lines(address, |line| line.retired.get() || idle(line));
         }
     }
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -20,7 +20,7 @@
 /// A submitter's connection may stand idle for so long; then it is pinged, and closed if nothing comes back.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 /// HTTP/2's opening must be done, and a body be whole, within this time.
-const READ_TIME: Duration = Duration::from_secs(10);
+const READ_TIME: Duration = Duration::from_millis(2500);
 /// Silent connections make room; the rest is HTTP/2's own, with pings.
 const MANNERS: Manners = Manners { first: READ_TIME, whole: None, idle: KEEP_ALIVE };
 /// Where a message that was taken on can be asked for while it is open.
@@ -43,9 +43,7 @@
 pub struct Server<C> {
     core: Rc<Core<C>>,
     locations: RefCell<Vec<Location>>,
-    body_limit: usize,
-    /// Requests being read at once: no more than jobs may be held.
-    most_read: usize,
+    body_limit: Cell<usize>,
     reading: Cell<usize>,
     /// Ids of this process begin so; a counter follows.
     prefix: String,
@@ -56,8 +54,7 @@
     pub fn new(core: Rc<Core<C>>, push: &Push, seed: u64) -> Rc<Self> {
         Rc::new(Server {
             locations: RefCell::new(push.locations.clone()),
-            body_limit: push.body_limit,
-            most_read: core.rules().settings.max_held.map_or(usize::MAX, |m| m as usize),
+            body_limit: Cell::new(push.body_limit),
             reading: Cell::new(0),
             prefix: format!("{seed:016x}"),
             next_id: Cell::new(0),
@@ -66,7 +63,8 @@
     }
 
     /// The file was read anew.
-    pub fn set_locations(&self, locations: Vec<Location>) {
+    pub fn settle(&self, locations: Vec<Location>, body_limit: usize) {
+        self.body_limit.set(body_limit);
         *self.locations.borrow_mut() = locations;
     }
 
@@ -89,7 +87,9 @@
                 false => plain(StatusCode::NOT_FOUND, "no open message has this id"),
             };
         }
-        if self.reading.get() >= self.most_read {
+        // No more requests are read at once than jobs may be held.
+        let most = self.core.rules().settings.max_held.map_or(usize::MAX, |m| m as usize);
+        if self.reading.get() >= most {
             return refused(Some(Duration::from_secs(1)));
         }
         self.reading.set(self.reading.get() + 1);
@@ -150,7 +150,7 @@
         let prefers = request.headers().get_all("prefer").filter_map(|v| v.to_str().ok());
         let receipt =
             prefers.flat_map(|v| v.split(',')).any(|p| p.trim().eq_ignore_ascii_case("respond-async"));
-        let body = tokio::time::timeout(READ_TIME, body(request, self.body_limit)).await;
+        let body = tokio::time::timeout(READ_TIME, body(request, self.body_limit.get())).await;
         self.next_id.set(self.next_id.get() + 1);
         let job = Job {
             id: format!("{}-{}", self.prefix, self.next_id.get()),
--- a/relay/tests/push.rs
+++ b/relay/tests/push.rs
@@ -283,8 +283,10 @@
          expect p 201 to=m2
          expect ends returned after_ms>0
          expect g2 nothing 50
-         send relay hup
+         send relay hup limit=4
          expect relay log=read_anew
+         send p POST /order/c ttl=9 body=large
+         expect p 413                         # all of the file counts, on a connection that stays open
          send p POST /order/c ttl=9 body=m3
          expect g2 POST body=m3
          send g2 201",
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -1,14 +1,16 @@
 //! A small language for scenarios, and the stand-ins that play them round the relay's own program.
 //!
 //! A line is a verb, a party and words: `send`, `expect`, `close` or `wait`. Parties:
-//! - `relay`: send start, term, kill, hup (drain=GATEWAY: the second front's file says so; the platform's is
-//!   written anew with the words' settings); expect log=PART or exit.
-//! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down.
-//!   Expect returned or failed: a notice. On the second front, notices go to `ends`.
+//! - `relay`: send start, term, kill, hup (drain=GATEWAY, limit=BYTES: the second front's file says so; the
+//!   platform's is written anew with the words' settings); expect log=PART or exit.
+//! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send
+//!   NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down. Expect returned or failed: a
+//!   notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
-//!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or goaway=LAST_STREAM. Close: breaks its connections and
-//!   refuses new ones; `close n1 call` only breaks the connections it has.
+//!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
+//!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
+//!   connections it has.
 //!
 //! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
 //! `expect X nothing` and `wait` take milliseconds.
@@ -268,6 +270,8 @@
             let drains = if said(words, "drain") == Some(name) { ", draining = true" } else { "" };
             text = text.replace(&format!("\"{name}\""), &format!("\"{address}\"{drains}"));
         }
+        let limit = format!("body_limit = {}", said(words, "limit").unwrap_or("100"));
+        let text = text.replace("body_limit = 100", &limit);
         let file = self.folder.path().join("push.toml");
         let folder = self.folder.path().display().to_string();
         fs::write(self.folder.path().join("hook.rhai"), HOOK).map_err(|e| e.to_string())?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,17 +40,17 @@
 /// Pace gained by a success, as a part of it.
 const PACE_GAIN: f64 = 0.1;
 /// The same above an even share of a listed rate, where it is taken from other couriers.
-const PACE_GAIN_MORE: f64 = 0.03;
+const PACE_GAIN_MORE: f64 = 0.015;
 /// Least time between two cuts of a pace: refusals closer together tell of the same burst.
 const CUT_REST: Nanos = SECOND / 2;
 /// First rest after a full answer, in times between the calls of an even share of the limit.
-const REST_START: f64 = 0.5;
+const REST_START: f64 = 0.25;
 /// Factor on the rest after a full answer when the retry meets another.
 const REST_GROW: f64 = 2.0;
 /// Factor on it when the retry is served: rests settle where three retries in four are.
 const REST_EASE: f64 = 0.8;
 /// Calls that a pace may save up, in seconds of it.
-const PACE_BURST: f64 = 0.5;
+const PACE_BURST: f64 = 0.25;
 /// Time constant of rate averages: a few spans of a counted limit.
 const RATE_TAU: f64 = 3.0;
 /// Rank of messages past their aim against fresh ones of the same worth.
@@ -73,6 +73,8 @@
 const LOOK_OUT: Nanos = SECOND / 10;
 /// Time between looks at what may be forgotten.
 const SWEEP: Nanos = SECOND / 2;
+/// What a look leaves of the service counted by class: a minute's worth stays.
+const SERVICE_FADE: f64 = 0.99;
 /// First pause before asking for the list again after a failure; doubled up to half `must_ask_in`.
 const ASK_AGAIN: Nanos = SECOND;
 
@@ -107,21 +109,6 @@
 }
 
 impl Unit {
-    fn new(now: Nanos, listed: Option<f64>, couriers: f64) -> Self {
-        let even = listed.map_or(f64::INFINITY, |w| w / couriers);
-        Unit {
-            window: 1.0,
-            used: now,
-            known: now,
-            pace: even.max(LEAST_RATE),
-            even,
-            tokens: 1.0,
-            filled: now,
-            listed,
-            ..Unit::default()
-        }
-    }
-
     fn grow(&mut self) {
         if f64::from(self.calls) + 1.0 >= self.window {
             self.window += 1.0;
@@ -180,6 +167,9 @@
     /// What was learned of each kind of destination.
     by_kind: Vec<Learned>,
     quotas: Vec<(f64, Nanos)>,
+    service: Service,
+    /// What a unit of each class's worth counts just now.
+    weights: Vec<f64>,
     couriers: f64,
     cold: Nanos,
     fall: Nanos,
@@ -216,6 +206,7 @@
         self.lost_slots = (self.slots as f64 * LOST_SHARE).ceil() as usize;
         self.guard = GUARD_STEPS * settings.step.unwrap_or(LOOK);
         self.quotas.resize(settings.tenants.len(), (1.0, 0));
+        self.service.resize(settings.classes.len());
         self.by_kind.resize(settings.kinds.len(), learned);
         self.cold = settings.rules.cold.unwrap_or(10 * SECOND).max(1);
         self.fall = settings.rules.fall.unwrap_or(SECOND);
@@ -241,6 +232,7 @@
         }
         let quiet = events.iter().all(|e| matches!(e, Event::Timer { .. }));
         self.look = if quiet { (self.look * 2).min(LOOK_OUT) } else { LOOK };
+        self.weights = self.service.weights(self.settings.worst_class);
         self.watch_silence(now, actions);
         self.measure_load(now);
         self.admit(now, &fresh, actions);
@@ -443,6 +435,7 @@
         }
         let mut message = Message::new(request, key, now);
         message.worth = class.credit.unwrap_or(1.0) * kept;
+        self.service.asked(request.class.0, message.worth);
         message.aim_at = (message.deadline + class.aim).saturating_sub(class.give_up);
         self.messages.insert(request.msg, message);
         fresh.push(request.msg);
@@ -465,10 +458,10 @@
         for &id in fresh {
             let Some(message) = self.messages.get(&id).filter(|m| !m.ended) else { continue };
             let unit = self.best_unit(now, message);
-            let ahead = unit.and_then(|u| self.units.get(&u)).map_or(0, |u| u.held);
-            let wait = unit.map_or(0.0, |u| self.expected(now, u, ahead));
+            let held = unit.and_then(|u| self.units.get(&u)).map_or(0, |u| u.held);
+            let wait = unit.map_or(0.0, |u| self.expected(now, u, self.ahead(now, u, message)));
             let room = f64::from(self.settings.max_held.unwrap_or(u32::MAX));
-            let crowded = unit.is_some_and(|u| self.ailing(u)) && f64::from(ahead) > room * HOLD_ILL;
+            let crowded = unit.is_some_and(|u| self.ailing(u)) && f64::from(held) > room * HOLD_ILL;
             if wait > self.left(now, message) || crowded {
                 self.give_up(now, id, wait, actions);
             } else {
@@ -493,7 +486,8 @@
         let most = self.settings.max_held.map_or(usize::MAX, |m| m as usize);
         let open = self.messages.values().filter(|m| !m.ended).count();
         let surplus = (open + 1).saturating_sub(most);
-        let least = if surplus > 0 { self.ranked(now) } else { Vec::new() }.into_iter().rev().take(surplus);
+        let least =
+            if surplus > 0 { self.ranked(now) } else { BTreeSet::new() }.into_iter().rev().take(surplus);
         least.for_each(|(_, id)| self.give_up(now, id, 0.0, actions));
     }
 
@@ -504,17 +498,24 @@
         units.min_by_key(|u| (self.ailing(*u), nanos(self.expected(now, *u, held(*u))), *u))
     }
 
-    /// Messages in the hold, the most urgent worth first: fresh ones before late ones, by worth, then aim.
-    fn ranked(&self, now: Nanos) -> Vec<((i64, Nanos), MsgId)> {
+    /// Messages held for a unit that go before this one.
+    fn ahead(&self, now: Nanos, unit: UnitId, message: &Message) -> u32 {
+        let before = |m: &&Message| m.held_in == Some(unit) && self.rank(now, m) <= self.rank(now, message);
+        self.messages.values().filter(before).count() as u32
+    }
+
+    /// The most urgent worth first: what meets its aim before what is late by then, by worth, then aim.
+    fn rank(&self, now: Nanos, message: &Message) -> (i64, Nanos) {
+        let unit = message.held_in.and_then(|unit| self.units.get(&unit));
+        let done = now + nanos(unit.map_or(0.0, |u| u.predictor.recent));
+        let late = if done > message.aim_at { STALE_RANK } else { 1.0 };
+        (-(message.worth * self.weights[message.class] * late * 1e6) as i64, message.aim_at)
+    }
+
+    /// Messages in the hold, in the order of their ranks.
+    fn ranked(&self, now: Nanos) -> BTreeSet<((i64, Nanos), MsgId)> {
         let held = self.messages.iter().filter(|(_, m)| !m.ended && m.out.is_none());
-        let mut ranked: Vec<_> = held
-            .map(|(id, m)| {
-                let late = if now > m.aim_at { STALE_RANK } else { 1.0 };
-                ((-(m.worth * late * 1e6) as i64, m.aim_at), *id)
-            })
-            .collect();
-        ranked.sort_unstable();
-        ranked
+        held.map(|(id, m)| (self.rank(now, m), *id)).collect()
     }
 
     /// Drops what no longer fits its time and sends the rest, best first, as far as slots, windows, pace,
@@ -560,8 +561,7 @@
             })
             .min_by(f64::total_cmp)
             .unwrap_or(0.0);
-        let soonest = soonest + rest;
-        (left <= 0.0 || tired || forgotten || soonest > left).then_some(soonest)
+        (left <= 0.0 || tired || forgotten || soonest + rest > left).then_some(soonest + rest)
     }
 
     /// Time until a message may go to an endpoint as far as health goes. One that has just come may always go
@@ -705,6 +705,9 @@
             }
         }
         let class = message.class;
+        let late = self.settings.classes[class].late_worth.unwrap_or(0.0);
+        let share = if outcome == Outcome::Ok { message.share_at(now, late) } else { 0.0 };
+        self.service.earned(class, message.worth * share);
         self.learn_rest(now, id, &out, outcome);
         match outcome {
             Outcome::Timeout => self.shun(now, out.endpoint, class),
@@ -901,7 +904,7 @@
         let unit = if apart { UnitId::Route(entry.id) } else { UnitId::Dest(entry.dest) };
         self.by_dest.entry(entry.dest).or_default().push(entry.id);
         let listed = entry.weight.filter(|w| self.settings.weights != Weights::Nothing && *w > 0.0);
-        self.units.entry(unit).or_insert_with(|| Unit::new(now, listed, self.couriers));
+        self.units.entry(unit).or_insert_with(|| Unit::new(now, listed, self.couriers, LEAST_RATE));
         self.peers.insert(entry.id, Peer::new(entry.clone(), unit));
     }
 
@@ -911,6 +914,7 @@
             return;
         }
         self.sweep_at = now + SWEEP;
+        self.service.fade(SERVICE_FADE);
         self.warm = false;
         let idle = self.settings.idle_close.unwrap_or(SECOND);
         for peer in self.peers.values_mut() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -181,6 +181,8 @@
     pub notes: bool,
     /// The figures of the rules.
     pub rules: Rules,
+    /// How much the worst served class counts by itself, against the whole.
+    pub worst_class: f64,
 }
 
 /// What the list says of an endpoint.
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,21 @@
 }
 
 impl Unit {
+    pub fn new(now: Nanos, listed: Option<f64>, couriers: f64, least: f64) -> Self {
+        let even = listed.map_or(f64::INFINITY, |w| w / couriers);
+        Unit {
+            window: 1.0,
+            used: now,
+            known: now,
+            pace: even.max(least),
+            even,
+            tokens: 1.0,
+            filled: now,
+            listed,
+            ..Unit::default()
+        }
+    }
+
     /// Fills the tokens at the pace, up to `burst` seconds of it and at least one.
     pub fn refill(&mut self, now: Nanos, burst: f64) {
         let most = (self.pace * burst).max(1.0);
@@ -197,6 +212,44 @@
             held_in: None,
         }
     }
+
+    /// Share of the worth that an answer now earns, falling evenly after the aim to `late` at the deadline.
+    pub fn share_at(&self, now: Nanos, late: f64) -> f64 {
+        let past = secs(now.saturating_sub(self.aim_at)) / secs(self.deadline - self.aim_at).max(1e-9);
+        1.0 - (1.0 - late) * past.min(1.0)
+    }
+}
+
+/// Worth asked for and earned by class, of late: by it the worst served class is known.
+#[derive(Default)]
+pub struct Service(Vec<(f64, f64)>);
+
+impl Service {
+    pub fn resize(&mut self, classes: usize) {
+        self.0.resize(classes, (0.0, 0.0));
+    }
+
+    pub fn asked(&mut self, class: usize, worth: f64) {
+        self.0.get_mut(class).into_iter().for_each(|c| c.0 += worth);
+    }
+
+    pub fn earned(&mut self, class: usize, worth: f64) {
+        self.0.get_mut(class).into_iter().for_each(|c| c.1 += worth);
+    }
+
+    pub fn fade(&mut self, part: f64) {
+        self.0.iter_mut().for_each(|c| *c = (c.0 * part, c.1 * part));
+    }
+
+    /// How much a unit of each class's worth counts where the worst served class counts `extra` times by itself.
+    pub fn weights(&self, extra: f64) -> Vec<f64> {
+        let all: f64 = self.0.iter().map(|c| c.0).sum();
+        let share = |c: &(f64, f64)| if c.0 > 0.0 { c.1 / c.0 } else { f64::INFINITY };
+        let worst = self.0.iter().map(share).fold(f64::INFINITY, f64::min);
+        let weight =
+            |c: &(f64, f64)| if share(c) <= worst && c.0 > 0.0 { 1.0 + extra * all / c.0 } else { 1.0 };
+        self.0.iter().map(weight).collect()
+    }
 }
 
 /// Calls opened in this round, with the messages that still fit in, by endpoint.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -133,3 +133,49 @@
     let none = Request { patience: 0, ..request(1, 5, 2) };
     assert!(failed(&world.round(0, &[Event::Request(none)]), 1), "no time left, nothing sent");
 }
+
+/// A world with one call at a time, where the second class is worth twice the first.
+fn narrow(worst_class: f64) -> World {
+    let mut settings = Settings { slots: Some(1), worst_class, ..settings() };
+    settings.classes[1].credit = Some(2.0);
+    World::new(settings, vec![endpoint(1, 5)])
+}
+
+#[test]
+fn the_worst_served_class_goes_first_where_it_counts_by_itself() {
+    for (worst_class, first) in [(0.0, 5), (0.25, 6)] {
+        let mut world = narrow(worst_class);
+        for order in 1..=3 {
+            world.ask(order, 5, 1);
+            world.close(50 * MS, order, 0, Outcome::Ok);
+        }
+        world.ask(4, 5, 1);
+        world.ask(5, 5, 1);
+        world.ask(6, 5, 0);
+        assert_eq!(sends(&world.close(50 * MS, 4, 0, Outcome::Ok)), [first]);
+    }
+}
+
+#[test]
+fn what_can_no_longer_meet_its_aim_yields_to_what_can() {
+    let mut world = narrow(0.0);
+    world.ask(1, 5, 0);
+    world.close(1500 * MS, 1, 0, Outcome::Ok);
+    world.ask(2, 5, 0);
+    world.ask(3, 5, 0);
+    world.round(1100 * MS, &[Event::Request(request(4, 5, 0))]);
+    // A call takes 1.5 s: the third's aim of 2 s is lost by now, the fourth's is not.
+    let closed = closed(2, 0, 1, Outcome::Ok, 1500 * MS);
+    assert_eq!(sends(&world.round(400 * MS, &[closed])), [4]);
+}
+
+#[test]
+fn a_wait_in_the_hold_counts_only_what_goes_before() {
+    let mut world = narrow(0.0);
+    world.ask(1, 5, 0);
+    world.close(400 * MS, 1, 0, Outcome::Ok);
+    (2..12).for_each(|notice| drop(world.ask(notice, 5, 0)));
+    let ask = |msg, class| Event::Request(Request { patience: 2 * SECOND, ..request(msg, 5, class) });
+    assert!(refused(&world.round(MS, &[ask(12, 0)]), 12), "ten calls of 400 ms go before it");
+    assert!(!refused(&world.round(MS, &[ask(13, 1)]), 13), "worth more, it is next");
+}
--- a/wirehost/src/env.rs
+++ b/wirehost/src/env.rs
@@ -12,6 +12,7 @@
     policy_limits: Option<EnvLimits>,
     rules: Option<EnvRules>,
     report: Option<EnvReport>,
+    goal: Option<EnvGoal>,
     over_share_worth: Option<f64>,
     step: Option<u64>,
     weights: Option<String>,
@@ -69,6 +70,16 @@
     peers: bool,
 }
 
+#[derive(Deserialize)]
+struct EnvGoal {
+    #[serde(default)]
+    whole: f64,
+    #[serde(default)]
+    worst_window: f64,
+    #[serde(default)]
+    worst_class: f64,
+}
+
 #[derive(Deserialize, Default)]
 struct EnvReport {
     #[serde(default)]
@@ -161,6 +172,7 @@
             must_ask_in: rules.must_ask_in,
             order_settle: rules.order_settle,
         },
+        worst_class: env.goal.map_or(0.0, |g| g.worst_class / (g.whole + g.worst_window).max(0.1)),
     };
     Ok((settings, names))
 }
