Answers say Connection: close while most of the door's places are taken

Tested by counting the door's connections every 100 ms: from 3.5 s on, 153 of 153 places held by connections that had asked once and were idle for under 2 s, so none might be closed. Excluded: silent connections (30 at most, they make room), the module, CPU (0.18 of a core), descriptors (267 of 384).

At fault: server.rs kept every answered connection open whatever the door held. Now Places::crowded (over half taken) makes the answer say that its connection ends, as PROTOCOL lets either side do.

Test: a scenario with six places.

--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -56,6 +56,13 @@
         self.free.clone()
     }
 
+    /// Most places are taken. What is answered from then on should say that its connection ends: guards against
+    /// submitters that ask once and stay, of whom more may come in the 2 s for which each must be let be than
+    /// there are places.
+    pub fn crowded(&self) -> bool {
+        self.free.available_permits() * 2 < self.number.get()
+    }
+
     /// Sets the number. Places that are taken and too many go as their connections end.
     pub fn set(&self, number: usize) {
         let old = self.number.replace(number);
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -146,7 +146,7 @@
     core: Rc<Core<platform::carrier::ToNodes>>,
     server: Rc<platform::server::Server<platform::carrier::ToNodes>>,
     accepting: actix_rt::task::JoinHandle<()>,
-    places: Places,
+    places: Rc<Places>,
     listen: std::net::SocketAddr,
 }
 
@@ -196,8 +196,8 @@
     let listener = listen("BALANCER_LISTEN", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = platform::server::Server::new(core.clone());
-    let places = Places::new(submitters(sockets));
-    let accepting = actix_rt::spawn(server.clone().accept(listener, places.free()));
+    let places = Rc::new(Places::new(submitters(sockets)));
+    let accepting = actix_rt::spawn(server.clone().accept(listener, places.clone()));
     server.set_ready();
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
     Ok(PlatformFront { core, server, accepting, places, listen: config.listen })
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -7,14 +7,13 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 use super::carrier::KEY;
 use crate::core::{Answer, Carrier, Core, Job};
-use crate::door::{self, Gate, Manners, Seen};
+use crate::door::{self, Gate, Manners, Places, Seen};
 
 /// Largest body; the platform sends none larger.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -64,8 +63,9 @@
     }
 
     /// Takes connections.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Arc<Semaphore>) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Rc<Places>) {
         let leave = self.leave.clone();
+        let free = places.free();
         let service = HttpService::build()
             // The door sees to time, with manners of its own.
             .keep_alive(KeepAlive::Os)
@@ -77,15 +77,15 @@
                 async move { leave.notified().await }
             })
             .h1(fn_service(move |request: Request| {
-                let server = self.clone();
-                async move { Ok::<_, Infallible>(server.serve(request).await) }
+                let (server, places) = (self.clone(), places.clone());
+                async move { Ok::<_, Infallible>(server.serve(request, &places).await) }
             }));
-        door::accept(listener, places, MANNERS, service).await;
+        door::accept(listener, free, MANNERS, service).await;
     }
 }
 
 impl<C: Carrier> Server<C> {
-    async fn serve(&self, mut request: Request) -> Response<&'static str> {
+    async fn serve(&self, mut request: Request, places: &Places) -> Response<&'static str> {
         let seen = request.conn_data::<Rc<Seen>>().cloned();
         let mut response = match (request.method(), request.path()) {
             (&Method::GET, "/ready") if self.ready.get() => Response::with_body(StatusCode::OK, "ready\n"),
@@ -103,7 +103,7 @@
             _ => answer(StatusCode::NOT_FOUND),
         };
         seen.iter().for_each(|seen| seen.answered());
-        if self.leaving.get() {
+        if self.leaving.get() || places.crowded() {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         response
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -530,3 +530,24 @@
          expect n1 nothing 100",
     );
 }
+
+#[test]
+fn while_most_places_are_taken_answers_end_their_connections() {
+    play(
+        None,
+        "send list n1:7
+         send relay start sockets=15          # six places
+         send s1 POST /notice id=j1 dest=7 left=2000
+         expect s1 202
+         expect n1 POST
+         send n1 200
+         expect s2 nothing 1
+         expect s3 nothing 1
+         send s4 POST /notice id=j2 dest=7 left=2000
+         expect s4 202 connection=close
+         expect s4 closed
+         expect n1 POST body=j2
+         send n1 200
+         expect s1 nothing 1                  # the others stay",
+    );
+}
