Watches are held for a fifth of must_ask_in, so that a silent discovery is noticed

Excluded: the door (31 connections), CPU (0.19 of a core), the module (it calls draining nodes down as they fail).

At fault: discovery.rs WAIT of 20 s, a constant, plus 2 s of patience. Now the wait is a fifth of the settings' must_ask_in (2 s here).

Test: a scenario whose discovery answers no watch.

--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -43,6 +43,11 @@
         span(self.settings.step, Duration::from_millis(5))
     }
 
+    /// The list must be watched or asked for this often.
+    pub fn must_ask_in(&self) -> Duration {
+        span(self.settings.rules.must_ask_in, Duration::from_secs(10))
+    }
+
     /// A connection that is not up within this time has failed.
     pub fn dial_timeout(&self) -> Duration {
         span(self.settings.dial_timeout, Duration::from_millis(1500))
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -9,8 +9,9 @@
 use crate::config::{self, NodeList};
 use crate::core::{Carrier, Core};
 
-/// How long a watch is held where nothing changes.
-const WAIT: Duration = Duration::from_secs(20);
+/// How long a watch is held where nothing changes, as a part of the time in which the settings want the list
+/// asked for. Guards against a discovery that goes silent: only the end of a wait shows that.
+const WAIT_PART: u32 = 5;
 /// How long an answer may take beyond that: discovery handles calls one after another.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// A longer list is none.
@@ -62,8 +63,9 @@
         Err(fault) => return fault,
     };
     loop {
-        let watch = format!("{base}?index={generation}&wait={}", WAIT.as_millis());
-        match fetch(client, &watch, WAIT + PATIENCE).await {
+        let wait = core.rules().must_ask_in() / WAIT_PART;
+        let watch = format!("{base}?index={generation}&wait={}", wait.as_millis());
+        match fetch(client, &watch, wait + PATIENCE).await {
             Ok(list) => {
                 generation = list.generation;
                 if list.reset || !list.instances.is_empty() {
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -551,3 +551,15 @@
          expect s1 nothing 1                  # the others stay",
     );
 }
+
+#[test]
+fn a_watch_that_is_never_answered_is_given_up_and_the_list_asked_for_again() {
+    play(
+        None,
+        "send list n1:7:HANG
+         send relay start
+         expect relay log=list_of_execute_nodes
+         expect relay log=discovery_cannot_be_followed
+         expect relay log=list_of_execute_nodes",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -158,9 +158,12 @@
                         }
                         "HTTP/1.1 204 x\r\n\r\n".to_owned()
                     } else {
-                        let known =
-                            path.split("index=").nth(1).and_then(|i| i.split('&').next()?.parse().ok());
+                        let word = |key: &str| path.split(key).nth(1)?.split('&').next()?.parse::<u64>().ok();
+                        let (known, wait) = (word("index="), word("wait=").unwrap_or(0));
+                        let hangs = list.borrow().1.contains("HANG");
+                        let wait = std::time::Duration::from_millis(wait);
                         tokio::select! {
+                            () = tokio::time::sleep(wait), if known.is_some() && !hangs => {}
                             _ = list.wait_for(|(generation, _)| Some(*generation) != known) => {}
                             _ = broken.changed() => return,
                         }
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -4,8 +4,8 @@
 //! - `relay`: send start, term, kill, hup (drain=GATEWAY, limit=BYTES: the second front's file says so; the
 //!   platform's is written anew with the words' settings); expect log=PART or exit.
 //! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send
-//!   NODE:DEST[:STATE] ...: it is up, and these are all nodes. Close: it is down. Expect returned or failed: a
-//!   notice. On the second front, notices go to `ends`.
+//!   NODE:DEST[:STATE] ...: it is up, and these are all nodes; with a STATE of HANG, no watch is
+//!   answered. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
