--- /dev/null
+++ b/lab/src/emulator.rs
@@ -0,0 +1,344 @@
+//! Partners on sockets: a thin layer round [`crate::model`], and whatever else listens on loopback.
+//!
+//! One listener, bound to every address but to the loopback device only, takes the connections of all endpoints: the
+//! address that was called says which one was meant. Endpoints that will refuse connections have a listener of their
+//! own, since only a port without one refuses. HTTP heads are parsed with httparse; a full server library would hide
+//! when bytes come, and could not break an answer.
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+
+use crate::model::{At, Fate};
+use crate::world::{self, World};
+
+/// Largest head and body that are read.
+const HEAD: usize = 16 * 1024;
+const BODY: usize = 1024 * 1024;
+
+/// A request as a stand-in reads it.
+pub struct Got {
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// When its first byte came.
+    pub first: Instant,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+/// Reads requests off a connection, one after the other.
+pub struct Reader {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Reader {
+    pub fn new(stream: TcpStream) -> Self {
+        Reader { stream, buffer: Vec::new() }
+    }
+
+    /// The next request; `None` at the connection's end.
+    pub async fn next(&mut self) -> io::Result<Option<Got>> {
+        let mut first = (!self.buffer.is_empty()).then(Instant::now);
+        loop {
+            if let Some((mut got, used, length)) = parse(&self.buffer)? {
+                while self.buffer.len() < used + length {
+                    if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                        return Ok(None);
+                    }
+                }
+                got.body = self.buffer[used..used + length].to_vec();
+                got.first = first.unwrap_or_else(Instant::now);
+                self.buffer.drain(..used + length);
+                return Ok(Some(got));
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Ok(None);
+            }
+            first.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Done when the other side ends the connection, or sends what it should not.
+    pub async fn ended(&mut self) {
+        let _ = self.stream.read_buf(&mut self.buffer).await;
+    }
+
+    pub async fn answer(&mut self, status: u16, headers: &[(&str, String)], body: &[u8]) -> io::Result<()> {
+        let mut text = format!("HTTP/1.1 {status} x\r\ncontent-length: {}\r\n", body.len());
+        headers.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.write_all(&bytes).await
+    }
+
+    /// Breaks the connection: what is open on it ends as a reset.
+    pub fn reset(self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// A request's head, its length and its body's, once it is whole.
+fn parse(buffer: &[u8]) -> io::Result<Option<(Got, usize, usize)>> {
+    let bad = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_owned());
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    let httparse::Status::Complete(used) = request.parse(buffer).map_err(|e| bad(&e.to_string()))? else {
+        return if buffer.len() > HEAD { Err(bad("a head without an end")) } else { Ok(None) };
+    };
+    let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+    let headers: Vec<_> = request.headers.iter().map(|h| (h.name.to_owned(), text(h.value))).collect();
+    let length = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let length = length.map_or(Ok(0), |(_, v)| v.parse().map_err(|_| bad("a length that is no number")))?;
+    if length > BODY {
+        return Err(bad("a body too long"));
+    }
+    let got = Got {
+        method: request.method.unwrap_or("").to_owned(),
+        path: request.path.unwrap_or("").to_owned(),
+        headers,
+        body: Vec::new(),
+        first: Instant::now(),
+    };
+    Ok(Some((got, used, length)))
+}
+
+/// A listener on every address of the loopback device, and on no other device.
+fn wide() -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.bind_device(Some(b"lo"))?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)).into())?;
+    listen(socket)
+}
+
+fn listen(socket: Socket) -> io::Result<TcpListener> {
+    socket.set_nonblocking(true)?;
+    socket.listen(1024)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// A listener for one address, on a port that may have been used just before.
+fn narrow(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    listen(socket)
+}
+
+/// All partners of an experiment.
+pub struct Emulator {
+    world: Rc<RefCell<World>>,
+    start: Instant,
+    port: u16,
+    /// Endpoints with listeners of their own: the port, and the listener's task while it listens.
+    own: RefCell<HashMap<(u32, u32), (u16, Option<JoinHandle<()>>)>>,
+    /// Told an endpoint whose connections break.
+    breaks: watch::Sender<(u32, u64)>,
+    /// Connections open at each endpoint.
+    open: RefCell<HashMap<u32, Rc<Cell<usize>>>>,
+    /// The destination of each endpoint that was called, as the list has it.
+    dests: RefCell<HashMap<u32, usize>>,
+}
+
+impl Emulator {
+    pub fn start(world: Rc<RefCell<World>>, start: Instant) -> io::Result<Rc<Self>> {
+        let listener = wide()?;
+        let emulator = Rc::new(Emulator {
+            world,
+            start,
+            port: listener.local_addr()?.port(),
+            own: RefCell::default(),
+            breaks: watch::Sender::new((u32::MAX, 0)),
+            open: RefCell::default(),
+            dests: RefCell::default(),
+        });
+        spawn_local(emulator.clone().accept(listener));
+        Ok(emulator)
+    }
+
+    fn now(&self) -> At {
+        self.start.elapsed()
+    }
+
+    /// An endpoint's address.
+    pub fn address(&self, place: u32, moved: u32) -> SocketAddr {
+        let own = self.own.borrow().get(&(place, moved)).map(|(port, _)| *port);
+        world::address(place, moved, own.unwrap_or(self.port))
+    }
+
+    /// Gives an endpoint a listener of its own, so that it can refuse connections.
+    pub fn make_own(self: &Rc<Self>, place: u32, moved: u32) -> io::Result<()> {
+        let known = self.own.borrow().get(&(place, moved)).map_or(0, |(port, _)| *port);
+        let listener = narrow(world::address(place, moved, known))?;
+        let port = listener.local_addr()?.port();
+        let task = spawn_local(self.clone().accept(listener));
+        self.own.borrow_mut().insert((place, moved), (port, Some(task)));
+        Ok(())
+    }
+
+    /// From now on an endpoint refuses connections; those that it has break if `breaks` says so.
+    pub fn refuse(&self, place: u32, breaks: bool) {
+        for (_, (_, task)) in self.own.borrow_mut().iter_mut().filter(|((p, _), _)| *p == place) {
+            task.take().iter().for_each(JoinHandle::abort);
+        }
+        if breaks {
+            self.breaks.send_modify(|(who, n)| (*who, *n) = (place, *n + 1));
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(spawn_local(self.clone().connection(stream))),
+                // Out of descriptors: what comes next may find some again.
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    fn dest(&self, place: u32) -> Option<usize> {
+        if let Some(dest) = self.dests.borrow().get(&place) {
+            return Some(*dest);
+        }
+        let world = self.world.borrow();
+        let dest = (0..world.dests).find(|dest| world.places(*dest).contains(&place))?;
+        self.dests.borrow_mut().insert(place, dest);
+        Some(dest)
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let Ok(IpAddr::V4(ip)) = stream.local_addr().map(|a| a.ip()) else { return };
+        let Some((place, dest)) = world::place(ip).and_then(|p| Some((p, self.dest(p)?))) else { return };
+        let _ = stream.set_nodelay(true);
+        let mut reader = Reader::new(stream);
+        let most = {
+            let mut world = self.world.borrow_mut();
+            let now = self.now();
+            let partner = world.partner(dest, place);
+            if partner.is_gone(now) {
+                return reader.reset();
+            }
+            partner.nature.connections
+        };
+        let open = self.open.borrow_mut().entry(place).or_default().clone();
+        if most > 0 && open.get() >= most {
+            return reader.reset();
+        }
+        let _one = Counted::new(open);
+        let mut breaks = self.breaks.subscribe();
+        breaks.borrow_and_update();
+        loop {
+            let broken = async {
+                while breaks.changed().await.is_ok() {
+                    if breaks.borrow_and_update().0 == place {
+                        return;
+                    }
+                }
+                std::future::pending().await
+            };
+            tokio::select! {
+                got = reader.next() => match got {
+                    Ok(Some(got)) => {
+                        if !self.serve(&mut reader, &got, dest, place).await {
+                            return reader.reset();
+                        }
+                    }
+                    _ => return,
+                },
+                () = broken => return reader.reset(),
+            }
+        }
+    }
+
+    /// Serves a call; false if the connection is to break.
+    async fn serve(&self, reader: &mut Reader, got: &Got, dest: usize, place: u32) -> bool {
+        let Some(msg) = got.header("x-request-id").and_then(number) else {
+            return reader.answer(400, &[], b"").await.is_ok();
+        };
+        let first = got.first.saturating_duration_since(self.start);
+        let fate = self.world.borrow_mut().call(msg, dest, place, first, self.now());
+        let over = |fate| self.world.borrow_mut().call_over(msg, dest, self.now(), fate);
+        match fate {
+            Fate::Served(after) => {
+                let gone = async {
+                    loop {
+                        // What broke meanwhile is seen soon enough at this grain.
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                        if self.world.borrow_mut().partner(dest, place).is_gone(self.now()) {
+                            return;
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = tokio::time::sleep(after) => {}
+                    () = reader.ended() => {
+                        over(None);
+                        return false;
+                    }
+                    () = gone => {
+                        over(None);
+                        return false;
+                    }
+                }
+                let written = reader.answer(200, &[], b"ok").await.is_ok();
+                over(Some(fate).filter(|_| written));
+                written
+            }
+            Fate::Failed => {
+                over(Some(fate));
+                reader.answer(500, &[], b"").await.is_ok()
+            }
+            Fate::Full(wait) => {
+                let told = wait.map(|wait| ("retry-after", format!("{:.3}", wait.as_secs_f64())));
+                let status = if told.is_some() { 429 } else { 503 };
+                let written = reader.answer(status, told.as_slice(), b"").await.is_ok();
+                over(Some(fate));
+                written
+            }
+            Fate::Lost => {
+                over(None);
+                false
+            }
+            Fate::Silent => {
+                reader.ended().await;
+                over(None);
+                false
+            }
+        }
+    }
+}
+
+/// Messages are called `m` and their number.
+pub fn number(id: &str) -> Option<u64> {
+    id.strip_prefix('m')?.parse().ok()
+}
+
+/// Counts one for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,306 @@
+//! The file that describes an experiment, read and checked here; every fault names its key.
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+use crate::arrivals::Load;
+use crate::model::{Nature, Trouble};
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    pub name: String,
+    /// What it is to show, for the report.
+    #[serde(default)]
+    pub about: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long messages come, in seconds.
+    pub seconds: f64,
+    #[serde(default)]
+    pub relay: RelayTable,
+    #[serde(rename = "partners")]
+    pub partners: Vec<Partners>,
+    pub load: Load,
+    #[serde(default)]
+    pub list: ListTable,
+    #[serde(rename = "trouble", default)]
+    pub troubles: Vec<TroubleTable>,
+    /// Played once for each, with so many destinations listed; the partners' own count if absent.
+    #[serde(default)]
+    pub sizes: Vec<usize>,
+    /// How often each size is played, the sizes by turns.
+    #[serde(default = "one_time")]
+    pub repeats: usize,
+    /// The same in virtual time beside it.
+    #[serde(default)]
+    pub virtual_time: bool,
+    /// Figures are drawn for the seconds from here on: the return of a partner.
+    #[serde(default)]
+    pub return_s: Option<f64>,
+    #[serde(rename = "expect", default)]
+    pub expectations: Vec<Expectation>,
+}
+
+/// The relays and the settings that they are told.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RelayTable {
+    pub count: usize,
+    pub slots: u32,
+    pub held: u32,
+    pub sockets: usize,
+    pub disk_mb: f64,
+    pub idle_close_ms: u64,
+    /// Calls a second of each destination are told in the list.
+    pub weights: bool,
+    /// Longest that a relay may go without asking for the list.
+    pub must_ask_in_ms: u64,
+    /// The relay's own file, as a table of it.
+    pub own: toml::Table,
+}
+
+impl Default for RelayTable {
+    fn default() -> Self {
+        RelayTable {
+            count: 1,
+            slots: 64,
+            held: 512,
+            sockets: 1024,
+            disk_mb: 16.0,
+            idle_close_ms: 10_000,
+            weights: false,
+            must_ask_in_ms: 10_000,
+            own: toml::Table::new(),
+        }
+    }
+}
+
+/// Partners that are alike.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Partners {
+    pub count: usize,
+    /// Endpoints of each.
+    #[serde(default = "one_time")]
+    pub endpoints: usize,
+    #[serde(default)]
+    pub nature: Nature,
+}
+
+/// Discovery.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListTable {
+    /// What changes is told so many seconds late.
+    pub late_s: f64,
+    /// Spans in which it is down, from and to in seconds.
+    pub down: Vec<(f64, f64)>,
+    /// The whole list is told so often more before messages come.
+    pub told_again: usize,
+    /// The time of each start is told.
+    pub starts: bool,
+}
+
+/// Something that is wrong for a while.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TroubleTable {
+    pub at_s: f64,
+    #[serde(default)]
+    pub for_s: f64,
+    /// The destination's place.
+    pub dest: usize,
+    pub kind: Event,
+    /// The list says nothing of it.
+    #[serde(default)]
+    pub unlisted: bool,
+}
+
+/// What happens to a partner.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// Told as draining, and gone at the end.
+    Drain,
+    /// Gone, and back cold under the same ids.
+    Restart,
+    /// Gone, and back cold under new ids at the same addresses.
+    Replace,
+    /// Gone, and back cold under the same ids at other addresses.
+    Move,
+    #[serde(untagged)]
+    Trouble(Trouble),
+}
+
+/// A figure of the result and its bounds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expectation {
+    pub figure: String,
+    #[serde(default)]
+    pub most: Option<f64>,
+    #[serde(default)]
+    pub least: Option<f64>,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn one_time() -> usize {
+    1
+}
+
+/// Most endpoints: each has an address of its own in 127/8.
+const MOST_ENDPOINTS: usize = 1 << 22;
+
+impl Experiment {
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Experiment, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
+        Experiment::parse(&text).map_err(|e| format!("{name}: {e}"))
+    }
+
+    /// The same from the file's text.
+    pub fn parse(text: &str) -> Result<Experiment, String> {
+        let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
+        let experiment: Experiment = serde_path_to_error::deserialize(reader)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        experiment.check()?;
+        Ok(experiment)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = |key: &str, value: f64| {
+            if value > 0.0 && value.is_finite() {
+                return Ok(());
+            }
+            Err(format!("{key}: {value} must be above 0"))
+        };
+        positive("seconds", self.seconds)?;
+        positive("repeats", self.repeats as f64)?;
+        positive("relay.count", self.relay.count as f64)?;
+        positive("relay.disk_mb", self.relay.disk_mb)?;
+        if self.partners.is_empty() {
+            return Err("partners: there are none".into());
+        }
+        for (i, p) in self.partners.iter().enumerate() {
+            let n = &p.nature;
+            positive(&format!("partners[{i}].count"), p.count as f64)?;
+            positive(&format!("partners[{i}].endpoints"), p.endpoints as f64)?;
+            positive(&format!("partners[{i}].nature.rate"), n.rate)?;
+            positive(&format!("partners[{i}].nature.latency_ms"), n.latency_ms)?;
+            positive(&format!("partners[{i}].nature.cold_share"), n.cold_share)?;
+            if !n.spread.is_finite() || n.spread < 0.0 {
+                return Err(format!("partners[{i}].nature.spread: {} must not be negative", n.spread));
+            }
+            if n.limit.as_ref().is_some_and(|l| l.span_ms == 0 || l.calls == 0) {
+                return Err(format!("partners[{i}].nature.limit: calls and span_ms must be above 0"));
+            }
+        }
+        let (dests, endpoints) = (self.dests(), self.endpoints());
+        let most = self.sizes.iter().copied().max().unwrap_or(0).max(endpoints);
+        if most > MOST_ENDPOINTS {
+            return Err(format!("partners: {most} endpoints are too many; {MOST_ENDPOINTS} at most"));
+        }
+        if self.load.busy == 0 || self.load.busy > dests {
+            return Err(format!("load.busy: {} must be from 1 to {dests}", self.load.busy));
+        }
+        if let Some(i) = self.sizes.iter().position(|s| *s < self.load.busy) {
+            return Err(format!("sizes[{i}]: fewer than load.busy"));
+        }
+        for (i, t) in self.troubles.iter().enumerate() {
+            if t.dest >= dests {
+                return Err(format!("trouble[{i}].dest: {} is none of {dests}", t.dest));
+            }
+            if !(t.at_s >= 0.0 && t.for_s >= 0.0) {
+                return Err(format!("trouble[{i}].at_s: it and for_s must not be negative"));
+            }
+        }
+        for (i, (_, _, dest)) in self.load.clumps.iter().enumerate() {
+            if *dest >= dests {
+                return Err(format!("load.clumps[{i}]: destination {dest} is none of {dests}"));
+            }
+        }
+        for (i, e) in self.expectations.iter().enumerate() {
+            if e.most.is_none() && e.least.is_none() {
+                return Err(format!("expect[{i}]: neither most nor least is given"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Destinations.
+    pub fn dests(&self) -> usize {
+        self.partners.iter().map(|p| p.count).sum()
+    }
+
+    pub fn endpoints(&self) -> usize {
+        self.partners.iter().map(|p| p.count * p.endpoints).sum()
+    }
+
+    /// The partners that a destination is of.
+    pub fn partners_of(&self, dest: usize) -> &Partners {
+        let mut left = dest;
+        for partners in &self.partners {
+            if left < partners.count {
+                return partners;
+            }
+            left -= partners.count;
+        }
+        // Beyond the file's own: sizes list more of the last kind.
+        self.partners.last().expect("checked")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = r#"
+        name = "small"
+        seconds = 2.0
+        [[partners]]
+        count = 2
+        nature = { rate = 20.0, limit = { calls = 3, span_ms = 500 } }
+        [load]
+        rate = 5.0
+        [[trouble]]
+        at_s = 1.0
+        dest = 1
+        kind = "shut-told"
+        [[trouble]]
+        at_s = 1.5
+        dest = 0
+        kind = "replace"
+        [[expect]]
+        figure = "rules_broken"
+        most = 0
+    "#;
+
+    #[test]
+    fn a_sound_file_is_read_and_faults_name_their_key() {
+        let sound = Experiment::parse(FILE).expect("sound");
+        assert_eq!(sound.troubles[0].kind, Event::Trouble(Trouble::ShutTold));
+        assert_eq!(sound.troubles[1].kind, Event::Replace);
+        let cases = [
+            ("seconds = 2.0", "seconds = 0.0", "seconds"),
+            ("seconds = 2.0", "second = 2.0", "second"),
+            ("count = 2", "count = 0", "partners[0].count"),
+            ("rate = 20.0", "rate = -1.0", "partners[0].nature.rate"),
+            ("calls = 3", "calls = 0", "partners[0].nature.limit"),
+            ("rate = 5.0", "rate = 5.0\nbusy = 3", "load.busy"),
+            ("rate = 5.0", "rate = \"x\"", "load.rate"),
+            ("dest = 1", "dest = 2", "trouble[0].dest"),
+            ("\"shut-told\"", "\"tired\"", "trouble[0].kind"),
+            ("most = 0", "", "expect[0]"),
+        ];
+        for (from, to, key) in cases {
+            assert!(FILE.contains(from), "{from}");
+            let fault = Experiment::parse(&FILE.replacen(from, to, 1)).err().unwrap_or_default();
+            assert!(fault.contains(key), "{to}: {fault}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,19 @@
+//! The relay's laboratory. Plain values and models below ([`model`], [`arrivals`], [`rules`], [`record`],
+//! [`experiment`], [`world`]), free of sockets; above them what plays them: [`virtual_time`] against the decision
+//! module itself, or the stand-ins ([`emulator`], [`discovery`], [`load`], [`relay`]) that [`play`] puts together;
+//! [`report`] last. `docs/lab.md` tells how to run and read an experiment.
+#![forbid(unsafe_code)]
+
+pub mod arrivals;
+pub mod discovery;
+pub mod emulator;
+pub mod experiment;
+pub mod load;
+pub mod model;
+pub mod play;
+pub mod record;
+pub mod relay;
+pub mod report;
+pub mod rules;
+pub mod virtual_time;
+pub mod world;
--- /dev/null
+++ b/lab/src/model.rs
@@ -0,0 +1,380 @@
+//! How a partner behaves: what it makes of each call, told by a clock that is passed in.
+//!
+//! Owns capacity, queue, limits, cold starts and scripted troubles. It may know no socket: the emulator and the
+//! virtual world play the same model. A partner works off its queue at a rate that grows while it warms; what would
+//! have to wait behind a full queue is turned away; what is pushed at it past a multiple of what it can do just
+//! then, for as long as the rules say, makes it fall over.
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time since the experiment began.
+pub type At = Duration;
+
+/// What a partner is like.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Nature {
+    /// Calls a second that it works off once warm.
+    pub rate: f64,
+    /// Calls that may wait for that.
+    pub queue: u32,
+    /// Median time of a call besides its wait, in milliseconds, and the spread of its logarithm.
+    pub latency_ms: f64,
+    pub spread: f64,
+    /// A limit on top of that, if any.
+    pub limit: Option<Limit>,
+    /// Connections that it holds; 0 is any number.
+    pub connections: usize,
+    /// Share of its rate right after a start, and how long it takes to warm.
+    pub cold_share: f64,
+    pub warm_s: f64,
+    /// Pushed past this multiple of what it can do just then, for so long, it falls over.
+    pub fall_multiple: f64,
+    pub fall_s: f64,
+    /// For so long it is down then, until it starts cold.
+    pub fallen_s: f64,
+}
+
+/// Calls that may be made within a span: a plain rate where the span is short, a counted window where it is long.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Limit {
+    pub calls: u32,
+    pub span_ms: u64,
+    /// Refusals tell the wait until the span ends.
+    #[serde(default)]
+    pub told: bool,
+}
+
+impl Default for Nature {
+    fn default() -> Self {
+        Nature {
+            rate: 100.0,
+            queue: 50,
+            latency_ms: 5.0,
+            spread: 0.3,
+            limit: None,
+            connections: 0,
+            cold_share: 0.18,
+            warm_s: 14.0,
+            fall_multiple: 2.0,
+            fall_s: 3.0,
+            fallen_s: 5.0,
+        }
+    }
+}
+
+/// What is wrong with a partner for a while.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// Calls are never answered.
+    Hang,
+    /// Calls fail at once.
+    Fail,
+    /// Calls are turned away, without a wait told.
+    Shut,
+    /// Calls are turned away, told to wait until it opens.
+    ShutTold,
+    /// Calls take ten times as long.
+    Slow,
+    /// Connections are refused.
+    Refuse,
+    /// Calls run and their connections break.
+    LoseAnswers,
+    /// It is gone; what was open breaks, and it starts cold afterwards. Connections are refused.
+    Down,
+    /// It works at a tenth of its rate.
+    Tenth,
+}
+
+/// What a partner makes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    /// Answered as delivered after so long.
+    Served(Duration),
+    /// Answered as failed at once; it has run.
+    Failed,
+    /// Turned away, with the wait told.
+    Full(Option<Duration>),
+    /// It has run, and the connection breaks.
+    Lost,
+    /// Never answered.
+    Silent,
+}
+
+/// One endpoint of a partner.
+pub struct Partner {
+    pub nature: Nature,
+    random: StdRng,
+    latency: LogNormal<f64>,
+    /// When it last started; what it was before the experiment is warm.
+    started: Option<At>,
+    /// Calls that wait to be worked off, and when that was last reckoned.
+    backlog: f64,
+    reckoned: At,
+    /// Calls of the present span, and its number.
+    span: (u64, u32),
+    /// What is wrong, from when until when.
+    trouble: Option<(Trouble, At, At)>,
+    fallen: Option<At>,
+    /// Calls of the last `fall_s`, while it is cold.
+    recent: VecDeque<At>,
+    /// How often it fell over.
+    pub falls: u32,
+    pub offered: u64,
+    pub served: u64,
+}
+
+impl Partner {
+    pub fn new(nature: Nature, seed: u64) -> Self {
+        let latency = LogNormal::new((nature.latency_ms / 1000.0).max(1e-6).ln(), nature.spread.max(0.0));
+        Partner {
+            nature,
+            random: StdRng::seed_from_u64(seed),
+            latency: latency.expect("a finite spread that is not negative"),
+            started: None,
+            backlog: 0.0,
+            reckoned: At::ZERO,
+            span: (0, 0),
+            trouble: None,
+            fallen: None,
+            recent: VecDeque::new(),
+            falls: 0,
+            offered: 0,
+            served: 0,
+        }
+    }
+
+    /// Something is wrong from now on until then.
+    pub fn begin(&mut self, trouble: Trouble, until: At) {
+        self.begin_at(trouble, At::ZERO, until);
+    }
+
+    /// Something will be wrong from then until then.
+    pub fn begin_at(&mut self, trouble: Trouble, from: At, until: At) {
+        self.trouble = Some((trouble, from, until));
+    }
+
+    fn trouble(&self, now: At) -> Option<Trouble> {
+        self.trouble.filter(|(_, from, until)| now >= *from && now < *until).map(|(what, ..)| what)
+    }
+
+    /// Starts anew: cold, with an empty queue.
+    pub fn start(&mut self, now: At) {
+        (self.started, self.backlog, self.reckoned) = (Some(now), 0.0, now);
+        self.recent.clear();
+    }
+
+    /// Whether connections are refused.
+    pub fn is_gone(&self, now: At) -> bool {
+        let gone = matches!(self.trouble(now), Some(Trouble::Refuse | Trouble::Down));
+        gone || self.fallen.is_some_and(|until| now < until)
+    }
+
+    /// Calls a second that it works off just now.
+    pub fn rate(&self, now: At) -> f64 {
+        let warm = self.started.map_or(1.0, |started| {
+            let age = now.saturating_sub(started).as_secs_f64() / self.nature.warm_s.max(1e-9);
+            self.nature.cold_share + (1.0 - self.nature.cold_share) * age.min(1.0)
+        });
+        let share = if self.trouble(now) == Some(Trouble::Tenth) { 0.1 } else { 1.0 };
+        self.nature.rate * warm * share
+    }
+
+    /// Calls a second that it takes on just now: no more than its limit allows.
+    pub fn takes(&self, now: At) -> f64 {
+        let limit = self.nature.limit.as_ref();
+        let limit = limit.map_or(f64::INFINITY, |l| f64::from(l.calls) * 1000.0 / l.span_ms as f64);
+        self.rate(now).min(limit)
+    }
+
+    /// Whether it started so lately that it is not warm yet.
+    pub fn is_cold(&self, now: At) -> bool {
+        self.started.is_some_and(|at| now < at + Duration::from_secs_f64(self.nature.warm_s))
+    }
+
+    fn reckon(&mut self, now: At) {
+        let worked = self.rate(now) * now.saturating_sub(self.reckoned).as_secs_f64();
+        self.backlog = (self.backlog - worked).max(0.0);
+        self.reckoned = now;
+    }
+
+    /// Whether this call is one too many for a cold partner. Guards in the rules: work within `fall_s` above the
+    /// multiple of what it could do in that time.
+    fn falls_over(&mut self, now: At) -> bool {
+        let window = Duration::from_secs_f64(self.nature.fall_s);
+        while self.recent.front().is_some_and(|at| *at + window < now) {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(now);
+        if !self.is_cold(now) {
+            return false;
+        }
+        let begun = now.saturating_sub(window);
+        let able = (self.rate(begun) + self.rate(now)) / 2.0 * self.nature.fall_s;
+        // A little slack for chance, as short windows of few calls need it.
+        self.recent.len() as f64 > self.nature.fall_multiple * able + 3.0
+    }
+
+    /// A call has come in whole.
+    pub fn call(&mut self, now: At) -> Fate {
+        self.offered += 1;
+        if let Some(until) = self.fallen
+            && now >= until
+        {
+            self.fallen = None;
+            self.start(until);
+        }
+        self.reckon(now);
+        let trouble = self.trouble(now);
+        match trouble {
+            Some(Trouble::Hang) => return Fate::Silent,
+            Some(Trouble::Fail) => return Fate::Failed,
+            Some(Trouble::Shut) => return Fate::Full(None),
+            Some(Trouble::ShutTold) => {
+                let until = self.trouble.map_or(now, |(.., until)| until);
+                return Fate::Full(Some(until.saturating_sub(now)));
+            }
+            Some(Trouble::Refuse | Trouble::Down) => return Fate::Lost,
+            _ => {}
+        }
+        if self.fallen.is_some() {
+            return Fate::Lost;
+        }
+        if self.falls_over(now) {
+            self.falls += 1;
+            self.fallen = Some(now + Duration::from_secs_f64(self.nature.fallen_s));
+            return Fate::Lost;
+        }
+        if let Some(limit) = &self.nature.limit {
+            let number = now.as_millis() as u64 / limit.span_ms.max(1);
+            let used = if self.span.0 == number { self.span.1 } else { 0 };
+            if used >= limit.calls {
+                let end = Duration::from_millis((number + 1) * limit.span_ms);
+                return Fate::Full(limit.told.then(|| end.saturating_sub(now)));
+            }
+            self.span = (number, used + 1);
+        }
+        if self.backlog >= f64::from(self.nature.queue) {
+            return Fate::Full(None);
+        }
+        let wait = Duration::from_secs_f64((self.backlog / self.rate(now).max(1e-6)).min(3600.0));
+        self.backlog += 1.0;
+        let mut own = self.latency.sample(&mut self.random);
+        if trouble == Some(Trouble::Slow) {
+            own *= 10.0;
+        }
+        self.served += 1;
+        if trouble == Some(Trouble::LoseAnswers) {
+            return Fate::Lost;
+        }
+        Fate::Served(wait + Duration::from_secs_f64(own.min(3600.0)))
+    }
+
+    /// A number from the partner's own seed.
+    pub fn chance(&mut self) -> f64 {
+        self.random.random()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn at(ms: u64) -> At {
+        Duration::from_millis(ms)
+    }
+
+    fn even() -> Nature {
+        Nature { rate: 10.0, queue: 5, spread: 0.0, ..Nature::default() }
+    }
+
+    fn play(partner: &mut Partner, from: u64, to: u64, every: u64) -> (usize, usize) {
+        let fates: Vec<_> = (from..to).step_by(every as usize).map(|ms| partner.call(at(ms))).collect();
+        let served = fates.iter().filter(|f| matches!(f, Fate::Served(_))).count();
+        (fates.len(), served)
+    }
+
+    #[test]
+    fn a_queue_fills_delays_and_turns_away() {
+        let mut partner = Partner::new(even(), 1);
+        let waits: Vec<_> = (0..7).map(|_| partner.call(at(0))).collect();
+        assert_eq!(waits[0], Fate::Served(at(5)));
+        assert_eq!(waits[4], Fate::Served(at(405)));
+        assert_eq!(waits[5], Fate::Full(None));
+        assert_eq!(partner.call(at(1000)), Fate::Served(at(5)));
+    }
+
+    #[test]
+    fn a_counted_window_tells_when_it_ends() {
+        let limit = Some(Limit { calls: 2, span_ms: 1000, told: true });
+        let mut partner = Partner::new(Nature { limit, ..even() }, 1);
+        partner.call(at(100));
+        partner.call(at(200));
+        assert_eq!(partner.call(at(400)), Fate::Full(Some(at(600))));
+        assert!(matches!(partner.call(at(1000)), Fate::Served(_)));
+        assert_eq!(partner.takes(at(0)), 2.0);
+    }
+
+    #[test]
+    fn a_cold_start_warms_and_falls_over_when_pushed() {
+        let nature = Nature { rate: 100.0, ..Nature::default() };
+        let mut partner = Partner::new(nature.clone(), 1);
+        partner.start(at(0));
+        assert!((partner.rate(at(0)) - 18.0).abs() < 1e-6 && (partner.rate(at(7000)) - 59.0).abs() < 1e-6);
+        assert!(partner.is_cold(at(13_999)) && !partner.is_cold(at(14_000)));
+        let (_, served) = play(&mut partner, 0, 3000, 50);
+        assert!(served == 60 && partner.falls == 0, "20 a second is within twice 18");
+        let mut pushed = Partner::new(nature, 1);
+        pushed.start(at(0));
+        play(&mut pushed, 0, 3000, 5);
+        assert_eq!(pushed.falls, 1);
+        assert!(pushed.is_gone(at(3000)) && !pushed.is_gone(at(12_000)));
+        assert!(matches!(pushed.call(at(12_000)), Fate::Served(_)) && pushed.is_cold(at(12_000)));
+    }
+
+    #[test]
+    fn troubles_begin_and_end() {
+        let mut partner = Partner::new(even(), 1);
+        let cases = [
+            (Trouble::Hang, Fate::Silent),
+            (Trouble::Fail, Fate::Failed),
+            (Trouble::Shut, Fate::Full(None)),
+            (Trouble::ShutTold, Fate::Full(Some(at(300)))),
+            (Trouble::LoseAnswers, Fate::Lost),
+        ];
+        for (n, (trouble, fate)) in cases.into_iter().enumerate() {
+            let now = 10_000 * n as u64;
+            partner.begin(trouble, at(now + 400));
+            assert_eq!(partner.call(at(now + 100)), fate, "{trouble:?}");
+            assert!(matches!(partner.call(at(now + 5000)), Fate::Served(_)), "{trouble:?}");
+        }
+        partner.begin(Trouble::Refuse, at(99_000));
+        assert!(partner.is_gone(at(98_000)) && !partner.is_gone(at(99_000)));
+        partner.begin(Trouble::Tenth, at(200_000));
+        assert_eq!(partner.rate(at(150_000)), 1.0);
+    }
+
+    proptest! {
+        /// Whatever comes when, no more is served than the rate and the queue allow, and the same seed does the same.
+        #[test]
+        fn no_more_is_served_than_it_can_do(gaps in prop::collection::vec(0u64..60, 1..300), seed in 0u64..9) {
+            let run = || {
+                let mut partner = Partner::new(even(), seed);
+                let mut now = 0;
+                let fates: Vec<_> = gaps.iter().map(|gap| { now += gap; partner.call(at(now)) }).collect();
+                (fates, now)
+            };
+            let ((fates, end), again) = (run(), run());
+            prop_assert_eq!(&fates, &again.0);
+            let served = fates.iter().filter(|f| matches!(f, Fate::Served(_))).count() as f64;
+            prop_assert!(served <= end as f64 / 100.0 + 6.0);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/record.rs
@@ -0,0 +1,214 @@
+//! What was seen, second by second, and the result made of it. Owns counts and histograms; knows no sockets.
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use crate::model::At;
+
+/// One second of an experiment.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Second {
+    pub second: usize,
+    /// Messages handed in, taken on, refused, and not answered in time.
+    pub handed_in: u32,
+    pub taken: u32,
+    pub refused: u32,
+    pub unanswered: u32,
+    /// Messages delivered in their time, and ended by a notice.
+    pub delivered: u32,
+    pub failed: u32,
+    pub returned: u32,
+    /// Calls that partners got, by what became of them.
+    pub calls: u32,
+    pub served: u32,
+    pub turned_away: u32,
+    pub broken: u32,
+    /// From when a message should have been handed in until it was delivered, in milliseconds.
+    pub p50_ms: f64,
+    pub p90_ms: f64,
+    pub p99_ms: f64,
+    /// Messages taken on and not ended, at the second's end.
+    pub open: u32,
+    /// Of the relays together, where there are processes.
+    pub cpu_ms: f64,
+    pub resident_kb: u64,
+    pub descriptors: u32,
+}
+
+/// What one destination got in a second, and what it could take.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Taken {
+    pub second: usize,
+    pub offered: u32,
+    pub served: u32,
+    /// What it takes in that second, by its rate and its limit.
+    pub takes: f64,
+}
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Called {
+    Served,
+    TurnedAway,
+    Broken,
+}
+
+/// Counts while an experiment runs.
+pub struct Record {
+    seconds: Vec<Second>,
+    latencies: Vec<Histogram<u64>>,
+    all: Histogram<u64>,
+    answers: Histogram<u64>,
+    /// By destination and second.
+    dests: BTreeMap<usize, BTreeMap<usize, Taken>>,
+}
+
+fn histogram() -> Histogram<u64> {
+    // Microseconds up to two minutes, three digits.
+    Histogram::new_with_bounds(1, 120_000_000, 3).expect("sound bounds")
+}
+
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    if histogram.is_empty() { 0.0 } else { histogram.value_at_quantile(quantile) as f64 / 1000.0 }
+}
+
+/// Destinations followed one by one; the others only count in all.
+const FOLLOWED: usize = 64;
+
+impl Default for Record {
+    fn default() -> Self {
+        Record {
+            seconds: Vec::new(),
+            latencies: Vec::new(),
+            all: histogram(),
+            answers: histogram(),
+            dests: BTreeMap::new(),
+        }
+    }
+}
+
+impl Record {
+    pub fn second(&mut self, at: At) -> &mut Second {
+        let place = at.as_secs() as usize;
+        while self.seconds.len() <= place {
+            self.seconds.push(Second { second: self.seconds.len(), ..Second::default() });
+            self.latencies.push(histogram());
+        }
+        &mut self.seconds[place]
+    }
+
+    /// A message was delivered so long after it should have been handed in.
+    pub fn delivered(&mut self, at: At, took: Duration) {
+        self.second(at).delivered += 1;
+        let micros = took.as_micros().clamp(1, 120_000_000) as u64;
+        self.latencies[at.as_secs() as usize].saturating_record(micros);
+        self.all.saturating_record(micros);
+    }
+
+    /// A message had its answer so long after it should have been handed in.
+    pub fn answered(&mut self, took: Duration) {
+        self.answers.saturating_record(took.as_micros().clamp(1, 120_000_000) as u64);
+    }
+
+    /// A destination that takes so many a second got a call.
+    pub fn called(&mut self, at: At, dest: usize, what: Called, takes: f64) {
+        let second = self.second(at);
+        second.calls += 1;
+        match what {
+            Called::Served => second.served += 1,
+            Called::TurnedAway => second.turned_away += 1,
+            Called::Broken => second.broken += 1,
+        }
+        if dest < FOLLOWED {
+            let place = at.as_secs() as usize;
+            let taken = self.dests.entry(dest).or_default().entry(place).or_default();
+            taken.second = place;
+            taken.offered += 1;
+            taken.served += u32::from(what == Called::Served);
+            taken.takes = taken.takes.max(takes);
+        }
+    }
+
+    /// What a destination got from a second on, for so many.
+    pub fn from(&self, dest: usize, second: usize, count: usize) -> Vec<Taken> {
+        let dest = self.dests.get(&dest);
+        let of = |s: usize| dest.and_then(|d| d.get(&s)).copied().unwrap_or(Taken { second: s, ..Taken::default() });
+        (second..second + count).map(of).collect()
+    }
+
+    pub fn seconds(mut self) -> (Vec<Second>, BTreeMap<usize, Vec<Taken>>) {
+        for (second, latencies) in self.seconds.iter_mut().zip(&self.latencies) {
+            (second.p50_ms, second.p90_ms, second.p99_ms) =
+                (millis(latencies, 0.5), millis(latencies, 0.9), millis(latencies, 0.99));
+        }
+        let dests = self.dests.into_iter().map(|(dest, by)| (dest, by.into_values().collect()));
+        (self.seconds, dests.collect())
+    }
+
+    /// The figures over all seconds.
+    pub fn figures(&self) -> BTreeMap<String, f64> {
+        let sum = |of: fn(&Second) -> u32| self.seconds.iter().map(|s| f64::from(of(s))).sum::<f64>();
+        let handed_in = sum(|s| s.handed_in);
+        let figures = [
+            ("handed_in", handed_in),
+            ("taken", sum(|s| s.taken)),
+            ("refused", sum(|s| s.refused)),
+            ("unanswered", sum(|s| s.unanswered)),
+            ("delivered", sum(|s| s.delivered)),
+            ("failed", sum(|s| s.failed)),
+            ("returned", sum(|s| s.returned)),
+            ("calls", sum(|s| s.calls)),
+            ("calls_turned_away", sum(|s| s.turned_away)),
+            ("calls_broken", sum(|s| s.broken)),
+            ("delivered_share", sum(|s| s.delivered) / handed_in.max(1.0)),
+            ("delivered_p50_ms", millis(&self.all, 0.5)),
+            ("delivered_p90_ms", millis(&self.all, 0.9)),
+            ("delivered_p99_ms", millis(&self.all, 0.99)),
+            ("answered_p50_ms", millis(&self.answers, 0.5)),
+            ("answered_p99_ms", millis(&self.answers, 0.99)),
+            ("answered_most_ms", if self.answers.is_empty() { 0.0 } else { self.answers.max() as f64 / 1000.0 }),
+        ];
+        figures.into_iter().map(|(name, value)| (name.to_owned(), value)).collect()
+    }
+}
+
+/// Writes the seconds as a CSV file.
+pub fn write_csv(path: &Path, seconds: &[Second]) -> Result<(), String> {
+    let fault = |e: csv::Error| format!("{}: {e}", path.display());
+    let mut writer = csv::Writer::from_path(path).map_err(fault)?;
+    seconds.iter().try_for_each(|second| writer.serialize(second)).map_err(fault)?;
+    writer.flush().map_err(|e| format!("{}: {e}", path.display()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn seconds_and_figures_add_up() {
+        let mut record = Record::default();
+        let at = |ms| Duration::from_millis(ms);
+        for n in 0..100u64 {
+            record.second(at(n * 30)).handed_in += 1;
+            record.delivered(at(n * 30), at(10 + n));
+        }
+        record.called(at(2500), 3, Called::Served, 9.0);
+        record.called(at(2600), 3, Called::TurnedAway, 9.5);
+        let figures = record.figures();
+        assert_eq!((figures["handed_in"], figures["delivered_share"]), (100.0, 1.0));
+        assert!((figures["delivered_p50_ms"] - 59.0).abs() < 2.0, "{figures:?}");
+        let taken = record.from(3, 1, 2);
+        assert_eq!(taken[0], Taken { second: 1, ..Taken::default() });
+        assert_eq!(taken[1], Taken { second: 2, offered: 2, served: 1, takes: 9.5 });
+        let (seconds, _) = record.seconds();
+        assert_eq!(seconds.len(), 3);
+        assert!(seconds[0].p50_ms < seconds[2].p50_ms);
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("seconds.csv");
+        write_csv(&file, &seconds).expect("written");
+        let text = std::fs::read_to_string(file).expect("read");
+        assert!(text.starts_with("second,handed_in") && text.lines().count() == 4);
+    }
+}
--- /dev/null
+++ b/lab/src/relay.rs
@@ -0,0 +1,184 @@
+//! The real relay: its configuration, its process, and what the system says of that.
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::process::{Child, Command};
+
+use crate::experiment::{Experiment, RelayTable};
+
+/// A relay that was started.
+pub struct Relay {
+    child: Child,
+    pub id: u32,
+    pub address: SocketAddr,
+}
+
+/// What the system says of processes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    pub cpu: Duration,
+    pub resident_kb: u64,
+    pub descriptors: u32,
+}
+
+/// How long a relay may take to be ready.
+const READY: Duration = Duration::from_secs(20);
+
+/// The relay's program beside the lab's own, built first where it is not there.
+pub fn program() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| format!("where the lab is: {e}"))?;
+    let folder = own.parent().unwrap_or(Path::new("."));
+    // Tests run one folder further down.
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let program = folder.join("onyxglade");
+    if !program.exists() {
+        let mut build = std::process::Command::new(std::env::var_os("CARGO").unwrap_or("cargo".into()));
+        build.args(["build", "--quiet", "-p", "onyxglade", "--bin", "onyxglade"]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        let built = build.status().map_err(|e| format!("building the relay: {e}"))?;
+        if !built.success() || !program.exists() {
+            return Err(format!("there is no relay at {}", program.display()));
+        }
+    }
+    Ok(program)
+}
+
+/// What the platform would tell a relay.
+pub fn configuration(table: &RelayTable, name: &str, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> Value {
+    json!({
+        "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{seed:x}"),
+        "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": table.sockets, "disk_mb": table.disk_mb},
+        "settings": {
+            "step": 5_000_000u64,
+            "categories": [
+                {"name": "notice", "aim": 1_000_000_000u64, "give_up": 6_000_000_000u64, "effect": "read_like",
+                 "late_worth": 0.0, "credit": 1.0},
+                {"name": "order", "aim": 4_000_000_000u64, "give_up": 28_000_000_000u64,
+                 "effect": "non_idempotent", "late_worth": 0.3, "credit": 2.0}
+            ],
+            "extra": {"max_calls": table.slots, "own_limits": [false], "bundle_max": [1]},
+            "zone": "a", "zones": ["a"], "shapes": ["m"], "replicas_of_me": table.count,
+            "membership_mode": "subscribe", "weights": if table.weights { "nominal" } else { "none" },
+            "policy_limits": {
+                "most_tries": 8, "most_held": table.held, "max_retry_after": 3_000_000_000u64,
+                "idle_close": table.idle_close_ms * 1_000_000, "dial_timeout": 1_500_000_000u64,
+                "retry_after": true
+            },
+            "rules": {
+                "cold": 14_000_000_000u64, "cold_share": 0.18, "fall": 3_000_000_000u64, "fall_multiple": 2.0,
+                "must_ask_in": table.must_ask_in_ms * 1_000_000
+            }
+        }
+    })
+}
+
+impl Relay {
+    /// Starts a relay in a folder of its own and waits until it is ready.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        experiment: &Experiment,
+        number: usize,
+        discovery: SocketAddr,
+        seed: u64,
+    ) -> Result<Relay, String> {
+        let fault = |what: &str, e: std::io::Error| format!("relay {number}: {what}: {e}");
+        // A port of its own: told by the system, then given up for the relay to take.
+        let port = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr());
+        let address = port.map_err(|e| fault("no port", e))?;
+        let folder = folder.join(format!("relay{number}"));
+        std::fs::create_dir_all(folder.join("state")).map_err(|e| fault("its folder", e))?;
+        let config = configuration(&experiment.relay, &format!("n{number}"), address, discovery, seed);
+        let (file, own) = (folder.join("config.json"), folder.join("own.toml"));
+        std::fs::write(&file, config.to_string()).map_err(|e| fault("its configuration", e))?;
+        let text = toml::to_string(&experiment.relay.own).map_err(|e| format!("relay.own: {e}"))?;
+        std::fs::write(&own, text).map_err(|e| fault("its own file", e))?;
+        let log = std::fs::File::create(folder.join("log")).map_err(|e| fault("its log", e))?;
+        let mut command = Command::new(program);
+        command
+            .env_clear()
+            .env("BALANCER_CONFIG", file)
+            .env("BALANCER_STATE", folder.join("state"))
+            .env("ONYXGLADE_LOG", std::env::var("ONYXGLADE_LOG").unwrap_or("info".into()))
+            .arg("--config")
+            .arg(own)
+            .stdout(Stdio::from(log))
+            .kill_on_drop(true);
+        let child = command.spawn().map_err(|e| fault("cannot be started", e))?;
+        let id = child.id().ok_or("a relay that has ended")?;
+        let mut relay = Relay { child, id, address };
+        let begun = Instant::now();
+        while !ready(address).await {
+            if let Ok(Some(status)) = relay.child.try_wait() {
+                let log = std::fs::read_to_string(folder.join("log")).unwrap_or_default();
+                return Err(format!("relay {number} ended with {status}: {log}"));
+            }
+            if begun.elapsed() > READY {
+                return Err(format!("relay {number} is not ready after {READY:?}"));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(relay)
+    }
+
+    /// Whether the process still runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Ends the process at once, as a crash does.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    pub fn usage(&self) -> Usage {
+        usage(self.id).unwrap_or_default()
+    }
+}
+
+async fn ready(address: SocketAddr) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let call = async {
+        let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\r\n").await.ok()?;
+        let mut text = Vec::new();
+        stream.read_buf(&mut text).await.ok()?;
+        Some(text.starts_with(b"HTTP/1.1 200"))
+    };
+    tokio::time::timeout(Duration::from_secs(1), call).await.ok().flatten().unwrap_or(false)
+}
+
+/// What the system says of a process: processor time to the nanosecond, as its scheduler counts it.
+fn usage(id: u32) -> Option<Usage> {
+    let folder = PathBuf::from(format!("/proc/{id}"));
+    let mut cpu = 0;
+    for task in std::fs::read_dir(folder.join("task")).ok()?.flatten() {
+        let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+        cpu += text.split_whitespace().next()?.parse::<u64>().ok()?;
+    }
+    let status = std::fs::read_to_string(folder.join("status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let resident_kb = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+    let descriptors = std::fs::read_dir(folder.join("fd")).ok()?.count() as u32;
+    Some(Usage { cpu: Duration::from_nanos(cpu), resident_kb, descriptors })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_system_tells_of_this_very_process() {
+        let before = usage(std::process::id()).expect("told");
+        let mut sum = 0u64;
+        while usage(std::process::id()).expect("told").cpu < before.cpu + Duration::from_millis(20) {
+            sum = sum.wrapping_add((0..10_000u64).sum());
+        }
+        assert!(sum > 0 && before.resident_kb > 500 && before.descriptors >= 3);
+    }
+}
--- /dev/null
+++ b/lab/src/rules.rs
@@ -0,0 +1,290 @@
+//! Whether the rules are kept: a checker that is told all that happens, as partners and submitters see it.
+//!
+//! Owns what was told to whom and when, and what is open. It may know neither sockets nor the relay: whatever plays
+//! an experiment reports to it, in the order of time.
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use crate::model::At;
+
+/// Calls that arrive so soon after a told wait began were on their way.
+const ON_THE_WAY: Duration = Duration::from_millis(100);
+/// Nothing new goes to a draining node so long after that was told.
+const DRAIN_HEARD: Duration = Duration::from_millis(500);
+/// Ends may come so long after a deadline, measured where submitters are.
+const END_SLACK: Duration = Duration::from_millis(350);
+
+/// What a rule says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Never two claims out for one message.
+    TwoOut,
+    /// What may have run and may not be repeated is never sent again.
+    Repeated,
+    /// Nothing in a told wait.
+    InWait,
+    /// Nothing new to a draining node.
+    Draining,
+    /// A cold partner is not pushed over.
+    PushedOver,
+    /// A message goes to its own destination only.
+    Astray,
+    /// Each message taken is ended.
+    Lost,
+    /// ... and once.
+    EndedTwice,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at_s: f64,
+    pub what: String,
+}
+
+#[derive(Default)]
+struct Message {
+    dest: u64,
+    /// Until when it may be delivered.
+    deadline: At,
+    /// It may run once only.
+    once: bool,
+    taken: bool,
+    ended: bool,
+    delivered: bool,
+    may_have_run: bool,
+    out: u32,
+}
+
+/// Watches an experiment.
+#[derive(Default)]
+pub struct Checker {
+    messages: HashMap<u64, Message>,
+    /// Begin and end of the waits told, by destination.
+    waits: HashMap<u64, (At, At)>,
+    /// When nodes were told to drain.
+    drains: HashMap<u32, At>,
+    falls: HashMap<u32, u32>,
+    /// Ends that came for a message already over.
+    breaches: Vec<Breach>,
+    counts: BTreeMap<Rule, usize>,
+}
+
+/// Breaches told one by one; further ones are only counted.
+const TOLD: usize = 100;
+
+impl Checker {
+    fn broken(&mut self, rule: Rule, at: At, what: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        if self.breaches.len() < TOLD {
+            self.breaches.push(Breach { rule, at_s: at.as_secs_f64(), what });
+        }
+    }
+
+    /// A message is handed in.
+    pub fn handed_in(&mut self, msg: u64, dest: u64, deadline: At, once: bool) {
+        self.messages.insert(msg, Message { dest, deadline, once, ..Message::default() });
+    }
+
+    /// The relay has taken it on.
+    pub fn taken(&mut self, msg: u64) {
+        self.messages.entry(msg).or_default().taken = true;
+    }
+
+    /// The relay has turned it away, or nobody heard its answer: nothing is owed.
+    pub fn not_taken(&mut self, msg: u64) {
+        if let Some(message) = self.messages.get_mut(&msg).filter(|m| !m.taken) {
+            message.ended = true;
+        }
+    }
+
+    /// A call has come in whole at a node of a destination; its first byte came at `first`.
+    pub fn called(&mut self, msg: u64, node: u32, dest: u64, first: At, now: At) {
+        if let Some((from, until)) = self.waits.get(&dest).copied()
+            && now > from + ON_THE_WAY
+            && now < until
+        {
+            self.broken(Rule::InWait, now, format!("message {msg} at destination {dest}"));
+        }
+        if self.drains.get(&node).is_some_and(|told| first > *told + DRAIN_HEARD) {
+            self.broken(Rule::Draining, now, format!("message {msg} at node {node}"));
+        }
+        let Some(message) = self.messages.get_mut(&msg) else { return };
+        let (astray, two, again) =
+            (message.dest != dest, message.out > 0, message.once && message.may_have_run);
+        message.out += 1;
+        for (broken, rule) in [(astray, Rule::Astray), (two, Rule::TwoOut), (again, Rule::Repeated)] {
+            if broken {
+                self.broken(rule, now, format!("message {msg} at node {node}"));
+            }
+        }
+    }
+
+    /// A call is over: answered, or its connection has ended. `ran` says whether it may have run.
+    pub fn call_over(&mut self, msg: u64, ran: bool) {
+        if let Some(message) = self.messages.get_mut(&msg) {
+            message.out = message.out.saturating_sub(1);
+            message.may_have_run |= ran;
+        }
+    }
+
+    /// A call was answered as delivered.
+    pub fn delivered(&mut self, msg: u64) -> bool {
+        let Some(message) = self.messages.get_mut(&msg) else { return false };
+        message.ended = true;
+        !std::mem::replace(&mut message.delivered, true)
+    }
+
+    /// A node told its destination's wait.
+    pub fn told_wait(&mut self, dest: u64, now: At, wait: Duration) {
+        let until = now + wait;
+        let entry = self.waits.entry(dest).or_insert((now, until));
+        if until > entry.1 || now >= entry.1 {
+            // A longer wait goes on from the first word of it.
+            *entry = (if now < entry.1 { entry.0 } else { now }, until);
+        }
+    }
+
+    /// A node is told to drain, or to serve again.
+    pub fn drain(&mut self, node: u32, told: Option<At>) {
+        match told {
+            Some(at) => drop(self.drains.insert(node, at)),
+            None => drop(self.drains.remove(&node)),
+        }
+    }
+
+    /// A node has fallen over so often by now.
+    pub fn falls(&mut self, node: u32, falls: u32, now: At) {
+        let known = self.falls.entry(node).or_default();
+        if falls > *known {
+            *known = falls;
+            self.broken(Rule::PushedOver, now, format!("node {node}"));
+        }
+    }
+
+    /// A notice ends a message; one for a message that was delivered does no harm.
+    pub fn noticed(&mut self, msg: u64, now: At) {
+        let Some(message) = self.messages.get_mut(&msg) else { return };
+        let twice = message.ended && !message.delivered && message.taken;
+        message.ended = true;
+        if twice {
+            self.broken(Rule::EndedTwice, now, format!("message {msg}"));
+        }
+    }
+
+    /// Looks for messages whose end is overdue, and forgets those that are over.
+    pub fn look(&mut self, now: At) {
+        let overdue: Vec<u64> = self
+            .messages
+            .iter()
+            .filter(|(_, m)| m.taken && !m.ended && now > m.deadline + END_SLACK)
+            .map(|(id, _)| *id)
+            .collect();
+        for msg in overdue {
+            self.messages.get_mut(&msg).expect("just found").ended = true;
+            self.broken(Rule::Lost, now, format!("message {msg}"));
+        }
+        let kept = END_SLACK + Duration::from_secs(5);
+        self.messages.retain(|_, m| !m.ended || m.out > 0 || now < m.deadline + kept);
+    }
+
+    /// Messages taken and not ended.
+    pub fn open(&self) -> usize {
+        self.messages.values().filter(|m| m.taken && !m.ended).count()
+    }
+
+    pub fn counts(&self) -> &BTreeMap<Rule, usize> {
+        &self.counts
+    }
+
+    pub fn total(&self) -> usize {
+        self.counts.values().sum()
+    }
+
+    pub fn breaches(&self) -> &[Breach] {
+        &self.breaches
+    }
+
+    /// The messages known, for tests.
+    pub fn known(&self) -> HashSet<u64> {
+        self.messages.keys().copied().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> At {
+        Duration::from_millis(ms)
+    }
+
+    /// Plays it twice: what breaks the rule, and what does not.
+    fn broken(play: impl Fn(&mut Checker, bool)) -> [Vec<Rule>; 2] {
+        [true, false].map(|wrong| {
+            let mut checker = Checker::default();
+            checker.handed_in(1, 7, at(5000), true);
+            checker.taken(1);
+            play(&mut checker, wrong);
+            checker.counts().keys().copied().collect()
+        })
+    }
+
+    #[test]
+    fn every_breach_is_seen_and_nothing_else() {
+        let two = broken(|c, wrong| {
+            c.called(1, 1, 7, at(10), at(10));
+            if !wrong {
+                c.call_over(1, false);
+            }
+            c.called(1, 2, 7, at(20), at(20));
+        });
+        assert_eq!(two, [vec![Rule::TwoOut], vec![]]);
+        let again = broken(|c, wrong| {
+            c.called(1, 1, 7, at(10), at(10));
+            c.call_over(1, wrong);
+            c.called(1, 1, 7, at(20), at(20));
+        });
+        assert_eq!(again, [vec![Rule::Repeated], vec![]]);
+        let wait = broken(|c, wrong| {
+            c.told_wait(7, at(100), at(1000));
+            c.called(1, 1, 7, at(150), at(150));
+            c.call_over(1, false);
+            let now = at(if wrong { 600 } else { 1100 });
+            c.called(1, 1, 7, now, now);
+        });
+        assert_eq!(wait, [vec![Rule::InWait], vec![]]);
+        let drain = broken(|c, wrong| {
+            c.drain(3, Some(at(100)));
+            let first = at(if wrong { 601 } else { 600 });
+            c.called(1, 3, 7, first, at(700));
+        });
+        assert_eq!(drain, [vec![Rule::Draining], vec![]]);
+        let astray = broken(|c, wrong| c.called(1, 3, if wrong { 8 } else { 7 }, at(1), at(1)));
+        assert_eq!(astray, [vec![Rule::Astray], vec![]]);
+        let pushed = broken(|c, wrong| c.falls(3, u32::from(wrong), at(1)));
+        assert_eq!(pushed, [vec![Rule::PushedOver], vec![]]);
+        let lost = broken(|c, wrong| c.look(at(if wrong { 5351 } else { 5350 })));
+        assert_eq!(lost, [vec![Rule::Lost], vec![]]);
+        let twice = broken(|c, wrong| {
+            c.noticed(1, at(10));
+            if wrong {
+                c.noticed(1, at(20));
+            }
+        });
+        assert_eq!(twice, [vec![Rule::EndedTwice], vec![]]);
+    }
+
+    #[test]
+    fn what_is_over_is_forgotten() {
+        let mut checker = Checker::default();
+        checker.handed_in(1, 7, at(1000), false);
+        checker.taken(1);
+        assert!(checker.delivered(1) && !checker.delivered(1));
+        checker.look(at(20_000));
+        assert!(checker.known().is_empty() && checker.total() == 0);
+    }
+}
--- /dev/null
+++ b/lab/src/virtual_time.rs
@@ -0,0 +1,397 @@
+//! The same partners and load against the decision module itself, in virtual time and without sockets: an hour of
+//! silence and a hundred thousand endpoints take seconds.
+//!
+//! What sockets do is put in simply: a call takes a fixed way there and back, a partner that is gone refuses
+//! connections, and a limit on a call ends it as a time-out. The host here is the relay's core in small: it keeps
+//! drains and told waits from being broken by calls decided on before they were told, and gives up on what is
+//! answered too late.
+use slatethread::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use crate::arrivals::{Arrival, draw};
+use crate::experiment::{Event as Happening, Experiment, RelayTable};
+use crate::model::{At, Fate};
+use crate::world::{Entry, State, World};
+
+/// One way over loopback, and the connection's own.
+const WAY: Duration = Duration::from_micros(200);
+/// The module's clock starts at an hour, as the relay's does.
+const START: Duration = Duration::from_secs(3600);
+/// Time between rounds.
+const STEP: Duration = Duration::from_millis(5);
+
+/// What happens next.
+enum Next {
+    Arrival(u64, Arrival),
+    Happen(Happening, usize, f64, bool),
+    Told(Entry),
+    /// A call reaches its partner.
+    Reaches(Call),
+    /// A call's outcome is back.
+    Back(Call, Outcome),
+    /// The relay stops waiting.
+    LimitOver(Call),
+    Timer(usize, u64),
+    Round(usize),
+    Tick,
+}
+
+/// Which call of which relay.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Call {
+    relay: usize,
+    msg: u64,
+    attempt: u32,
+}
+
+/// A call that is out.
+struct Out {
+    attempt: u32,
+    endpoint: EndpointId,
+    dest: usize,
+    place: u32,
+    sent: At,
+    /// What its partner made of it, once it has arrived there.
+    fate: Option<Fate>,
+}
+
+/// A relay as far as virtual time needs one.
+struct Host {
+    courier: Courier,
+    inbox: Vec<Event>,
+    round_at: Option<At>,
+    last_round: At,
+    /// Module's number of each endpoint that was told: new for each name.
+    numbers: HashMap<(u32, u32, u32), EndpointId>,
+    places: HashMap<EndpointId, (usize, u32)>,
+    next: u32,
+    /// Calls out, by message.
+    out: HashMap<u64, Out>,
+    /// The number of each message's next attempt.
+    attempts: HashMap<u64, u32>,
+    fresh: Vec<u64>,
+    decided: HashMap<u64, bool>,
+}
+
+pub struct Play {
+    pub world: World,
+    hosts: Vec<Host>,
+    queue: BinaryHeap<Reverse<(At, u64)>>,
+    events: HashMap<u64, Next>,
+    count: u64,
+    now: At,
+}
+
+/// The settings that the relay would be told.
+pub fn settings(table: &RelayTable) -> Settings {
+    let millis = |ms: u64| ms * 1_000_000;
+    let class = |aim, give_up, effect, late, credit| Class {
+        aim: millis(aim),
+        give_up: millis(give_up),
+        effect,
+        late_worth: Some(late),
+        credit: Some(credit),
+        ..Class::default()
+    };
+    let own = table.own.get("idle").and_then(|idle| idle.get("cold_after_s"));
+    Settings {
+        couriers: Some(table.count as u32),
+        step: Some(STEP.as_nanos() as u64),
+        classes: vec![
+            class(1000, 6000, Effect::Safe, 0.0, 1.0),
+            class(4000, 28_000, Effect::Unsafe, 0.3, 2.0),
+        ],
+        kinds: vec![Kind { apart: Some(false), bundle: Some(1) }],
+        slots: Some(table.slots),
+        max_held: Some(table.held),
+        max_tries: Some(8),
+        max_backoff: Some(millis(3000)),
+        idle_close: Some(millis(table.idle_close_ms)),
+        dial_timeout: Some(millis(1500)),
+        backoff_told: true,
+        weights: if table.weights { Weights::Exact } else { Weights::Nothing },
+        cold_after: own.and_then(|s| s.as_integer()).map(|s| millis(s as u64 * 1000)),
+        rules: Rules {
+            cold: Some(millis(14_000)),
+            cold_share: Some(0.18),
+            fall_multiple: Some(2.0),
+            fall: Some(millis(3000)),
+            must_ask_in: Some(millis(table.must_ask_in_ms)),
+            order_settle: None,
+        },
+        ..Settings::default()
+    }
+}
+
+impl Play {
+    /// Plays an experiment with so many destinations listed.
+    pub fn run(experiment: &Experiment, dests: usize, seed: u64) -> Play {
+        let hosts = (0..experiment.relay.count).map(|n| Host {
+            courier: Courier::new(settings(&experiment.relay), seed ^ (n as u64) << 32),
+            inbox: Vec::new(),
+            round_at: None,
+            last_round: At::ZERO,
+            numbers: HashMap::new(),
+            places: HashMap::new(),
+            next: 0,
+            out: HashMap::new(),
+            attempts: HashMap::new(),
+            fresh: Vec::new(),
+            decided: HashMap::new(),
+        });
+        let mut play = Play {
+            world: World::new(experiment, dests, seed),
+            hosts: hosts.collect(),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            count: 0,
+            now: At::ZERO,
+        };
+        let list: Vec<_> = play.world.list().collect();
+        for relay in 0..play.hosts.len() {
+            let entries = list.iter().map(|e| play.hosts[relay].entry(e, START)).collect();
+            play.hosts[relay].inbox.push(Event::List { scope: ListScope::Whole, entries });
+            play.wake(relay);
+        }
+        let begin = Duration::from_secs(1);
+        for (n, arrival) in draw(&experiment.load, experiment.seconds, dests, seed).into_iter().enumerate() {
+            play.at(begin + arrival.at, Next::Arrival(n as u64 + 1, arrival));
+        }
+        for t in &experiment.troubles {
+            let at = begin + Duration::from_secs_f64(t.at_s);
+            play.at(at, Next::Happen(t.kind, t.dest, t.for_s, t.unlisted));
+        }
+        let end = begin + Duration::from_secs_f64(experiment.seconds) + Duration::from_secs(35);
+        play.at(Duration::from_secs(1), Next::Tick);
+        let late = Duration::from_secs_f64(experiment.list.late_s);
+        while let Some(Reverse((at, id))) = play.queue.pop() {
+            if at > end {
+                break;
+            }
+            play.now = at;
+            if let Some(next) = play.events.remove(&id) {
+                play.happen(next, late);
+            }
+        }
+        play.world.tick(end);
+        play
+    }
+
+    /// What all couriers keep just now.
+    pub fn kept(&self) -> Kept {
+        self.hosts[0].courier.kept()
+    }
+
+    fn at(&mut self, at: At, next: Next) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.events.insert(self.count, next);
+    }
+
+    fn wake(&mut self, relay: usize) {
+        let host = &mut self.hosts[relay];
+        if host.round_at.is_none() {
+            let at = (host.last_round + STEP).max(self.now);
+            host.round_at = Some(at);
+            self.at(at, Next::Round(relay));
+        }
+    }
+
+    fn tell(&mut self, relay: usize, event: Event) {
+        self.hosts[relay].inbox.push(event);
+        self.wake(relay);
+    }
+
+    fn happen(&mut self, next: Next, late: Duration) {
+        let now = self.now;
+        match next {
+            Next::Tick => {
+                self.world.tick(now);
+                self.at(now + Duration::from_secs(1), Next::Tick);
+            }
+            Next::Arrival(msg, arrival) => {
+                let relay = msg as usize % self.hosts.len();
+                self.world.hand_in(msg, arrival.dest, now, arrival.patience, arrival.order);
+                self.hosts[relay].fresh.push(msg);
+                self.tell(
+                    relay,
+                    Event::Request(Request {
+                        msg: MsgId(msg as u32),
+                        dest: DestId(arrival.dest as u64),
+                        class: ClassId(usize::from(arrival.order)),
+                        tenant: None,
+                        key: None,
+                        patience: arrival.patience.as_nanos() as u64,
+                        retry: false,
+                        reconnect: false,
+                        tries: 0,
+                        risk: None,
+                    }),
+                );
+            }
+            Next::Happen(event, dest, seconds, unlisted) => {
+                for (at, entry) in self.world.happen(now, event, dest, seconds, unlisted) {
+                    self.at(at + late, Next::Told(entry));
+                }
+            }
+            Next::Told(entry) => {
+                let draining = (entry.state == State::Draining).then_some(now);
+                if entry.state != State::Gone {
+                    self.world.checker.drain(entry.place, draining);
+                }
+                for relay in 0..self.hosts.len() {
+                    let listed = self.hosts[relay].entry(&entry, START);
+                    self.tell(relay, Event::List { scope: ListScope::Patch, entries: vec![listed] });
+                }
+            }
+            Next::Reaches(call) => self.reaches(call),
+            Next::Back(call, outcome) => self.closed(call, outcome),
+            Next::LimitOver(call) => self.closed(call, Outcome::Timeout),
+            Next::Timer(relay, nonce) => self.tell(relay, Event::Timer { nonce }),
+            Next::Round(relay) => self.round(relay),
+        }
+    }
+
+    fn reaches(&mut self, call: Call) {
+        let now = self.now;
+        let Some(out) = self.hosts[call.relay].out(call) else { return };
+        let (dest, place) = (out.dest, out.place);
+        if self.world.partner(dest, place).is_gone(now) {
+            return self.at(now + WAY, Next::Back(call, Outcome::ConnectFailed));
+        }
+        let fate = self.world.call(call.msg, dest, place, now, now);
+        self.hosts[call.relay].out(call).expect("just seen").fate = Some(fate);
+        let (after, outcome) = match fate {
+            Fate::Served(after) => (after, Outcome::Ok),
+            Fate::Failed => (Duration::ZERO, Outcome::Error),
+            Fate::Full(wait) => (Duration::ZERO, Outcome::Full { wait: wait.map(|w| w.as_nanos() as u64) }),
+            Fate::Lost => (Duration::ZERO, Outcome::Reset),
+            Fate::Silent => return,
+        };
+        self.at(now + after + WAY, Next::Back(call, outcome));
+    }
+
+    /// A call is over for the relay, unless it was over before.
+    fn closed(&mut self, call: Call, outcome: Outcome) {
+        let now = self.now;
+        let host = &mut self.hosts[call.relay];
+        if host.out(call).is_none() {
+            return;
+        }
+        let out = host.out.remove(&call.msg).expect("just seen");
+        let heard = !matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
+        if let Some(fate) = out.fate {
+            self.world.call_over(call.msg, out.dest, now, Some(fate).filter(|_| heard));
+        }
+        // What never arrived at its partner is not out there, and was never sent for all that it knows.
+        let outcome = match outcome {
+            Outcome::Timeout if out.fate.is_none() => Outcome::ConnectFailed,
+            Outcome::Cancelled if out.fate.is_none() => Outcome::Moot,
+            outcome => outcome,
+        };
+        if outcome == Outcome::Ok {
+            host_over(&mut self.hosts[call.relay], call.msg);
+        }
+        let event = Event::Closed {
+            msg: MsgId(call.msg as u32),
+            attempt: call.attempt,
+            endpoint: out.endpoint,
+            outcome,
+            latency: (now - out.sent).as_nanos() as u64,
+            no_more: outcome == Outcome::Ok,
+            report: Report::default(),
+        };
+        self.tell(call.relay, event);
+    }
+
+    fn round(&mut self, relay: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[relay];
+        (host.round_at, host.last_round) = (None, now);
+        let events = std::mem::take(&mut host.inbox);
+        let mut actions = Vec::new();
+        host.courier.on_round((START + now).as_nanos() as u64, &events, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { msg, endpoint, limit } => {
+                    let msg = u64::from(msg.0);
+                    let host = &mut self.hosts[relay];
+                    let next = host.attempts.entry(msg).or_default();
+                    let call = Call { relay, msg, attempt: *next };
+                    *next += 1;
+                    let (dest, place) = host.places[&endpoint];
+                    let out = Out { attempt: call.attempt, endpoint, dest, place, sent: now, fate: None };
+                    host.out.insert(msg, out);
+                    self.at(now + WAY, Next::Reaches(call));
+                    self.at(now + Duration::from_nanos(limit), Next::LimitOver(call));
+                }
+                Action::Refuse { msg, .. } => self.ended(relay, u64::from(msg.0), true),
+                Action::Fail { msg } => self.ended(relay, u64::from(msg.0), false),
+                Action::Cancel { msg, attempt } => {
+                    let msg = u64::from(msg.0);
+                    // The relay closes the connection; what ran has run.
+                    self.closed(Call { relay, msg, attempt }, Outcome::Cancelled);
+                }
+                Action::SetTimer { nonce, after } => {
+                    self.at(now + Duration::from_nanos(after), Next::Timer(relay, nonce));
+                }
+                _ => {}
+            }
+        }
+        let fresh = std::mem::take(&mut self.hosts[relay].fresh);
+        for msg in fresh {
+            // What was not refused in its first round is taken on.
+            if self.hosts[relay].decided.remove(&msg).is_none() {
+                self.world.answer(msg, now, Some(true));
+            }
+        }
+    }
+
+    fn ended(&mut self, relay: usize, msg: u64, returned: bool) {
+        let now = self.now;
+        host_over(&mut self.hosts[relay], msg);
+        if self.hosts[relay].fresh.contains(&msg) {
+            self.hosts[relay].decided.insert(msg, returned);
+            self.world.answer(msg, now, Some(false));
+        } else {
+            self.world.notice(msg, now, returned);
+        }
+    }
+}
+
+/// A message is over: its attempts are counted no more.
+fn host_over(host: &mut Host, msg: u64) {
+    host.attempts.remove(&msg);
+}
+
+impl Host {
+    /// A call, if it is still out.
+    fn out(&mut self, call: Call) -> Option<&mut Out> {
+        self.out.get_mut(&call.msg).filter(|out| out.attempt == call.attempt)
+    }
+
+    /// An entry as the module has it, with a number that is new for each name.
+    fn entry(&mut self, entry: &Entry, start: Duration) -> Endpoint {
+        let key = (entry.place, entry.generation, entry.moved);
+        let id = *self.numbers.entry(key).or_insert_with(|| {
+            self.next += 1;
+            EndpointId(self.next)
+        });
+        self.places.insert(id, (entry.dest, entry.place));
+        Endpoint {
+            id,
+            dest: DestId(entry.dest as u64),
+            zone: ZoneId(0),
+            kind: KindId(0),
+            condition: match entry.state {
+                State::Serving => Condition::Active,
+                State::Draining => Condition::Leaving,
+                State::Gone => Condition::Left,
+            },
+            weight: entry.weight,
+            started: entry.started.map_or(0, |at| (start + at).as_nanos() as u64),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/world.rs
@@ -0,0 +1,309 @@
+//! What an experiment's partners, list and submitters share: the partners as they are, who is listed, the checker of
+//! the rules and the record. Free of sockets; whatever plays the experiment calls it with the time.
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use crate::experiment::{Event, Experiment};
+use crate::model::{At, Fate, Partner, Trouble};
+use crate::record::{Called, Record};
+use crate::rules::Checker;
+
+/// An endpoint as the list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The endpoint's place among all.
+    pub place: u32,
+    pub dest: usize,
+    /// New with each replacement.
+    pub generation: u32,
+    /// New with each move.
+    pub moved: u32,
+    pub state: State,
+    /// Calls a second, if told.
+    pub weight: Option<f64>,
+    /// When it last started, if that is told and not long ago.
+    pub started: Option<At>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Serving,
+    Draining,
+    Gone,
+}
+
+impl Entry {
+    pub fn name(&self) -> String {
+        match self.generation {
+            0 => format!("n{}", self.place),
+            generation => format!("n{}-{generation}", self.place),
+        }
+    }
+}
+
+/// Endpoints have addresses in 127/8 in their order; those that move have others, further on.
+const FIRST: u32 = 0x7f10_0001;
+const MOVED: u32 = 1 << 22;
+const MOVES: u32 = 3;
+
+/// An endpoint's address.
+pub fn address(place: u32, moved: u32, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(FIRST + place + MOVED * (moved % MOVES)), port))
+}
+
+/// The endpoint at an address.
+pub fn place(address: Ipv4Addr) -> Option<u32> {
+    Some(u32::from(address).checked_sub(FIRST)? % MOVED)
+}
+
+/// A change of the list, and when it is told.
+pub type Told = (At, Entry);
+
+/// A message on its way.
+#[derive(Clone, Copy, Debug)]
+struct OnItsWay {
+    intended: At,
+    deadline: At,
+}
+
+pub struct World {
+    pub checker: Checker,
+    pub record: Record,
+    /// Only of endpoints that were called or had something happen to them.
+    partners: HashMap<u32, Partner>,
+    /// Entries that differ from the plain one.
+    entries: HashMap<u32, Entry>,
+    messages: HashMap<u64, OnItsWay>,
+    experiment: Experiment,
+    /// Destinations listed.
+    pub dests: usize,
+    seed: u64,
+}
+
+impl World {
+    pub fn new(experiment: &Experiment, dests: usize, seed: u64) -> Self {
+        World {
+            checker: Checker::default(),
+            record: Record::default(),
+            partners: HashMap::new(),
+            entries: HashMap::new(),
+            messages: HashMap::new(),
+            experiment: experiment.clone(),
+            dests,
+            seed,
+        }
+    }
+
+    /// The endpoints of a destination: those of one kind stand in a row.
+    pub fn places(&self, dest: usize) -> std::ops::Range<u32> {
+        let (mut first, mut left) = (0, dest);
+        for partners in &self.experiment.partners {
+            if left < partners.count {
+                let begin = first + left * partners.endpoints;
+                return begin as u32..(begin + partners.endpoints) as u32;
+            }
+            first += partners.count * partners.endpoints;
+            left -= partners.count;
+        }
+        let endpoints = self.experiment.partners.last().map_or(1, |p| p.endpoints);
+        let begin = first + left * endpoints;
+        begin as u32..(begin + endpoints) as u32
+    }
+
+    /// An endpoint as it would be listed now.
+    pub fn entry(&self, dest: usize, place: u32) -> Entry {
+        let partners = self.experiment.partners_of(dest);
+        let weight = self.experiment.relay.weights.then(|| partners.nature.rate * partners.endpoints as f64);
+        let plain =
+            Entry { place, dest, generation: 0, moved: 0, state: State::Serving, weight, started: None };
+        self.entries.get(&place).cloned().unwrap_or(plain)
+    }
+
+    /// The whole list.
+    pub fn list(&self) -> impl Iterator<Item = Entry> {
+        (0..self.dests).flat_map(move |dest| self.places(dest).map(move |place| self.entry(dest, place)))
+    }
+
+    pub fn partner(&mut self, dest: usize, place: u32) -> &mut Partner {
+        let nature = &self.experiment.partners_of(dest).nature;
+        let seed = self.seed ^ u64::from(place).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        self.partners.entry(place).or_insert_with(|| Partner::new(nature.clone(), seed))
+    }
+
+    /// Carries out what the file has happen; gives what the list has to tell, and when.
+    pub fn happen(&mut self, now: At, event: Event, dest: usize, seconds: f64, unlisted: bool) -> Vec<Told> {
+        let until = now + Duration::from_secs_f64(seconds);
+        let starts = self.experiment.list.starts;
+        let mut told = Vec::new();
+        for place in self.places(dest) {
+            let mut entry = self.entry(dest, place);
+            let gone = Entry { state: State::Gone, ..entry.clone() };
+            let partner = self.partner(dest, place);
+            match event {
+                Event::Trouble(trouble) => {
+                    partner.begin(trouble, until);
+                    if trouble == Trouble::Down {
+                        partner.start(until);
+                    }
+                    continue;
+                }
+                Event::Drain => {
+                    let draining = Entry { state: State::Draining, ..entry.clone() };
+                    // It serves on while it drains: its trouble begins at the end.
+                    partner.begin_at(Trouble::Down, until, until + Duration::from_secs(86_400));
+                    told.push((now, draining));
+                    told.push((until, gone));
+                    continue;
+                }
+                Event::Restart => {}
+                Event::Replace => entry.generation += 1,
+                Event::Move => entry.moved += 1,
+            }
+            partner.begin(Trouble::Down, until);
+            partner.start(until);
+            entry.started = starts.then_some(until);
+            self.entries.insert(place, entry.clone());
+            if !unlisted {
+                told.push((now, gone));
+                told.push((until, entry));
+            }
+        }
+        told
+    }
+
+    /// A message is handed in at `intended`, for a destination.
+    pub fn hand_in(&mut self, msg: u64, dest: usize, intended: At, patience: Duration, order: bool) {
+        let deadline = intended + patience;
+        self.checker.handed_in(msg, dest as u64, deadline, order);
+        self.messages.insert(msg, OnItsWay { intended, deadline });
+        self.record.second(intended).handed_in += 1;
+    }
+
+    /// The relay's answer: taken on, refused, or none in time.
+    pub fn answer(&mut self, msg: u64, now: At, answer: Option<bool>) {
+        let Some(intended) = self.messages.get(&msg).map(|m| m.intended) else { return };
+        let second = self.record.second(now);
+        match answer {
+            Some(true) => second.taken += 1,
+            Some(false) => second.refused += 1,
+            None => second.unanswered += 1,
+        }
+        if answer.is_some() {
+            self.record.answered(now.saturating_sub(intended));
+        }
+        if answer == Some(true) {
+            self.checker.taken(msg);
+        } else {
+            self.checker.not_taken(msg);
+            self.messages.remove(&msg);
+        }
+    }
+
+    /// A call has come in whole; gives what becomes of it.
+    pub fn call(&mut self, msg: u64, dest: usize, place: u32, first: At, now: At) -> Fate {
+        self.checker.called(msg, place, dest as u64, first, now);
+        let partner = self.partner(dest, place);
+        let fate = partner.call(now);
+        let (takes, falls) = (partner.takes(now), partner.falls);
+        self.checker.falls(place, falls, now);
+        let what = match fate {
+            Fate::Served(_) => Called::Served,
+            Fate::Full(_) => Called::TurnedAway,
+            Fate::Failed | Fate::Lost | Fate::Silent => Called::Broken,
+        };
+        self.record.called(now, dest, what, takes);
+        fate
+    }
+
+    /// A call is over, with its fate as far as that came about; `None` if the caller gave up before.
+    pub fn call_over(&mut self, msg: u64, dest: usize, now: At, fate: Option<Fate>) {
+        match fate {
+            Some(Fate::Full(wait)) => {
+                self.checker.call_over(msg, false);
+                if let Some(wait) = wait {
+                    self.checker.told_wait(dest as u64, now, wait);
+                }
+            }
+            Some(Fate::Served(_)) => {
+                self.checker.call_over(msg, true);
+                let message = self.messages.get(&msg).copied();
+                if self.checker.delivered(msg)
+                    && let Some(message) = message.filter(|m| now <= m.deadline)
+                {
+                    self.record.delivered(now, now.saturating_sub(message.intended));
+                }
+                self.messages.remove(&msg);
+            }
+            _ => self.checker.call_over(msg, true),
+        }
+    }
+
+    /// The relay has ended a message by a notice.
+    pub fn notice(&mut self, msg: u64, now: At, returned: bool) {
+        self.checker.noticed(msg, now);
+        let second = self.record.second(now);
+        if returned { second.returned += 1 } else { second.failed += 1 }
+        self.messages.remove(&msg);
+    }
+
+    /// To be called once a second.
+    pub fn tick(&mut self, now: At) {
+        self.checker.look(now);
+        let open = self.checker.open() as u32;
+        self.record.second(now).open = open;
+        let old = now.saturating_sub(Duration::from_secs(60));
+        self.messages.retain(|_, m| m.deadline > old);
+    }
+
+    pub fn partners_seen(&self) -> usize {
+        self.partners.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn world() -> World {
+        let text = "name = \"w\"\nseconds = 9.0\n[relay]\nweights = true\n[list]\nstarts = true\n[[partners]]\ncount = 2\n\
+                    endpoints = 3\n[[partners]]\ncount = 1\n[load]\nrate = 1.0\n";
+        World::new(&Experiment::parse(text).expect("sound"), 5, 1)
+    }
+
+    #[test]
+    fn endpoints_have_places_and_addresses_of_their_own() {
+        let world = world();
+        assert_eq!(world.places(1), 3..6);
+        assert_eq!((world.places(2), world.places(4)), (6..7, 8..9));
+        assert_eq!(world.list().count(), 9);
+        let all: std::collections::HashSet<_> =
+            (0..9).flat_map(|p| (0..3).map(move |m| address(p, m, 1))).collect();
+        assert_eq!(all.len(), 27);
+        for place_ in 0..9 {
+            for moved in 0..3 {
+                let std::net::IpAddr::V4(ip) = address(place_, moved, 1).ip() else { panic!("v4") };
+                assert!(ip.is_loopback());
+                assert_eq!(place(ip), Some(place_));
+            }
+        }
+    }
+
+    #[test]
+    fn what_happens_is_told_and_a_return_is_cold() {
+        let mut world = world();
+        let at = Duration::from_secs;
+        let told = world.happen(at(10), Event::Replace, 2, 5.0, false);
+        assert_eq!(told.iter().map(|(t, e)| (*t, e.state, e.generation)).collect::<Vec<_>>(), [
+            (at(10), State::Gone, 0),
+            (at(15), State::Serving, 1)
+        ]);
+        assert_eq!(told[1].1.started, Some(at(15)));
+        assert!(world.partner(2, 6).is_gone(at(14)) && !world.partner(2, 6).is_gone(at(15)));
+        assert!(world.partner(2, 6).is_cold(at(16)));
+        assert!(world.happen(at(20), Event::Restart, 2, 1.0, true).is_empty());
+        let told = world.happen(at(30), Event::Drain, 0, 4.0, false);
+        assert_eq!(told.len(), 6);
+        assert!(!world.partner(0, 0).is_gone(at(33)) && world.partner(0, 0).is_gone(at(35)));
+    }
+}
