Laboratory: one open loop for both fronts, one statement of the relay's settings

Cause: read once more, the laboratory had the loop that hands messages in twice (load.rs, push.rs), the platform's settings twice (as JSON for the relay, as values for virtual time), the walk over the partners twice, a map of refused messages that could be derived, and parts that nothing called.

Change: load::play serves both fronts through a trait; virtual time reads the settings that the relay is told; Experiment::locate serves places and natures; a call that nobody waits for ends in one place. Gone: Partner::chance, World::partners_seen, Relay::kill, Submitters::opened, the map of decided messages. No test changed.

--- a/lab/src/arrivals.rs
+++ b/lab/src/arrivals.rs
@@ -65,6 +65,13 @@
     pub patience: Duration,
 }
 
+impl Arrival {
+    /// The name of its class.
+    pub fn class(&self) -> &'static str {
+        if self.order { "order" } else { "notice" }
+    }
+}
+
 /// All messages of an experiment, in the order of time. `dests` is how many destinations there are.
 pub fn draw(load: &Load, seconds: f64, dests: usize, seed: u64) -> Vec<Arrival> {
     let mut random = StdRng::seed_from_u64(seed);
--- a/lab/src/emulator.rs
+++ b/lab/src/emulator.rs
@@ -299,16 +299,14 @@
                         }
                     }
                 };
-                tokio::select! {
-                    () = tokio::time::sleep(after) => {}
-                    () = reader.ended() => {
-                        over(None);
-                        return false;
-                    }
-                    () = gone => {
-                        over(None);
-                        return false;
-                    }
+                let done = tokio::select! {
+                    () = tokio::time::sleep(after) => true,
+                    () = reader.ended() => false,
+                    () = gone => false,
+                };
+                if !done {
+                    over(None);
+                    return false;
                 }
                 let written = reader.answer(200, &[], b"ok").await.is_ok();
                 over(Some(fate).filter(|_| written));
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -261,17 +261,24 @@
         self.partners.iter().map(|p| p.count * p.endpoints).sum()
     }
 
-    /// The partners that a destination is of.
-    pub fn partners_of(&self, dest: usize) -> &Partners {
-        let mut left = dest;
-        for partners in &self.partners {
+    /// The place of a destination's first endpoint, and the partners that it is of. Those of one kind stand in a row;
+    /// what sizes list beyond the file's own is of the last kind.
+    pub fn locate(&self, dest: usize) -> (usize, &Partners) {
+        let (mut first, mut left) = (0, dest);
+        let (last, others) = self.partners.split_last().expect("checked");
+        for partners in others {
             if left < partners.count {
-                return partners;
+                return (first + left * partners.endpoints, partners);
             }
+            first += partners.count * partners.endpoints;
             left -= partners.count;
         }
-        // Beyond the file's own: sizes list more of the last kind.
-        self.partners.last().expect("checked")
+        (first + left * last.endpoints, last)
+    }
+
+    /// The partners that a destination is of.
+    pub fn partners_of(&self, dest: usize) -> &Partners {
+        self.locate(dest).1
     }
 }
 
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -5,7 +5,8 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,21 +22,24 @@
 
 type Connection = http1::SendRequest<Full<Bytes>>;
 
-/// The submitters of one relay.
+/// The submitters of one relay, on either front.
+pub trait Submitter: 'static {
+    /// What a front's way of telling a deadline may add to it.
+    const GRACE: Duration;
+    /// Hands one message in; whether it was taken on, if that was heard.
+    fn hand_in(&self, msg: u64, arrival: &Arrival, intended: Instant) -> impl Future<Output = Option<bool>>;
+}
+
+/// The submitters of one relay on the platform's front.
 pub struct Submitters {
     relay: SocketAddr,
     idle: RefCell<Vec<Connection>>,
-    world: Rc<RefCell<World>>,
-    start: Instant,
     body: Bytes,
-    /// Connections that were opened.
-    pub opened: Cell<u32>,
 }
 
 impl Submitters {
-    pub fn new(relay: SocketAddr, world: Rc<RefCell<World>>, start: Instant, body: usize) -> Rc<Self> {
-        let body = Bytes::from(vec![b'x'; body]);
-        Rc::new(Submitters { relay, idle: RefCell::default(), world, start, body, opened: Cell::new(0) })
+    pub fn new(relay: SocketAddr, body: usize) -> Rc<Self> {
+        Rc::new(Submitters { relay, idle: RefCell::default(), body: Bytes::from(vec![b'x'; body]) })
     }
 
     async fn connection(&self) -> Option<Connection> {
@@ -49,16 +53,18 @@
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         spawn_local(async move { drop(connection.await) });
-        self.opened.set(self.opened.get() + 1);
         Some(sender)
     }
+}
+
+impl Submitter for Submitters {
+    const GRACE: Duration = Duration::ZERO;
 
-    /// Hands one message in; whether it was taken on, if that was heard.
     async fn hand_in(&self, msg: u64, arrival: &Arrival, intended: Instant) -> Option<bool> {
         let call = async {
             let mut connection = self.connection().await?;
             let left = arrival.patience.saturating_sub(intended.elapsed());
-            let class = if arrival.order { "order" } else { "notice" };
+            let class = arrival.class();
             let request = Request::post(format!("/{class}"))
                 .header("host", "relay")
                 .header("x-request-id", format!("m{msg}"))
@@ -76,19 +82,27 @@
         let status = timeout(ANSWER_TIME, call).await.ok().flatten()?;
         Some(matches!(status, StatusCode::OK | StatusCode::ACCEPTED))
     }
+}
 
-    /// Hands all messages in, each at its time, with numbers from `first` on.
-    pub async fn play(self: Rc<Self>, arrivals: Vec<(u64, Arrival)>, begin: Instant) {
-        for (msg, arrival) in arrivals {
-            let intended = begin + arrival.at;
-            sleep_until(intended.into()).await;
-            let this = self.clone();
-            spawn_local(async move {
-                let at = intended.saturating_duration_since(this.start);
-                this.world.borrow_mut().hand_in(msg, arrival.dest, at, arrival.patience, arrival.order);
-                let answer = this.hand_in(msg, &arrival, intended).await;
-                this.world.borrow_mut().answer(msg, this.start.elapsed(), answer);
-            });
-        }
+/// Hands all messages in, each at its time and whatever became of those before it, and reports to the world whose clock
+/// began at `start`.
+pub async fn play<S: Submitter>(
+    submitters: Rc<S>,
+    world: Rc<RefCell<World>>,
+    start: Instant,
+    arrivals: Vec<(u64, Arrival)>,
+    begin: Instant,
+) {
+    for (msg, arrival) in arrivals {
+        let intended = begin + arrival.at;
+        sleep_until(intended.into()).await;
+        let (submitters, world) = (submitters.clone(), world.clone());
+        spawn_local(async move {
+            let at = intended.saturating_duration_since(start);
+            let patience = arrival.patience + S::GRACE;
+            world.borrow_mut().hand_in(msg, arrival.dest, at, patience, arrival.order);
+            let answer = submitters.hand_in(msg, &arrival, intended).await;
+            world.borrow_mut().answer(msg, start.elapsed(), answer);
+        });
     }
 }
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -4,8 +4,8 @@
 //! virtual world play the same model. A partner works off its queue at a rate that grows while it warms; what would
 //! have to wait behind a full queue is turned away; what is pushed at it past a multiple of what it can do just
 //! then, for as long as the rules say, makes it fall over.
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -275,11 +275,6 @@
         }
         Fate::Served(wait + Duration::from_secs_f64(own.min(3600.0)))
     }
-
-    /// A number from the partner's own seed.
-    pub fn chance(&mut self) -> f64 {
-        self.random.random()
-    }
 }
 
 #[cfg(test)]
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -13,7 +13,7 @@
 use crate::discovery::Discovery;
 use crate::emulator::Emulator;
 use crate::experiment::{Event, Experiment, Front};
-use crate::load::Submitters;
+use crate::load;
 use crate::model::Trouble;
 use crate::push;
 use crate::record::{Second, Taken};
@@ -151,13 +151,13 @@
     }
     let before = sum(&relays);
     for (relay, arrivals) in relays.iter().zip(arrivals) {
-        let (body, world) = (experiment.load.body, world.clone());
+        let (body, lines) = (experiment.load.body, experiment.load.connections);
         if push {
-            let lines = experiment.load.connections;
-            let submitters = push::Submitters::new(relay.address, world, began, body, lines);
-            spawn_local(submitters.play(arrivals, begin));
+            let submitters = push::Submitters::new(relay.address, world.clone(), body, lines);
+            spawn_local(load::play(submitters, world.clone(), began, arrivals, begin));
         } else {
-            spawn_local(Submitters::new(relay.address, world, began, body).play(arrivals, begin));
+            let submitters = load::Submitters::new(relay.address, body);
+            spawn_local(load::play(submitters, world.clone(), began, arrivals, begin));
         }
     }
     for at in experiment.list.told_at.clone() {
--- a/lab/src/push.rs
+++ b/lab/src/push.rs
@@ -12,11 +12,12 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::timeout;
 use toml::{Table, Value};
 
 use crate::arrivals::Arrival;
 use crate::experiment::Experiment;
+use crate::load::Submitter;
 use crate::model::{At, Fate};
 use crate::number;
 use crate::world::{World, address};
@@ -207,21 +208,14 @@
     lines: RefCell<Vec<Option<client::SendRequest<Bytes>>>>,
     next: Cell<usize>,
     world: Rc<RefCell<World>>,
-    start: Instant,
     body: Bytes,
 }
 
 impl Submitters {
-    pub fn new(
-        relay: SocketAddr,
-        world: Rc<RefCell<World>>,
-        start: Instant,
-        body: usize,
-        lines: usize,
-    ) -> Rc<Self> {
+    pub fn new(relay: SocketAddr, world: Rc<RefCell<World>>, body: usize, lines: usize) -> Rc<Self> {
         let body = Bytes::from(vec![b'x'; body]);
         let lines = RefCell::new(vec![None; lines.max(1)]);
-        Rc::new(Submitters { relay, lines, next: Cell::new(0), world, start, body })
+        Rc::new(Submitters { relay, lines, next: Cell::new(0), world, body })
     }
 
     /// The next connection by turns, opened where it is not.
@@ -241,12 +235,17 @@
         self.lines.borrow_mut()[place] = Some(line.clone());
         line.ready().await.ok()
     }
+}
+
+impl Submitter for Submitters {
+    /// Times to live are whole seconds, rounded.
+    const GRACE: Duration = Duration::from_millis(500);
 
     async fn hand_in(&self, msg: u64, arrival: &Arrival, intended: Instant) -> Option<bool> {
         let call = async {
             let mut line = self.line().await?;
             let left = arrival.patience.saturating_sub(intended.elapsed());
-            let class = if arrival.order { "order" } else { "notice" };
+            let class = arrival.class();
             let request = Request::post(format!("http://{}/{class}/{}/m{msg}", self.relay, arrival.dest))
                 .header("ttl", left.as_secs_f64().round().max(1.0) as u64)
                 .body(())
@@ -263,21 +262,4 @@
         };
         timeout(ANSWER_TIME, call).await.ok().flatten()
     }
-
-    /// Hands all messages in, each at its time.
-    pub async fn play(self: Rc<Self>, arrivals: Vec<(u64, Arrival)>, begin: Instant) {
-        for (msg, arrival) in arrivals {
-            let intended = begin + arrival.at;
-            sleep_until(intended.into()).await;
-            let this = self.clone();
-            spawn_local(async move {
-                let at = intended.saturating_duration_since(this.start);
-                // Times to live are whole seconds, rounded.
-                let patience = arrival.patience + Duration::from_millis(500);
-                this.world.borrow_mut().hand_in(msg, arrival.dest, at, patience, arrival.order);
-                let answer = this.hand_in(msg, &arrival, intended).await;
-                this.world.borrow_mut().answer(msg, this.start.elapsed(), answer);
-            });
-        }
-    }
 }
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -48,6 +48,31 @@
     Ok(program)
 }
 
+/// The settings that the platform would tell, on sockets and in virtual time alike.
+pub fn settings(table: &RelayTable) -> Value {
+    json!({
+        "step": 5_000_000u64,
+        "categories": [
+            {"name": "notice", "aim": 1_000_000_000u64, "give_up": 6_000_000_000u64, "effect": "read_like",
+             "late_worth": 0.0, "credit": 1.0},
+            {"name": "order", "aim": 4_000_000_000u64, "give_up": 28_000_000_000u64,
+             "effect": "non_idempotent", "late_worth": 0.3, "credit": 2.0}
+        ],
+        "extra": {"max_calls": table.slots, "own_limits": [false], "bundle_max": [1]},
+        "zone": "a", "zones": ["a"], "shapes": ["m"], "replicas_of_me": table.count,
+        "membership_mode": "subscribe", "weights": if table.weights { "nominal" } else { "none" },
+        "policy_limits": {
+            "most_tries": 8, "most_held": table.held, "max_retry_after": 3_000_000_000u64,
+            "idle_close": table.idle_close_ms * 1_000_000, "dial_timeout": 1_500_000_000u64,
+            "retry_after": true
+        },
+        "rules": {
+            "cold": 14_000_000_000u64, "cold_share": 0.18, "fall": 3_000_000_000u64, "fall_multiple": 2.0,
+            "must_ask_in": table.must_ask_in_ms * 1_000_000
+        }
+    })
+}
+
 /// What the platform would tell a relay.
 pub fn configuration(
     table: &RelayTable,
@@ -60,27 +85,7 @@
         "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{seed:x}"),
         "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": table.sockets, "disk_mb": table.disk_mb},
-        "settings": {
-            "step": 5_000_000u64,
-            "categories": [
-                {"name": "notice", "aim": 1_000_000_000u64, "give_up": 6_000_000_000u64, "effect": "read_like",
-                 "late_worth": 0.0, "credit": 1.0},
-                {"name": "order", "aim": 4_000_000_000u64, "give_up": 28_000_000_000u64,
-                 "effect": "non_idempotent", "late_worth": 0.3, "credit": 2.0}
-            ],
-            "extra": {"max_calls": table.slots, "own_limits": [false], "bundle_max": [1]},
-            "zone": "a", "zones": ["a"], "shapes": ["m"], "replicas_of_me": table.count,
-            "membership_mode": "subscribe", "weights": if table.weights { "nominal" } else { "none" },
-            "policy_limits": {
-                "most_tries": 8, "most_held": table.held, "max_retry_after": 3_000_000_000u64,
-                "idle_close": table.idle_close_ms * 1_000_000, "dial_timeout": 1_500_000_000u64,
-                "retry_after": true
-            },
-            "rules": {
-                "cold": 14_000_000_000u64, "cold_share": 0.18, "fall": 3_000_000_000u64, "fall_multiple": 2.0,
-                "must_ask_in": table.must_ask_in_ms * 1_000_000
-            }
-        }
+        "settings": settings(table)
     })
 }
 
@@ -147,11 +152,6 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
-    /// Ends the process at once, as a crash does.
-    pub async fn kill(&mut self) {
-        let _ = self.child.kill().await;
-    }
-
     pub fn usage(&self) -> Usage {
         usage(self.id).unwrap_or_default()
     }
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -68,7 +68,6 @@
     /// When nodes were told to drain.
     drains: HashMap<u32, At>,
     falls: HashMap<u32, u32>,
-    /// Ends that came for a message already over.
     breaches: Vec<Breach>,
     counts: BTreeMap<Rule, usize>,
 }
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -6,6 +6,7 @@
 //! drains and told waits from being broken by calls decided on before they were told, and gives up on what is
 //! answered too late.
 use slatethread::*;
+use slatethread_wirehost::env;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::arrivals::{Arrival, draw};
 use crate::experiment::{Event as Happening, Experiment, RelayTable};
 use crate::model::{At, Fate};
+use crate::relay;
 use crate::world::{Entry, State, World};
 
 /// One way over loopback, and the connection's own.
@@ -71,8 +73,8 @@
     out: HashMap<u64, Out>,
     /// The number of each message's next attempt.
     attempts: HashMap<u64, u32>,
+    /// Messages that came since the last round and were not refused in this one.
     fresh: Vec<u64>,
-    decided: HashMap<u64, bool>,
 }
 
 pub struct Play {
@@ -84,45 +86,12 @@
     now: At,
 }
 
-/// The settings that the relay would be told.
-pub fn settings(table: &RelayTable) -> Settings {
-    let millis = |ms: u64| ms * 1_000_000;
-    let class = |aim, give_up, effect, late, credit| Class {
-        aim: millis(aim),
-        give_up: millis(give_up),
-        effect,
-        late_worth: Some(late),
-        credit: Some(credit),
-        ..Class::default()
-    };
-    let own = table.own.get("idle").and_then(|idle| idle.get("cold_after_s"));
-    Settings {
-        couriers: Some(table.count as u32),
-        step: Some(STEP.as_nanos() as u64),
-        classes: vec![
-            class(1000, 6000, Effect::Safe, 0.0, 1.0),
-            class(4000, 28_000, Effect::Unsafe, 0.3, 2.0),
-        ],
-        kinds: vec![Kind { apart: Some(false), bundle: Some(1) }],
-        slots: Some(table.slots),
-        max_held: Some(table.held),
-        max_tries: Some(8),
-        max_backoff: Some(millis(3000)),
-        idle_close: Some(millis(table.idle_close_ms)),
-        dial_timeout: Some(millis(1500)),
-        backoff_told: true,
-        weights: if table.weights { Weights::Exact } else { Weights::Nothing },
-        cold_after: own.and_then(|s| s.as_integer()).map(|s| millis(s as u64 * 1000)),
-        rules: Rules {
-            cold: Some(millis(14_000)),
-            cold_share: Some(0.18),
-            fall_multiple: Some(2.0),
-            fall: Some(millis(3000)),
-            must_ask_in: Some(millis(table.must_ask_in_ms)),
-            order_settle: None,
-        },
-        ..Settings::default()
-    }
+/// The settings that the relay would be told, with what its own file adds to them.
+fn settings(table: &RelayTable) -> Settings {
+    let env = serde_json::from_value(relay::settings(table)).expect("the form that the relay reads");
+    let (told, _) = env::settings(env).expect("sound settings");
+    let cold_after = table.own.get("idle").and_then(|idle| idle.get("cold_after_s")?.as_integer());
+    Settings { cold_after: cold_after.map(|s| s as u64 * 1_000_000_000), ..told }
 }
 
 impl Play {
@@ -139,7 +108,6 @@
             out: HashMap::new(),
             attempts: HashMap::new(),
             fresh: Vec::new(),
-            decided: HashMap::new(),
         });
         let mut play = Play {
             world: World::new(experiment, dests, seed),
@@ -292,7 +260,7 @@
             outcome => outcome,
         };
         if outcome == Outcome::Ok {
-            host_over(&mut self.hosts[call.relay], call.msg);
+            host.attempts.remove(&call.msg);
         }
         let event = Event::Closed {
             msg: MsgId(call.msg as u32),
@@ -341,19 +309,16 @@
             }
         }
         let fresh = std::mem::take(&mut self.hosts[relay].fresh);
-        for msg in fresh {
-            // What was not refused in its first round is taken on.
-            if self.hosts[relay].decided.remove(&msg).is_none() {
-                self.world.answer(msg, now, Some(true));
-            }
-        }
+        // What was not refused in its first round is taken on.
+        fresh.into_iter().for_each(|msg| self.world.answer(msg, now, Some(true)));
     }
 
     fn ended(&mut self, relay: usize, msg: u64, returned: bool) {
         let now = self.now;
-        host_over(&mut self.hosts[relay], msg);
-        if self.hosts[relay].fresh.contains(&msg) {
-            self.hosts[relay].decided.insert(msg, returned);
+        let host = &mut self.hosts[relay];
+        host.attempts.remove(&msg);
+        if let Some(place) = host.fresh.iter().position(|fresh| *fresh == msg) {
+            host.fresh.remove(place);
             self.world.answer(msg, now, Some(false));
         } else {
             self.world.notice(msg, now, returned);
@@ -361,11 +326,6 @@
     }
 }
 
-/// A message is over: its attempts are counted no more.
-fn host_over(host: &mut Host, msg: u64) {
-    host.attempts.remove(&msg);
-}
-
 impl Host {
     /// A call, if it is still out.
     fn out(&mut self, call: Call) -> Option<&mut Out> {
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -101,20 +101,10 @@
         }
     }
 
-    /// The endpoints of a destination: those of one kind stand in a row.
+    /// The endpoints of a destination.
     pub fn places(&self, dest: usize) -> std::ops::Range<u32> {
-        let (mut first, mut left) = (0, dest);
-        for partners in &self.experiment.partners {
-            if left < partners.count {
-                let begin = first + left * partners.endpoints;
-                return begin as u32..(begin + partners.endpoints) as u32;
-            }
-            first += partners.count * partners.endpoints;
-            left -= partners.count;
-        }
-        let endpoints = self.experiment.partners.last().map_or(1, |p| p.endpoints);
-        let begin = first + left * endpoints;
-        begin as u32..(begin + endpoints) as u32
+        let (first, partners) = self.experiment.locate(dest);
+        first as u32..(first + partners.endpoints) as u32
     }
 
     /// An endpoint as it would be listed now.
@@ -292,10 +282,6 @@
         self.messages.retain(|_, m| m.deadline > old);
         self.ids.retain(|_, msg| self.messages.contains_key(msg));
     }
-
-    pub fn partners_seen(&self) -> usize {
-        self.partners.len()
-    }
 }
 
 #[cfg(test)]
