Ask discovery again at once after a failure, so that drains are heard in time

The pause now starts at 50 ms, doubles up to a fortieth of must_ask_in (250 ms) with jitter, and starts anew only after must_ask_in without a failure, so that a list that goes on failing is not asked for without rest.

The test fails with the old pauses.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,8 +76,10 @@
 const SWEEP: Nanos = SECOND / 2;
 /// What a look leaves of the service counted by class: a minute's worth stays.
 const SERVICE_FADE: f64 = 0.99;
-/// First pause before asking for the list again after a failure; doubled up to half `must_ask_in`.
-const ASK_AGAIN: Nanos = SECOND;
+/// First pause before asking for the list again after a failure: an answer that broke off may have told of a drain.
+const ASK_AGAIN: Nanos = SECOND / 20;
+/// The pause doubles with each failure up to this part of `must_ask_in`, and starts anew after a quiet `must_ask_in`.
+const ASK_PART: Nanos = 40;
 
 const LOOK_NONCE: u64 = 1;
 const ASK_NONCE: u64 = 2;
@@ -189,6 +191,7 @@
     sweep_at: Nanos,
     warm: bool,
     asking: Nanos,
+    broken_at: Nanos,
     started: bool,
     random: Random,
 }
@@ -196,7 +199,7 @@
 impl Courier {
     /// A courier that knows its settings and nothing else. The seed feeds its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let start = Courier { load: 1.0, asking: ASK_AGAIN, look: LOOK, ..Courier::default() };
+        let start = Courier { load: 1.0, asking: ASK_AGAIN / 2, look: LOOK, ..Courier::default() };
         let mut courier = Courier { random: Random(seed), ..start };
         courier.settle(settings);
         courier
@@ -902,14 +905,15 @@
 
     fn take_list(&mut self, now: Nanos, scope: ListScope, entries: &[Endpoint], actions: &mut Vec<Action>) {
         if scope == ListScope::Broken {
+            let quiet = self.settings.rules.must_ask_in.unwrap_or(10 * SECOND);
+            let anew = now > self.broken_at + quiet;
+            self.asking = if anew { ASK_AGAIN } else { (self.asking * 2).min(quiet / ASK_PART) };
+            self.broken_at = now;
             let after = nanos(secs(self.asking) * (0.5 + self.random.unit()));
             actions.push(Action::SetTimer { nonce: ASK_NONCE, after });
-            let most = self.settings.rules.must_ask_in.unwrap_or(10 * SECOND) / 2;
-            self.asking = (self.asking * 2).min(most);
             actions.push(Action::Log { line: "list unavailable, asking again".into() });
             return;
         }
-        self.asking = ASK_AGAIN;
         if scope != ListScope::Patch {
             for id in self.roster.keep_only(entries) {
                 self.peers.get_mut(&id).into_iter().for_each(|p| p.entry.condition = Condition::Left);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -102,18 +102,34 @@
     let mut actions = Vec::new();
     courier.on_round(0, &[], &mut actions);
     assert_eq!(actions, [Action::Follow { want: true }]);
-    let broken = Event::List { scope: ListScope::Broken, entries: vec![] };
-    actions.clear();
-    courier.on_round(SECOND, &[broken], &mut actions);
-    let Some(Action::SetTimer { nonce, after }) =
-        actions.iter().find(|a| matches!(a, Action::SetTimer { .. })).cloned()
-    else {
-        panic!("no timer to ask again")
+    let mut now = SECOND;
+    let mut asked_again_after = |now, actions: &mut Vec<Action>| {
+        actions.clear();
+        courier.on_round(now, &[Event::List { scope: ListScope::Broken, entries: vec![] }], actions);
+        let timer = actions.iter().find(|a| matches!(a, Action::SetTimer { .. })).cloned();
+        let Some(Action::SetTimer { nonce, after }) = timer else { panic!("no timer to ask again") };
+        actions.clear();
+        courier.on_round(now + after, &[Event::Timer { nonce }], actions);
+        assert!(actions.contains(&Action::Follow { want: true }));
+        // A list that arrives in between does not start the pauses anew: answers may break off every other time.
+        courier.on_round(now + after, &[Event::List { scope: ListScope::Whole, entries: vec![] }], actions);
+        after
     };
-    assert!((SECOND / 2..=2 * SECOND).contains(&after));
-    actions.clear();
-    courier.on_round(SECOND + after, &[Event::Timer { nonce }], &mut actions);
-    assert!(actions.contains(&Action::Follow { want: true }));
+    // An answer that broke off may have told of a drain, which is to be heard within half a second.
+    assert!(asked_again_after(now, &mut actions) <= SECOND / 10);
+    for _ in 0..20 {
+        now += SECOND;
+        assert!(asked_again_after(now, &mut actions) <= 2 * SECOND / 5);
+    }
+    assert!(
+        asked_again_after(now + SECOND, &mut actions) >= SECOND / 8,
+        "no rest for a list that goes on failing"
+    );
+    let quiet = 10 * SECOND + SECOND;
+    assert!(
+        asked_again_after(now + SECOND + quiet, &mut actions) <= SECOND / 10,
+        "a new failure is met at once"
+    );
 }
 
 #[test]
