--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -3,6 +3,7 @@
 use serde_json::value::RawValue;
 use slatethread::{Effect, Fade, Kind, Nanos, Settings, Weights};
 use slatethread_wirehost::env::{self, Env, Names};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -216,10 +217,29 @@
     /// Submitters' connections at once.
     pub connections: usize,
     pub rules: Rules,
+    /// The connections to each gateway.
+    pub pool: PoolLimits,
     pub gateways: NodeList,
     pub locations: Vec<Location>,
 }
 
+/// What binds the connections to a gateway.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolLimits {
+    /// Streams on one connection; a gateway may allow fewer.
+    pub streams: usize,
+    /// Connections open or being opened, without those that only let their last streams end.
+    pub connections: usize,
+    /// A connection with streams open on which nothing came for so long is pinged.
+    pub quiet: Duration,
+    /// One whose ping is not answered within this time is broken off.
+    pub pong: Duration,
+    /// One without streams for so long is closed.
+    pub idle: Duration,
+    /// One that is not up within this time has failed.
+    pub dial: Duration,
+}
+
 /// Where submitters' paths lead.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Location {
@@ -229,9 +249,22 @@
     /// What takes the place of `path` on the way to the gateway.
     pub target: String,
     pub class: String,
+    /// The class of messages of an urgency, where it is another.
+    pub urgency: BTreeMap<Urgency, String>,
     pub dest: u64,
 }
 
+/// How urgent a submitter calls a message (RFC 8030, 5.3).
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "kebab-case")]
+pub enum Urgency {
+    VeryLow,
+    Low,
+    #[default]
+    Normal,
+    High,
+}
+
 /// The file as it is written. The importer writes this form, the push front runs it.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -242,6 +275,8 @@
     pub idle: Option<IdleTable>,
     #[serde(default)]
     pub limits: LimitsTable,
+    #[serde(default)]
+    pub gateways: GatewaysTable,
     #[serde(rename = "class", default)]
     pub classes: Vec<ClassTable>,
     #[serde(rename = "upstream", default)]
@@ -297,6 +332,42 @@
     pub dial_timeout_ms: u64,
     pub idle_close_ms: u64,
     pub longest_backoff_ms: u64,
+    /// Least time between two rounds of the module: what comes meanwhile is decided on together.
+    pub step_ms: u64,
+}
+
+/// Connections to each gateway.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewaysTable {
+    /// Streams on one connection.
+    pub streams: usize,
+    /// Connections to one gateway.
+    pub connections: usize,
+    /// Silence with streams open after which a connection is pinged.
+    pub quiet_ms: u64,
+    /// Time for the answer to a ping.
+    pub pong_ms: u64,
+}
+
+impl Default for GatewaysTable {
+    fn default() -> Self {
+        GatewaysTable { streams: 100, connections: 4, quiet_ms: 5000, pong_ms: 2000 }
+    }
+}
+
+impl GatewaysTable {
+    fn check(&self, faults: &mut Vec<String>) {
+        let figures = [
+            ("streams", self.streams as u64),
+            ("connections", self.connections as u64),
+            ("quiet_ms", self.quiet_ms),
+            ("pong_ms", self.pong_ms),
+        ];
+        for (key, _) in figures.iter().filter(|(_, value)| *value == 0) {
+            faults.push(format!("gateways.{key}: must be at least 1"));
+        }
+    }
 }
 
 impl Default for LimitsTable {
@@ -309,6 +380,7 @@
             dial_timeout_ms: 1500,
             idle_close_ms: 60_000,
             longest_backoff_ms: 3000,
+            step_ms: 5,
         }
     }
 }
@@ -366,6 +438,9 @@
     pub target: Option<String>,
     pub upstream: String,
     pub class: String,
+    /// Classes by urgency, where they are others; they must allow repeats as `class` does.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub urgency: BTreeMap<Urgency, String>,
 }
 
 fn default_operations() -> u64 {
@@ -474,6 +549,10 @@
     let mut sound = |part: Result<SocketAddr, String>| part.map_err(|fault| faults.push(fault)).ok();
     let listen = sound(one("push.listen", &table.listen));
     let notices = sound(one("push.notices", &table.notices));
+    file.gateways.check(faults);
+    if !(1..=MOST_STEP_MS).contains(&file.limits.step_ms) {
+        faults.push(format!("limits.step_ms: must be from 1 to {MOST_STEP_MS}"));
+    }
     let mut rules = push_rules(file, faults);
     idle.apply(&mut rules);
     let gateways = gateways(&file.upstreams, faults);
@@ -485,6 +564,14 @@
         disk: (table.disk_mb * 1e6) as u64,
         body_limit: table.body_limit,
         connections: table.connections.max(1),
+        pool: PoolLimits {
+            streams: file.gateways.streams,
+            connections: file.gateways.connections,
+            quiet: Duration::from_millis(file.gateways.quiet_ms),
+            pong: Duration::from_millis(file.gateways.pong_ms),
+            idle: rules.idle_close(),
+            dial: rules.dial_timeout(),
+        },
         rules,
         gateways,
         locations,
@@ -517,7 +604,7 @@
     Rules {
         settings: Settings {
             couriers: Some(limits.relays.max(1)),
-            step: Some(millis(5)),
+            step: Some(millis(limits.step_ms)),
             classes,
             fade: Some(Fade::Line),
             kinds: vec![Kind::default()],
@@ -547,6 +634,9 @@
     }
 }
 
+/// Drains must be seen by the round that acts, and nothing new be sent half a second after.
+const MOST_STEP_MS: u64 = 100;
+
 /// The kind and the zone of all gateways; nothing is said of either.
 const GATEWAY: &str = "gateway";
 
@@ -592,6 +682,19 @@
         if !file.classes.iter().any(|c| c.name == location.class) {
             faults.push(format!("location[{i}].class: there is no '{}'", location.class));
         }
+        let repeat = |name: &str| file.classes.iter().find(|c| c.name == name).map(|c| c.repeat);
+        for (urgency, class) in &location.urgency {
+            let key = serde_json::to_string(urgency).unwrap_or_default();
+            let key = format!("location[{i}].urgency.{}", key.trim_matches('"'));
+            match repeat(class) {
+                None => faults.push(format!("{key}: there is no '{class}'")),
+                // Guards against an order that is sent twice because it was called urgent.
+                own if own != repeat(&location.class) => {
+                    faults.push(format!("{key}: '{class}' differs from '{}' in repeat", location.class));
+                }
+                _ => {}
+            }
+        }
         let target = location.target.as_ref().unwrap_or(&location.path);
         if !location.path.starts_with('/') || !target.starts_with('/') {
             faults.push(format!("location[{i}].path: it and its target must begin with '/'"));
@@ -601,6 +704,7 @@
             exact: location.exact,
             target: target.clone(),
             class: location.class.clone(),
+            urgency: location.urgency.clone(),
             dest: number(&location.upstream),
         });
     }
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -98,9 +98,22 @@
             }
         }
 
+        // It takes the place of an earlier one that still waits.
+        let replaces = self.carrier.replaces(&job);
+        if let Some(key) = &replaces {
+            let mut state = self.state.borrow_mut();
+            let earlier = state.replaceable.insert(key.clone(), seat.msg);
+            earlier.into_iter().for_each(|msg| super::rounds::order(&state, msg, Order::Replaced));
+        }
+
         // Claim as the module orders.
         let end = loop {
             match order {
+                // One that is out is not cancelled for it: the order waits until its outcome is known.
+                Order::Replaced => {
+                    seat.leave(Order::Held);
+                    break Some(job.replaced());
+                }
                 Order::Held | Order::Cancel { .. } => {}
                 Order::Fail => break Some(job.failed(None)),
                 Order::Refuse { after } => break Some(job.returned(after)),
@@ -138,6 +151,12 @@
         };
 
         // End.
+        if let Some(key) = replaces {
+            let mut state = self.state.borrow_mut();
+            if state.replaceable.get(&key) == Some(&seat.msg) {
+                state.replaceable.remove(&key);
+            }
+        }
         drop(seat);
         self.finish(&job, &course, end).await;
     }
@@ -210,6 +229,7 @@
             self.count(|tally| match notice.end {
                 NoticeEnd::Failed { .. } => tally.failed += 1,
                 NoticeEnd::Returned { .. } => tally.returned += 1,
+                NoticeEnd::Replaced => tally.replaced += 1,
             });
             let label = job.label.as_deref().unwrap_or("");
             tracing::debug!(id = job.id, end = ?notice.end, label, "ended undelivered");
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -38,6 +38,10 @@
     ) -> impl Future<Output = Outcome>;
     /// Tells how a job ended; done once it is certain to have been heard.
     fn notify(&self, notice: &Notice) -> impl Future<Output = Result<(), String>>;
+    /// Under what a job that waits is replaced by a later one under the same, if by any.
+    fn replaces(&self, _job: &Job) -> Option<String> {
+        None
+    }
     /// Closes idle connections to a node.
     fn close_idle(&self, node: &Node);
     /// The node is gone, or has another address.
@@ -58,6 +62,8 @@
     /// Ids of jobs that have no end yet, and whether they were taken on or are still being decided on.
     ids: HashMap<String, bool>,
     recent: Recent,
+    /// Open jobs that a later one may replace.
+    replaceable: HashMap<String, MsgId>,
     claims_out: usize,
 }
 
@@ -136,6 +142,7 @@
             waits_left: 0,
             ids: HashMap::new(),
             recent: Recent::default(),
+            replaceable: HashMap::new(),
             claims_out: 0,
         };
         Rc::new(Core {
@@ -226,7 +233,7 @@
             sleep(TALLY_PAUSE).await;
             let tally = self.tally.take();
             if tally != Tally::default() {
-                let Tally { taken, turned_away, claims, delivered, returned, failed } = tally;
+                let Tally { taken, turned_away, claims, delivered, returned, failed, replaced } = tally;
                 let (open, kept) = {
                     let state = self.state.borrow();
                     (state.ids.len(), state.courier.kept())
@@ -239,6 +246,7 @@
                     delivered,
                     returned,
                     failed,
+                    replaced,
                     open,
                     listed = kept.listed,
                     in_use = kept.full,
@@ -291,4 +299,5 @@
     delivered: u32,
     returned: u32,
     failed: u32,
+    replaced: u32,
 }
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -22,9 +22,11 @@
     Refuse {
         after: Option<Duration>,
     },
+    /// Not the module's: a later job takes its place.
+    Replaced,
 }
 
-/// Orders that can be waiting for one job: held, a claim, its cancellation, an end.
+/// Orders that can be waiting for one job: held, a claim, its cancellation, an end, another in its place.
 pub(super) const ORDERS: usize = 8;
 
 impl<C: Carrier> Core<C> {
@@ -113,7 +115,7 @@
     }
 }
 
-fn order(state: &State, msg: MsgId, order: Order) {
+pub(super) fn order(state: &State, msg: MsgId, order: Order) {
     if let Some(seat) = state.seats.get(&msg)
         && seat.try_send(order).is_err()
     {
--- a/relay/src/import.rs
+++ b/relay/src/import.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use crate::config::{
-    ClassTable, LimitsTable, LocationTable, OwnFile, PushTable, Repeat, ServerTable, UpstreamTable,
+    ClassTable, GatewaysTable, LimitsTable, LocationTable, OwnFile, PushTable, Repeat, ServerTable,
+    UpstreamTable,
 };
 
 /// A directive: its words, and the directives in its block if it has one.
@@ -321,6 +322,7 @@
             target,
             upstream,
             class: CLASS.into(),
+            urgency: std::collections::BTreeMap::new(),
         });
     }
 
@@ -365,6 +367,7 @@
             hook: None,
             idle: None,
             limits: LimitsTable { dial_timeout_ms, ..limits },
+            gateways: GatewaysTable::default(),
             classes: vec![ClassTable {
                 name: CLASS.into(),
                 aim_ms: 4000,
--- a/relay/src/job.rs
+++ b/relay/src/job.rs
@@ -94,6 +94,8 @@
     Failed { status: Option<u16> },
     /// A requeue notice: handing the job in again is harmless, after that time if one is told.
     Returned { after: Option<Duration> },
+    /// A later job took its place before it was delivered.
+    Replaced,
 }
 
 impl Job {
@@ -105,6 +107,10 @@
         Notice { id: self.id.clone(), end: NoticeEnd::Failed { status } }
     }
 
+    pub fn replaced(&self) -> Notice {
+        Notice { id: self.id.clone(), end: NoticeEnd::Replaced }
+    }
+
     pub fn returned(&self, after: Option<Duration>) -> Notice {
         Notice { id: self.id.clone(), end: NoticeEnd::Returned { after } }
     }
--- a/relay/src/notice.rs
+++ b/relay/src/notice.rs
@@ -19,6 +19,7 @@
     let (state, after, status) = match notice.end {
         NoticeEnd::Failed { status } => ("failed", None, status),
         NoticeEnd::Returned { after } => ("returned", after, None),
+        NoticeEnd::Replaced => ("replaced", None, None),
     };
     let line = Line { id: &notice.id, state, after_ms: after.map(|a| a.as_millis() as u64), status };
     let mut text = serde_json::to_vec(&line).expect("strings and numbers");
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -2,176 +2,291 @@
 //!
 //! awc speaks HTTP/2 over TLS only, puts one request at a time on a connection, and tells no GOAWAY from a
 //! broken connection; so this front uses `h2` itself. A claim is one stream. Nothing is ever sent again here.
+//! Which connection a stream goes on, and when connections open and end, is [`super::pool`]'s.
 use bytes::Bytes;
-use h2::client::SendRequest;
-use http::{Request, Response};
+use futures_util::future::poll_fn;
+use h2::client::{Connection, SendRequest};
+use h2::{Ping, PingPong, SendStream};
+use http::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::{PATH, TTL};
-use crate::config::Rules;
+use super::pool::{ClaimId, Denial, Left, LineId, Order, Pool};
+use super::{PATH, TOPIC, TTL};
+use crate::config::PoolLimits;
 use crate::core::{Carrier, Core, Node, Ticket};
 use crate::job::{Job, Notice, Outcome};
 
-/// Streams on one connection before another is opened; a gateway may allow fewer.
-const STREAMS: usize = 100;
 /// Streams of claims given up that a late answer may still come for without ending the connection.
 const RESET_STREAMS: usize = 1024;
 /// Connections found closed before a claim counts as not connected.
 const CLOSED_ONES: usize = 3;
-/// Most bytes of an answer that are read.
+/// Most bytes of an answer that are read, and how long its end is waited for.
 const LONGEST_ANSWER: usize = 64 * 1024;
+const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// Head fields of an answer that are read, in bytes.
+const LONGEST_HEAD: u32 = 16 * 1024;
 /// How long the reader of notices may take to acknowledge one.
 const NOTICE_TIME: Duration = Duration::from_millis(1500);
-/// How often idle connections are looked at.
-const IDLE_LOOK: Duration = Duration::from_secs(1);
+/// How often connections are looked at.
+const LOOK: Duration = Duration::from_millis(250);
 
 pub struct Gateways {
-    lines: RefCell<HashMap<SocketAddr, Rc<Lines>>>,
+    gateways: RefCell<HashMap<SocketAddr, Rc<Gateway>>>,
     notices: Cell<SocketAddr>,
-    dial_timeout: Cell<Duration>,
-    idle: Cell<Duration>,
+    limits: Cell<PoolLimits>,
 }
 
-/// A gateway's connections; the lock keeps claims that wait for one from dialling each their own.
-type Lines = tokio::sync::Mutex<Vec<Rc<Line>>>;
+/// The connections to one gateway.
+struct Gateway {
+    address: SocketAddr,
+    pool: RefCell<Pool>,
+    lines: RefCell<HashMap<LineId, Line>>,
+    waiting: RefCell<HashMap<ClaimId, oneshot::Sender<Result<LineId, Denial>>>>,
+}
 
-/// One HTTP/2 connection.
+/// One HTTP/2 connection that is up.
 struct Line {
     sender: SendRequest<Bytes>,
-    /// Streams open on it.
-    open: Cell<usize>,
-    /// No new streams: it is going away, broken or silent.
-    retired: Rc<Cell<bool>>,
-    /// When an answer last came on it.
-    heard: Cell<Instant>,
-    used: Cell<Instant>,
+    /// Taken while a ping is out.
+    pings: Option<PingPong>,
+    /// Reads and writes it.
+    driver: actix_rt::task::JoinHandle<()>,
 }
 
-/// A stream's place on its connection.
+type Driver = Connection<TcpStream, Bytes>;
+
+/// A claim's place at a gateway: it waits for a stream or has one.
 struct Place {
-    line: Rc<Line>,
-    since: Instant,
-    answered: bool,
+    gateway: Rc<Gateway>,
+    claim: ClaimId,
+    left: Left,
 }
 
-impl Place {
-    fn take(line: Rc<Line>) -> Self {
-        line.open.set(line.open.get() + 1);
-        Place { line, since: Instant::now(), answered: false }
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.gateway.waiting.borrow_mut().remove(&self.claim);
+        self.gateway.tell(|pool, now, orders| pool.leave(now, self.claim, self.left, orders));
     }
+}
 
-    fn answered(&mut self) {
-        self.answered = true;
-        self.line.heard.set(Instant::now());
+impl Gateway {
+    fn new(address: SocketAddr, limits: PoolLimits) -> Rc<Self> {
+        Rc::new(Gateway {
+            address,
+            pool: RefCell::new(Pool::new(limits)),
+            lines: RefCell::default(),
+            waiting: RefCell::default(),
+        })
     }
-}
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.line.open.set(self.line.open.get() - 1);
-        self.line.used.set(Instant::now());
-        // Guards against connections that have died without a word: a claim given up on one that has been
-        // silent all the while is its last.
-        if !self.answered && self.line.heard.get() < self.since {
-            self.line.retired.set(true);
+    /// Tells the pool what has happened and does what it orders.
+    fn tell<T>(self: &Rc<Self>, event: impl FnOnce(&mut Pool, Instant, &mut Vec<Order>) -> T) -> T {
+        let mut orders = Vec::new();
+        let told = event(&mut self.pool.borrow_mut(), Instant::now(), &mut orders);
+        orders.into_iter().for_each(|order| self.act(order));
+        told
+    }
+
+    fn act(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Dial(id) => _ = actix_rt::spawn(self.clone().dial(id)),
+            Order::Ping(id) => {
+                let pings = self.lines.borrow_mut().get_mut(&id).and_then(|line| line.pings.take());
+                pings.into_iter().for_each(|pings| _ = actix_rt::spawn(self.clone().ping(id, pings)));
+            }
+            // Without its last handle a connection ends by itself.
+            Order::Close(id) => _ = self.lines.borrow_mut().remove(&id),
+            Order::Break(id) => {
+                tracing::warn!(address = %self.address, "a gateway's connection is silent; it is broken off");
+                self.lines.borrow_mut().remove(&id).into_iter().for_each(|line| line.driver.abort());
+            }
+            Order::Grant(claim, id) => self.answer(claim, Ok(id)),
+            Order::Deny(claim, why) => self.answer(claim, Err(why)),
         }
     }
-}
 
-impl Gateways {
-    /// Takes up new rules, and another reader of notices. What is under way goes on.
-    pub fn settle(&self, rules: &Rules, notices: SocketAddr) {
-        self.dial_timeout.set(rules.dial_timeout());
-        self.idle.set(rules.idle_close());
-        self.notices.set(notices);
+    /// A claim that is gone has left the pool, or is about to.
+    fn answer(&self, claim: ClaimId, answer: Result<LineId, Denial>) {
+        let seat = self.waiting.borrow_mut().remove(&claim);
+        seat.into_iter().for_each(|seat| _ = seat.send(answer));
     }
 
-    pub fn new(rules: &Rules, notices: SocketAddr) -> Self {
-        Gateways {
-            lines: RefCell::new(HashMap::new()),
-            notices: Cell::new(notices),
-            dial_timeout: Cell::new(rules.dial_timeout()),
-            idle: Cell::new(rules.idle_close()),
+    async fn dial(self: Rc<Self>, id: LineId) {
+        let limit = self.pool.borrow().limits().dial;
+        let up = match timeout(limit, handshake(self.address)).await {
+            Ok(up) => up,
+            Err(_) => Err("no connection in time".into()),
+        };
+        match up {
+            Ok((sender, pings, connection)) => {
+                let allowed = sender.current_max_send_streams();
+                let driver = actix_rt::spawn(self.clone().drive(id, connection));
+                let line = Line { sender, pings: Some(pings), driver };
+                self.lines.borrow_mut().insert(id, line);
+                self.tell(|pool, now, orders| pool.connected(now, id, allowed, orders));
+            }
+            Err(error) => {
+                tracing::debug!(address = %self.address, error, "no connection to a gateway");
+                self.tell(|pool, now, orders| pool.failed(now, id, orders));
+            }
         }
     }
 
-    /// A connection with room for one more stream, opened if there is none.
-    async fn place(&self, address: SocketAddr) -> Result<Place, String> {
-        let lines = self.lines.borrow_mut().entry(address).or_default().clone();
-        let mut lines = lines.lock().await;
-        lines.retain(|line| !line.retired.get());
-        let room = |line: &&Rc<Line>| line.open.get() < STREAMS.min(line.sender.current_max_send_streams());
-        if let Some(line) = lines.iter().find(room) {
-            return Ok(Place::take(line.clone()));
+    async fn drive(self: Rc<Self>, id: LineId, connection: Driver) {
+        if let Err(error) = connection.await {
+            tracing::debug!(address = %self.address, %error, "connection to a gateway ended");
         }
-        let line =
-            timeout(self.dial_timeout.get(), dial(address)).await.map_err(|_| "no connection in time")??;
-        let line = Rc::new(line);
-        lines.push(line.clone());
-        Ok(Place::take(line))
+        self.lines.borrow_mut().remove(&id);
+        self.tell(|pool, now, orders| pool.closed(now, id, orders));
     }
 
-    /// The same, passing over connections that turn out closed before anything was sent. Guards against a
-    /// gateway that closes each new connection: a few are enough to count as none.
-    async fn ready(&self, address: SocketAddr) -> Result<(Place, SendRequest<Bytes>), String> {
+    async fn ping(self: Rc<Self>, id: LineId, mut pings: PingPong) {
+        if pings.ping(Ping::opaque()).await.is_ok() {
+            if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
+                line.pings = Some(pings);
+            }
+            self.tell(|pool, now, orders| pool.heard(now, id, orders));
+        }
+    }
+
+    /// Takes up how many streams the gateway allows by now on each connection.
+    fn look(self: &Rc<Self>) {
+        let allowed: Vec<_> = {
+            let lines = self.lines.borrow();
+            lines.iter().map(|(id, line)| (*id, line.sender.current_max_send_streams())).collect()
+        };
+        self.tell(|pool, now, orders| {
+            allowed.into_iter().for_each(|(id, allowed)| pool.allows(now, id, allowed, orders));
+        });
+    }
+
+    /// A place on a connection that takes a stream.
+    async fn place(self: &Rc<Self>) -> Result<(Place, LineId, SendRequest<Bytes>), Fault> {
         for _ in 0..CLOSED_ONES {
-            let place = self.place(address).await?;
-            match place.line.sender.clone().ready().await {
-                Ok(sender) => return Ok((place, sender)),
-                Err(_) => place.line.retired.set(true),
+            self.look();
+            let (seat, answer) = oneshot::channel();
+            let mut orders = Vec::new();
+            let claim = self.pool.borrow_mut().want(Instant::now(), &mut orders);
+            self.waiting.borrow_mut().insert(claim, seat);
+            let mut place = Place { gateway: self.clone(), claim, left: Left::Unheard };
+            orders.into_iter().for_each(|order| self.act(order));
+            let line = match answer.await {
+                Ok(Ok(line)) => line,
+                Ok(Err(Denial::Withdrawn)) => return Err(Fault::NotSent),
+                _ => return Err(Fault::Unconnected("no connection came up".into())),
+            };
+            let sender = self.lines.borrow().get(&line).map(|line| line.sender.clone());
+            if let Some(sender) = sender
+                && let Ok(sender) = sender.ready().await
+            {
+                return Ok((place, line, sender));
             }
+            // Guards against a gateway that closes each new connection: a few are enough to count as none.
+            place.left = Left::Heard;
+            self.tell(|pool, now, orders| pool.going_away(now, line, orders));
         }
-        Err("connections close at once".into())
+        Err(Fault::Unconnected("connections close at once".into()))
     }
 
-    /// Sends a request on a stream of its own, once `begin` says so, and waits for its answer's head.
+    /// Sends a request on a stream of its own, once `begin` says so, and waits for its answer's head. `sent` is told
+    /// before the last byte is handed over.
     async fn call(
-        &self,
-        address: SocketAddr,
+        self: Rc<Self>,
         request: Request<()>,
         body: Bytes,
         begin: impl Fn() -> bool,
+        sent: impl Fn(),
     ) -> Result<Response<()>, Fault> {
-        let (mut place, mut sender) = self.ready(address).await.map_err(Fault::Unconnected)?;
+        let (mut place, line, mut sender) = self.place().await?;
         if !begin() {
-            place.answered();
+            place.left = Left::Heard;
             return Err(Fault::NotSent);
         }
+        if body.is_empty() {
+            // h2 does not tell when the last byte is written: from here on it may have run.
+            sent();
+        }
         let (answer, mut stream) = match sender.send_request(request, body.is_empty()) {
-            Ok(sent) => sent,
-            Err(e) => return Err(Fault::Unconnected(e.to_string())),
+            Ok(opened) => opened,
+            Err(e) => {
+                self.tell(|pool, now, orders| pool.going_away(now, line, orders));
+                return Err(Fault::Unconnected(e.to_string()));
+            }
         };
-        if !body.is_empty()
-            && let Err(e) = stream.send_data(body, true)
-        {
-            return Err(place.broken(&e));
-        }
-        let answer = match answer.await {
+        let whole = Cell::new(body.is_empty());
+        let pass = async {
+            if !body.is_empty() {
+                send_body(&mut stream, body, || {
+                    sent();
+                    whole.set(true);
+                })
+                .await?;
+            }
+            std::future::pending::<Result<Response<h2::RecvStream>, h2::Error>>().await
+        };
+        // An answer may come before the body is out; then the rest is not wanted.
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            Err(error) = pass => Err(error),
+        };
+        let answer = match answer {
             Ok(answer) => answer,
-            Err(e) => return Err(place.broken(&e)),
+            Err(error) => return Err(place.broken(line, &error, whole.get())),
         };
-        place.answered();
+        place.left = Left::Heard;
+        if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            // RFC 9110, 15.5.20: not on this connection; nothing was done.
+            self.tell(|pool, now, orders| pool.going_away(now, line, orders));
+            return Err(Fault::NotSent);
+        }
         let (head, mut rest) = answer.into_parts();
         actix_rt::spawn(async move {
             let mut length = 0;
-            while let Some(Ok(chunk)) = rest.data().await {
-                length += chunk.len();
-                if length > LONGEST_ANSWER || rest.flow_control().release_capacity(chunk.len()).is_err() {
-                    break;
+            let drain = async {
+                while let Some(Ok(chunk)) = rest.data().await {
+                    length += chunk.len();
+                    let more = length <= LONGEST_ANSWER;
+                    if !more || rest.flow_control().release_capacity(chunk.len()).is_err() {
+                        break;
+                    }
                 }
-            }
-            drop(place);
+            };
+            // Guards against answers without an end: their streams are reset.
+            let _ = timeout(ANSWER_TIME, drain).await;
+            drop((rest, place));
         });
         Ok(Response::from_parts(head, ()))
     }
 }
 
+/// Sends a body as far as the gateway's windows let it; `last` is called before its last part.
+async fn send_body(
+    stream: &mut SendStream<Bytes>,
+    mut body: Bytes,
+    last: impl Fn(),
+) -> Result<(), h2::Error> {
+    loop {
+        stream.reserve_capacity(body.len());
+        let room = poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let room = room.unwrap_or(Err(h2::Reason::STREAM_CLOSED.into()))?;
+        if room >= body.len() {
+            last();
+            return stream.send_data(body, true);
+        }
+        if room > 0 {
+            stream.send_data(body.split_to(room), false)?;
+        }
+    }
+}
+
 /// Why a call has no answer.
 enum Fault {
     Unconnected(String),
@@ -182,48 +297,45 @@
 }
 
 impl Place {
-    /// What an error means once the request is on its way.
-    fn broken(&mut self, error: &h2::Error) -> Fault {
+    /// What an error means for a claim whose request went out wholly, or not.
+    fn broken(&mut self, line: LineId, error: &h2::Error, whole: bool) -> Fault {
         // h2 ends a stream with the peer's GOAWAY only if its id is above the last that the peer names; those
         // below go on, and end with the connection. RFC 9113 holds the former for never processed. The same is
         // said of REFUSED_STREAM, but a gateway that resets at random says it of what it has processed.
         if error.is_go_away() && error.is_remote() {
-            self.line.retired.set(true);
-            self.answered();
+            self.left = Left::Heard;
+            self.gateway.tell(|pool, now, orders| pool.going_away(now, line, orders));
             return Fault::NotSent;
         }
         if error.is_reset() && error.is_remote() {
-            self.answered();
+            self.left = Left::Heard;
         } else {
-            self.line.retired.set(true);
+            self.gateway.tell(|pool, now, orders| pool.going_away(now, line, orders));
+        }
+        match whole {
+            true => Fault::Reset(error.to_string()),
+            false => Fault::Unconnected(format!("broken before its last byte: {error}")),
         }
-        Fault::Reset(error.to_string())
     }
 }
 
-async fn dial(address: SocketAddr) -> Result<Line, String> {
+async fn handshake(address: SocketAddr) -> Result<(SendRequest<Bytes>, PingPong, Driver), String> {
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let mut builder = h2::client::Builder::new();
-    builder.enable_push(false).max_concurrent_reset_streams(RESET_STREAMS);
+    builder.enable_push(false).max_concurrent_reset_streams(RESET_STREAMS).max_header_list_size(LONGEST_HEAD);
     let (sender, mut connection) = builder.handshake(stream).await.map_err(|e| e.to_string())?;
     let mut pings = connection.ping_pong().ok_or("no pings on a new connection")?;
-    let retired = Rc::new(Cell::new(false));
-    actix_rt::spawn({
-        let retired = retired.clone();
-        async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%address, %error, "connection to a gateway ended");
-            }
-            retired.set(true);
-        }
-    });
     // A peer's settings come before its first pong. Guards against streams that wait within h2 because the
     // gateway allows fewer than were opened on trust, and against a peer that speaks something else: both
     // would look as if they had been sent.
-    pings.ping(h2::Ping::opaque()).await.map_err(|e| e.to_string())?;
-    let now = Instant::now();
-    Ok(Line { sender, open: Cell::new(0), retired, heard: Cell::new(now), used: Cell::new(now) })
+    tokio::select! {
+        pong = pings.ping(Ping::opaque()) => {
+            pong.map_err(|e| e.to_string())?;
+        }
+        end = &mut connection => return Err(end.err().map_or("closed at once".into(), |e| e.to_string())),
+    }
+    Ok((sender, pings, connection))
 }
 
 /// The meaning of an answer. RFC 8030 has 201 for a message taken on, 404 and 410 for a subscription that is
@@ -262,6 +374,29 @@
     request.header(TTL, ttl).body(())
 }
 
+impl Gateways {
+    pub fn new(limits: PoolLimits, notices: SocketAddr) -> Self {
+        Gateways { gateways: RefCell::default(), notices: Cell::new(notices), limits: Cell::new(limits) }
+    }
+
+    /// Takes up other limits, and another reader of notices. What is under way goes on.
+    pub fn settle(&self, limits: PoolLimits, notices: SocketAddr) {
+        self.limits.set(limits);
+        self.notices.set(notices);
+        let gateways = self.gateways.borrow();
+        gateways.values().for_each(|gateway| gateway.pool.borrow_mut().settle(limits));
+    }
+
+    fn gateway(&self, address: SocketAddr) -> Rc<Gateway> {
+        let mut gateways = self.gateways.borrow_mut();
+        gateways.entry(address).or_insert_with(|| Gateway::new(address, self.limits.get())).clone()
+    }
+
+    fn known(&self, address: SocketAddr) -> Option<Rc<Gateway>> {
+        self.gateways.borrow().get(&address).cloned()
+    }
+}
+
 impl Carrier for Gateways {
     async fn claim(&self, job: &Job, node: &Node, _limit: Duration, ticket: &Rc<Ticket>) -> Outcome {
         let request = match request(job, node.address) {
@@ -271,18 +406,16 @@
                 return Outcome::Rejected(400);
             }
         };
-        let begin = || {
-            let may = ticket.may_begin();
-            if may {
-                // h2 does not tell when the last byte is written: from here on it may have run.
-                ticket.mark_sent();
-            }
-            may
-        };
-        match self.call(node.address, request, job.body.clone(), begin).await {
+        let call = self.gateway(node.address).call(
+            request,
+            job.body.clone(),
+            || ticket.may_begin(),
+            || ticket.mark_sent(),
+        );
+        match call.await {
             Ok(answer) => outcome(&answer),
             Err(Fault::Unconnected(error)) => {
-                tracing::debug!(node = &*node.name, error, "no connection to a gateway");
+                tracing::debug!(node = &*node.name, error, "no stream to a gateway");
                 Outcome::Unconnected
             }
             Err(Fault::NotSent) => Outcome::NotSent,
@@ -297,7 +430,7 @@
         let body = Bytes::from(crate::notice::line(notice));
         let request = Request::post(format!("http://{}/reports", self.notices.get())).body(());
         let request = request.map_err(|e| e.to_string())?;
-        let call = self.call(self.notices.get(), request, body, || true);
+        let call = self.gateway(self.notices.get()).call(request, body, || true, || ());
         match timeout(NOTICE_TIME, call).await {
             Err(_) => Err("no answer".into()),
             Ok(Ok(answer)) if answer.status().is_success() => Ok(()),
@@ -311,39 +444,39 @@
         }
     }
 
+    fn replaces(&self, job: &Job) -> Option<String> {
+        let field = |name: &str| job.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
+        let (path, topic) = (field(PATH)?, field(TOPIC)?);
+        Some(format!("{} {} {}", job.dest, String::from_utf8_lossy(path), String::from_utf8_lossy(topic)))
+    }
+
     fn close_idle(&self, node: &Node) {
-        self.drop_lines(node.address, |line| line.open.get() == 0);
+        let gateway = self.known(node.address);
+        gateway
+            .into_iter()
+            .for_each(|gateway| gateway.tell(|pool, now, orders| pool.close_idle(now, orders)));
     }
 
     fn forget(&self, node: &Node) {
         // Streams that are out go on until they end.
-        self.lines.borrow_mut().remove(&node.address);
-    }
-}
-
-impl Gateways {
-    fn drop_lines(&self, address: SocketAddr, unwanted: impl Fn(&Line) -> bool) {
-        let lines = self.lines.borrow().get(&address).cloned();
-        // A locked list is being added to: there is a claim that wants it.
-        if let Some(mut lines) = lines.as_ref().and_then(|l| l.try_lock().ok()) {
-            lines.retain(|line| !unwanted(line));
-        }
+        let gateway = self.known(node.address);
+        gateway.into_iter().for_each(|gateway| gateway.tell(|pool, _, orders| pool.withdraw(orders)));
     }
 }
 
-/// Closes connections that stood idle, now and then.
-pub async fn close_idle(core: Rc<Core<Gateways>>) {
+/// Looks after connections for as long as the front runs: idle ones are closed, silent ones broken off.
+pub async fn tend(core: Rc<Core<Gateways>>) {
     loop {
-        tokio::time::sleep(IDLE_LOOK).await;
-        let gateways = &core.carrier;
-        let addresses: Vec<_> = gateways.lines.borrow().keys().copied().collect();
-        for address in addresses {
-            let idle = |line: &Line| line.open.get() == 0 && line.used.get().elapsed() >= gateways.idle.get();
-            gateways.drop_lines(address, |line| line.retired.get() || idle(line));
+        tokio::time::sleep(LOOK).await;
+        let gateways: Vec<_> = core.carrier.gateways.borrow().values().cloned().collect();
+        for gateway in gateways {
+            gateway.look();
+            gateway.tell(|pool, now, orders| pool.tick(now, orders));
         }
-        // Guards against a list of connections for each gateway that was ever called.
-        gateways.lines.borrow_mut().retain(|_, lines| {
-            Rc::strong_count(lines) > 1 || lines.try_lock().is_ok_and(|lines| !lines.is_empty())
-        });
+        // Guards against a pool for each gateway that was ever called.
+        core.carrier
+            .gateways
+            .borrow_mut()
+            .retain(|_, gateway| Rc::strong_count(gateway) > 1 || !gateway.pool.borrow().is_empty());
     }
 }
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -4,6 +4,7 @@
 use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -12,8 +13,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
-use super::{PATH, TTL};
-use crate::config::{Location, Push};
+use super::{PATH, TOPIC, TTL};
+use crate::config::{Location, Push, Urgency};
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners};
 use crate::job::{Answer, Job};
@@ -28,6 +29,8 @@
 const MESSAGE: &str = "/message/";
 /// All header names and values that a job carries.
 const LONGEST_HEAD: usize = 8 * 1024;
+/// RFC 8030, 5.4.
+const LONGEST_TOPIC: usize = 32;
 /// Headers that are about the connection, or that the relay writes itself.
 const OWN_HEADERS: [&str; 9] = [
     "connection",
@@ -93,9 +96,9 @@
         if self.reading.get() >= most {
             return refused(Some(Duration::from_secs(1)));
         }
-        self.reading.set(self.reading.get() + 1);
+        let reading = Reading::begin(&self.reading);
         let read = self.read(&mut request).await;
-        self.reading.set(self.reading.get() - 1);
+        drop(reading);
         match read {
             Ok(Asked { job, ttl, receipt }) => {
                 let id = job.id.clone();
@@ -105,9 +108,10 @@
                     Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "given up"),
                 }
             }
-            Err(Unfit { status, why }) => {
-                tracing::debug!(why, path = request.path(), "request is no push message");
-                let mut response = plain(status, why);
+            Err(unfit) => {
+                let Unfit { status, field, why } = unfit;
+                tracing::debug!(why, field, path = request.path(), "request is no push message");
+                let mut response = problem(&unfit);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
                     response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("POST"));
                 }
@@ -124,19 +128,22 @@
         let (class, dest, target) = {
             let locations = self.locations.borrow();
             let location = find(&locations, path).ok_or(Unfit::not_found())?;
-            (location.class.clone(), location.dest, location.target.clone() + &whole[location.path.len()..])
+            if request.method() != Method::POST {
+                let status = StatusCode::METHOD_NOT_ALLOWED;
+                return Err(Unfit { status, field: ":method", why: "push messages are POSTed" });
+            }
+            let class = location.urgency.get(&urgency(request.headers())?).unwrap_or(&location.class);
+            (class.clone(), location.dest, location.target.clone() + &whole[location.path.len()..])
         };
-        if request.method() != Method::POST {
-            return Err(Unfit { status: StatusCode::METHOD_NOT_ALLOWED, why: "push messages are POSTed" });
-        }
+        topic(request.headers())?;
         let rules = self.core.rules();
         let class_at = rules.class(&class).ok_or(Unfit::not_found())?;
-        let asked = request.headers().get(TTL).ok_or(Unfit::bad("TTL is missing"))?;
+        let asked = request.headers().get(TTL).ok_or(Unfit::bad(TTL, "it is missing"))?;
         let asked: u64 = asked
             .to_str()
             .ok()
             .filter(|v| !v.is_empty() && v.bytes().all(|b| b.is_ascii_digit()))
-            .ok_or(Unfit::bad("TTL is no whole number of seconds"))?
+            .ok_or(Unfit::bad(TTL, "it is no whole number of seconds"))?
             .parse()
             .unwrap_or(u64::MAX);
         let class_of = &rules.settings.classes[class_at];
@@ -162,12 +169,28 @@
             reconnect: false,
             label: None,
             fields,
-            body: body.map_err(|_| Unfit::bad("body is not whole"))??,
+            body: body.map_err(|_| Unfit::bad("body", "it is not whole in time"))??,
         };
         Ok(Asked { job, ttl: if asked == 0 { 0 } else { left.as_secs() }, receipt })
     }
 }
 
+/// A request that is being read. Guards against counting for ever those whose streams are reset meanwhile.
+struct Reading<'a>(&'a Cell<usize>);
+
+impl<'a> Reading<'a> {
+    fn begin(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Reading(count)
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A push message, with what its answer depends on.
 struct Asked {
     job: Job,
@@ -180,16 +203,67 @@
 /// Why a request is no push message, and the status that says so.
 struct Unfit {
     status: StatusCode,
+    /// The field that is at fault.
+    field: &'static str,
     why: &'static str,
 }
 
 impl Unfit {
-    fn bad(why: &'static str) -> Self {
-        Unfit { status: StatusCode::BAD_REQUEST, why }
+    fn bad(field: &'static str, why: &'static str) -> Self {
+        Unfit { status: StatusCode::BAD_REQUEST, field, why }
     }
 
     fn not_found() -> Self {
-        Unfit { status: StatusCode::NOT_FOUND, why: "no location has this path" }
+        Unfit { status: StatusCode::NOT_FOUND, field: ":path", why: "no location has this path" }
+    }
+}
+
+/// A problem's body, as RFC 9457 has it, with the field that is at fault.
+#[derive(Serialize)]
+struct Problem {
+    title: &'static str,
+    status: u16,
+    detail: String,
+    field: &'static str,
+}
+
+fn problem(unfit: &Unfit) -> Response<String> {
+    let Unfit { status, field, why } = *unfit;
+    let title = status.canonical_reason().unwrap_or("Unfit");
+    let problem = Problem { title, status: status.as_u16(), detail: format!("{field}: {why}"), field };
+    let body = serde_json::to_string(&problem).expect("strings and numbers");
+    let mut response = Response::with_body(status, body);
+    let kind = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// The one value of a field that may be there once; names it where it is there more often.
+fn only<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a HeaderValue>, Unfit> {
+    let mut values = headers.get_all(name);
+    let first = values.next();
+    if values.next().is_some() { Err(Unfit::bad(name, "it is given more than once")) } else { Ok(first) }
+}
+
+/// How urgent a message is called; normal unless told (RFC 8030, 5.3).
+fn urgency(headers: &HeaderMap) -> Result<Urgency, Unfit> {
+    let Some(value) = only(headers, "urgency")? else { return Ok(Urgency::default()) };
+    match value.as_bytes() {
+        b"very-low" => Ok(Urgency::VeryLow),
+        b"low" => Ok(Urgency::Low),
+        b"normal" => Ok(Urgency::Normal),
+        b"high" => Ok(Urgency::High),
+        _ => Err(Unfit::bad("urgency", "it is none of very-low, low, normal and high")),
+    }
+}
+
+/// Checks a message's topic (RFC 8030, 5.4): a later message with the same to the same place takes its place.
+fn topic(headers: &HeaderMap) -> Result<(), Unfit> {
+    let Some(value) = only(headers, TOPIC)? else { return Ok(()) };
+    let sound = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
+    match value.as_bytes() {
+        text if (1..=LONGEST_TOPIC).contains(&text.len()) && text.iter().all(sound) => Ok(()),
+        _ => Err(Unfit::bad(TOPIC, "it is not from 1 to 32 characters of the URL-safe base64 alphabet")),
     }
 }
 
@@ -214,7 +288,8 @@
     if size > LONGEST_HEAD {
         return Err(Unfit {
             status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            why: "headers are too long",
+            field: "headers",
+            why: "they are too long together",
         });
     }
     Ok(fields)
@@ -224,9 +299,10 @@
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Unfit::bad("body cannot be read"))?;
+        let chunk = chunk.map_err(|_| Unfit::bad("body", "it cannot be read"))?;
         if body.len() + chunk.len() > limit {
-            return Err(Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" });
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Unfit { status, field: "body", why: "it is too large" });
         }
         body.extend_from_slice(&chunk);
     }
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -194,11 +194,11 @@
 async fn start_push(config: config::Push, hooks: Option<Hooks>) -> Result<PushFront, String> {
     // Not told by anybody: this front's own, new with each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
-    let gateways = crate::push::gateways::Gateways::new(&config.rules, config.notices);
+    let gateways = crate::push::gateways::Gateways::new(config.pool, config.notices);
     let core = start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
         .map_err(|e| format!("push.state: {e}"))?;
     core.take_list(&config.gateways).await;
-    actix_rt::spawn(crate::push::gateways::close_idle(core.clone()));
+    actix_rt::spawn(crate::push::gateways::tend(core.clone()));
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = crate::push::server::Server::new(core.clone(), &config, seed);
@@ -216,7 +216,7 @@
                 if (push.listen, &push.state) != (self.listen, &self.state) {
                     tracing::warn!("SIGHUP: push.listen and push.state are taken up with the next start");
                 }
-                self.core.carrier.settle(&push.rules, push.notices);
+                self.core.carrier.settle(push.pool, push.notices);
                 self.core.settle(push.rules, push.disk);
                 self.core.take_list(&push.gateways).await;
                 self.server.settle(push.locations, push.body_limit);
--- a/relay/tests/push.rs
+++ b/relay/tests/push.rs
@@ -344,3 +344,62 @@
          expect g2 nothing 200",
     );
 }
+
+#[test]
+fn a_topic_replaces_what_still_waits_and_leaves_alone_what_is_out() {
+    push(
+        "send relay start
+         send p POST /apporder/a ttl=20 topic=t body=m1
+         expect p 201 to=m1
+         expect g1 POST body=m1
+         send p POST /apporder/a ttl=20 topic=t body=m2     # m1 is out: no second copy, no end
+         expect p 201 to=m2
+         send p POST /apporder/a ttl=20 topic=t body=m3
+         expect p 201 to=m3
+         expect ends replaced
+         send p POST /apporder/b ttl=20 topic=t body=m4     # another place
+         expect p 201 to=m4
+         expect ends nothing 200
+         send g1 201 to=m1
+         expect g1 POST body=m3
+         send g1 201 to=m3
+         expect g1 POST body=m4
+         send g1 201 to=m4
+         expect g1 nothing 200
+         expect ends nothing 50",
+    );
+}
+
+#[test]
+fn a_message_that_is_out_and_fails_is_not_sent_again_once_it_is_replaced() {
+    push(
+        "send relay start
+         send p POST /push/a ttl=5 topic=t body=m1
+         expect p 201 to=m1
+         expect g1 POST body=m1
+         send p POST /push/a ttl=5 topic=t body=m2
+         expect p 201 to=m2
+         send g1 500 to=m1
+         expect ends replaced
+         expect g1 POST body=m2
+         send g1 201 to=m2
+         expect g1 nothing 300",
+    );
+}
+
+#[test]
+fn topics_and_urgencies_that_are_none_are_refused_with_the_field_named() {
+    push(
+        "send relay start
+         send p POST /push/a ttl=5 urgency=utmost body=m1
+         expect p 400 to=m1 content-type=application/problem+json
+         expect relay log=field=\"urgency\"
+         send p POST /push/a ttl=5 topic=a.b body=m2
+         expect p 400 to=m2
+         expect relay log=field=\"topic\"
+         send p POST /push/a ttl=5 urgency=very-low topic=a_b body=m3
+         expect p 201 to=m3
+         expect g1 POST body=m3 urgency=very-low
+         send g1 201",
+    );
+}
