Laboratory: a bare forwarder as the floor, gateways that reset streams at random

The cost of a message on the second front is to be held against a forwarder on the same libraries that decides nothing.

lab floor forwards by the relay's own file; relay.floor = true plays it beside the relay and gives cpu_over_floor.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -57,6 +57,8 @@
     pub weights: bool,
     /// Longest that a relay may go without asking for the list.
     pub must_ask_in_ms: u64,
+    /// The same is played against a bare forwarder beside it (the second front only).
+    pub floor: bool,
     /// The relay's own file, as a table of it.
     pub own: toml::Table,
 }
@@ -73,6 +75,7 @@
             idle_close_ms: 10_000,
             weights: false,
             must_ask_in_ms: 10_000,
+            floor: false,
             own: toml::Table::new(),
         }
     }
@@ -197,6 +200,9 @@
         positive("repeats", self.repeats as f64)?;
         positive("relay.count", self.relay.count as f64)?;
         positive("relay.disk_mb", self.relay.disk_mb)?;
+        if self.relay.floor && self.relay.front != Front::Push {
+            return Err("relay.floor: only the second front has one".into());
+        }
         if self.partners.is_empty() {
             return Err("partners: there are none".into());
         }
@@ -207,6 +213,9 @@
             positive(&format!("partners[{i}].nature.rate"), n.rate)?;
             positive(&format!("partners[{i}].nature.latency_ms"), n.latency_ms)?;
             positive(&format!("partners[{i}].nature.cold_share"), n.cold_share)?;
+            if !(0.0..=1.0).contains(&n.lost) {
+                return Err(format!("partners[{i}].nature.lost: {} must be from 0 to 1", n.lost));
+            }
             if !n.spread.is_finite() || n.spread < 0.0 {
                 return Err(format!("partners[{i}].nature.spread: {} must not be negative", n.spread));
             }
@@ -317,6 +326,8 @@
             ("seconds = 2.0", "second = 2.0", "second"),
             ("count = 2", "count = 0", "partners[0].count"),
             ("rate = 20.0", "rate = -1.0", "partners[0].nature.rate"),
+            ("rate = 20.0", "rate = 20.0, lost = 1.5", "partners[0].nature.lost"),
+            ("seconds = 2.0", "seconds = 2.0\nrelay = { floor = true }", "relay.floor"),
             ("calls = 3", "calls = 0", "partners[0].nature.limit"),
             ("rate = 5.0", "rate = 5.0\nbusy = 3", "load.busy"),
             ("rate = 5.0", "rate = \"x\"", "load.rate"),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod emulator;
 pub mod experiment;
+pub mod floor;
 pub mod load;
 pub mod model;
 pub mod play;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -31,6 +31,8 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Forward messages by a relay's file without deciding anything: the floor that costs are held against
+    Floor { file: PathBuf },
     /// Put two results side by side
     Compare {
         /// A result.json, or the folder that it is in
@@ -42,6 +44,7 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Run { file, out, only_virtual, quiet } => run(&file, &out, only_virtual, quiet),
+        Command::Floor { file } => onyxglade_lab::floor::run(&file).map(|()| true),
         Command::Compare { a, b } => read(&a).and_then(|a| {
             print!("{}", compare(&a, &read(&b)?));
             Ok(true)
@@ -83,7 +86,14 @@
                     // What the relay wrote is kept for whoever looks for the cause.
                     eprintln!("the relays' folder is kept: {}", folder.keep().display());
                 }
-                legs.push(leg?);
+                let mut leg = leg?;
+                if experiment.relay.floor {
+                    let own = std::env::current_exe().map_err(|e| format!("where the lab is: {e}"))?;
+                    let folder = tempfile::tempdir().map_err(|e| format!("a folder for the floor: {e}"))?;
+                    let floor = play::on_sockets(&experiment, &own, folder.path(), size, repeat, !quiet);
+                    leg.beside(&LocalSet::new().block_on(&runtime, floor)?);
+                }
+                legs.push(leg);
             }
             if experiment.virtual_time || only_virtual {
                 legs.push(play::in_virtual_time(&experiment, size, repeat));
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -4,8 +4,8 @@
 //! virtual world play the same model. A partner works off its queue at a rate that grows while it warms; what would
 //! have to wait behind a full queue is turned away; what is pushed at it past a multiple of what it can do just
 //! then, for as long as the rules say, makes it fall over.
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -37,6 +37,8 @@
     pub fall_s: f64,
     /// For so long it is down then, until it starts cold.
     pub fallen_s: f64,
+    /// Share of calls that run and break: on the second front, streams that are reset.
+    pub lost: f64,
 }
 
 /// Calls that may be made within a span: a plain rate where the span is short, a counted window where it is long.
@@ -64,6 +66,7 @@
             fall_multiple: 2.0,
             fall_s: 3.0,
             fallen_s: 5.0,
+            lost: 0.0,
         }
     }
 }
@@ -270,7 +273,8 @@
             own *= 10.0;
         }
         self.served += 1;
-        if trouble == Some(Trouble::LoseAnswers) {
+        let lost = self.nature.lost;
+        if trouble == Some(Trouble::LoseAnswers) || lost > 0.0 && self.random.random_bool(lost) {
             return Fate::Lost;
         }
         Fate::Served(wait + Duration::from_secs_f64(own.min(3600.0)))
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -46,6 +46,24 @@
     pub first_ten_seconds: Vec<Taken>,
 }
 
+impl Leg {
+    /// Puts what a bare forwarder took for the same beside it.
+    pub fn beside(&mut self, floor: &Leg) {
+        for name in [
+            "cpu_us_per_job",
+            "delivered_share",
+            "delivered_p50_ms",
+            "delivered_p99_ms",
+            "resident_listed_kb",
+        ] {
+            let value = floor.figures.get(name).copied();
+            self.figures.extend(value.map(|value| (format!("floor_{name}"), value)));
+        }
+        let cost = |leg: &Leg| leg.figures.get("cpu_us_per_job").copied().unwrap_or(0.0);
+        self.figures.insert("cpu_over_floor".into(), cost(self) / cost(floor).max(1e-9));
+    }
+}
+
 fn leg(world: World, size: usize, repeat: usize, return_s: Option<f64>, dest: usize) -> Leg {
     let World { checker, record, .. } = world;
     let mut figures = record.figures();
--- a/lab/src/push.rs
+++ b/lab/src/push.rs
@@ -54,16 +54,15 @@
         ])
         .into(),
     );
-    file.insert(
-        "limits".into(),
-        table(vec![
-            ("relays", whole(relay.count as u64)),
-            ("slots", whole(relay.slots.into())),
-            ("jobs", whole(relay.held.into())),
-            ("idle_close_ms", whole(relay.idle_close_ms)),
-        ])
-        .into(),
-    );
+    let mut limits = table(vec![
+        ("relays", whole(relay.count as u64)),
+        ("slots", whole(relay.slots.into())),
+        ("jobs", whole(relay.held.into())),
+        ("idle_close_ms", whole(relay.idle_close_ms)),
+    ]);
+    // What the experiment says of them itself.
+    limits.extend(file.get("limits").and_then(Value::as_table).cloned().unwrap_or_default());
+    file.insert("limits".into(), limits.into());
     let class = |name: &str, aim: u64, give_up: u64, repeat: &str, worth: f64| {
         let pairs = vec![
             ("name", name.into()),
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -121,10 +121,15 @@
         command
             .env_clear()
             .env("ONYXGLADE_LOG", std::env::var("ONYXGLADE_LOG").unwrap_or("info".into()))
-            .arg("--config")
-            .arg(own)
             .stdout(Stdio::from(log))
             .kill_on_drop(true);
+        // The lab's own program stands for the floor.
+        let floor = std::env::current_exe().is_ok_and(|own| own == program);
+        command.args(if floor {
+            vec!["floor".as_ref(), own.as_os_str()]
+        } else {
+            vec!["--config".as_ref(), own.as_os_str()]
+        });
         if !push {
             let config = configuration(&experiment.relay, &format!("n{number}"), address, around.told, seed);
             std::fs::write(&file, config.to_string()).map_err(|e| fault("its configuration", e))?;
