The second front speaks TLS on both sides, with certificates reloaded by SIGHUP

Push services and gateways are reached by TLS; the front spoke clear text only, wherever it listened.

relay/src/tls.rs reads certificates, keys and authorities (rustls with ring) and names the key of each fault; submitters may have to present a certificate, gateways are held to a name, ALPN must agree on h2. SIGHUP takes up new files; what is open goes on. Clear text beyond loopback needs push.clear_text. make-certificates makes an authority to try it out (rcgen).

--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -1,15 +1,18 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
+use rustls::pki_types::ServerName;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use slatethread::{Effect, Fade, Kind, Nanos, Settings, Weights};
 use slatethread_wirehost::env::{self, Env, Names};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::job::nanos;
 use crate::list::{Lifecycle, ListText, NodeEntry, NodeList};
+use crate::tls;
 
 /// What a relay on the platform is told.
 pub struct Platform {
@@ -217,6 +220,11 @@
     /// Submitters' connections at once.
     pub connections: usize,
     pub rules: Rules,
+    /// What is presented to submitters, where the front speaks TLS.
+    pub secured: Option<Arc<rustls::ServerConfig>>,
+    /// What gateways that are reached by TLS are held to, and their names by address.
+    pub trust: Option<Arc<rustls::ClientConfig>>,
+    pub names: HashMap<SocketAddr, ServerName<'static>>,
     /// The connections to each gateway.
     pub pool: PoolLimits,
     pub gateways: NodeList,
@@ -297,6 +305,12 @@
     pub body_limit: usize,
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// Certificates; without them the front speaks HTTP/2 in clear text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls: Option<tls::ServerTable>,
+    /// Clear text is spoken on an address that others reach, too.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub clear_text: bool,
 }
 
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -348,11 +362,14 @@
     pub quiet_ms: u64,
     /// Time for the answer to a ping.
     pub pong_ms: u64,
+    /// What upstreams with `tls` are held to.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls: Option<tls::ClientTable>,
 }
 
 impl Default for GatewaysTable {
     fn default() -> Self {
-        GatewaysTable { streams: 100, connections: 4, quiet_ms: 5000, pong_ms: 2000 }
+        GatewaysTable { streams: 100, connections: 4, quiet_ms: 5000, pong_ms: 2000, tls: None }
     }
 }
 
@@ -415,6 +432,9 @@
     /// Calls a second that it takes from all relays together, if known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<f64>,
+    /// Its servers are reached by TLS, and their certificate must be for this name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls: Option<String>,
     #[serde(rename = "server")]
     pub servers: Vec<ServerTable>,
 }
@@ -555,6 +575,13 @@
     }
     let mut rules = push_rules(file, faults);
     idle.apply(&mut rules);
+    let secured = table.tls.as_ref().map(tls::server).transpose().map_err(|e| faults.push(e)).ok().flatten();
+    if table.tls.is_none() && !table.clear_text && listen.is_some_and(|at| !at.ip().is_loopback()) {
+        faults.push("push.tls: it is missing, and push.listen is no loopback address; push.clear_text = true would allow it".into());
+    }
+    let trust =
+        file.gateways.tls.as_ref().map(tls::client).transpose().map_err(|e| faults.push(e)).ok().flatten();
+    let names = names(file, faults);
     let gateways = gateways(&file.upstreams, faults);
     let locations = locations(file, faults);
     Some(Push {
@@ -564,6 +591,9 @@
         disk: (table.disk_mb * 1e6) as u64,
         body_limit: table.body_limit,
         connections: table.connections.max(1),
+        secured,
+        trust,
+        names,
         pool: PoolLimits {
             streams: file.gateways.streams,
             connections: file.gateways.connections,
@@ -673,6 +703,26 @@
     NodeList::of(instances)
 }
 
+/// The names of gateways that are reached by TLS.
+fn names(file: &OwnFile, faults: &mut Vec<String>) -> HashMap<SocketAddr, ServerName<'static>> {
+    let mut names = HashMap::new();
+    for (i, upstream) in file.upstreams.iter().enumerate() {
+        let Some(name) = &upstream.tls else { continue };
+        if file.gateways.tls.is_none() {
+            faults
+                .push(format!("upstream[{i}].tls: gateways.tls, with the authorities to trust, is missing"));
+        }
+        match ServerName::try_from(name.clone()) {
+            Err(e) => faults.push(format!("upstream[{i}].tls: '{name}': {e}")),
+            Ok(name) => {
+                let servers = upstream.servers.iter().filter_map(|s| s.address.to_socket_addrs().ok());
+                names.extend(servers.flatten().map(|address| (address, name.clone())));
+            }
+        }
+    }
+    names
+}
+
 fn locations(file: &OwnFile, faults: &mut Vec<String>) -> Vec<Location> {
     let mut locations = Vec::new();
     for (i, location) in file.locations.iter().enumerate() {
@@ -739,6 +789,16 @@
             ("slots = 64", "slot = 64", "limits"),
             ("repeat = \"safe\"", "repeat = \"often\"", "class[1].repeat"),
             ("127.0.0.1:8480", "localhost", "push.listen"),
+            ("127.0.0.1:8480", "0.0.0.0:8480", "push.tls"),
+            ("disk_mb = 64", "tls = { certificate = \"c\", key = \"k\" }", "push.tls.certificate"),
+            ("name = \"apps\"", "name = \"apps\"\ntls = \"g.test\"", "upstream[0].tls"),
+            ("slots = 64", "step_ms = 0", "limits.step_ms"),
+            ("[[class]]", "[gateways]\nstreams = 0\n[[class]]", "gateways.streams"),
+            (
+                "class = \"disruption-notice\"",
+                "class = \"disruption-notice\"\nurgency = { high = \"ticket-order\" }",
+                "location[0].urgency.high",
+            ),
             ("disk_mb = 64", "disk_mb = nan", "push.disk_mb"),
             ("upstream = \"apps\"", "upstream = \"app\"", "location[0].upstream"),
             ("127.0.0.1:9002", "nowhere", "upstream[0].server[1].address"),
--- a/relay/src/import.rs
+++ b/relay/src/import.rs
@@ -278,7 +278,7 @@
         } else if servers.is_empty() {
             self.note(line, format!("upstream '{name}' is left out: it has no server"));
         } else {
-            self.upstreams.push(UpstreamTable { name: name.into(), rate: None, servers });
+            self.upstreams.push(UpstreamTable { name: name.into(), rate: None, tls: None, servers });
         }
     }
 
@@ -333,7 +333,12 @@
             if !self.upstreams.iter().any(|u| u.name == *host) {
                 // nginx, too, takes a host that names no upstream for an address.
                 let server = ServerTable { address: with_port(host), draining: false };
-                self.upstreams.push(UpstreamTable { name: host.clone(), rate: None, servers: vec![server] });
+                self.upstreams.push(UpstreamTable {
+                    name: host.clone(),
+                    rate: None,
+                    tls: None,
+                    servers: vec![server],
+                });
             }
         }
         if self.locations.is_empty() {
@@ -363,6 +368,8 @@
                 // nginx's own default.
                 body_limit: self.body_limit.unwrap_or(1024 * 1024),
                 connections: 256,
+                tls: None,
+                clear_text: false,
             }),
             hook: None,
             idle: None,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -1,7 +1,7 @@
 //! A relay that hands messages on to partner systems; `slatethread` decides, this program acts.
 //!
 //! The rooms, each importing only those before it: plain values ([`job`]), what is read and written ([`config`],
-//! [`list`], [`journal`], [`notice`], [`import`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts share ([`door`],
+//! [`list`], [`tls`], [`journal`], [`notice`], [`import`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts share ([`door`],
 //! [`discovery`]), the fronts ([`platform`], [`push`]), and the program that wires them ([`run`]).
 #![forbid(unsafe_code)]
 
@@ -19,3 +19,4 @@
 pub mod push;
 pub mod run;
 pub mod shelf;
+pub mod tls;
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
 
-use onyxglade::{config, import, run};
+use onyxglade::{config, import, run, tls};
 
 /// Hands messages on to partner systems that it does not control.
 ///
@@ -29,6 +29,13 @@
     /// Read and check a configuration: our own file (TOML) or the platform's (JSON). Each fault is told with its key;
     /// the exit code is 0 where there is none, else 2
     Check { file: PathBuf },
+    /// Make an authority and certificates for trying out TLS: authority.pem, server.pem and client.pem with their keys
+    MakeCertificates {
+        folder: PathBuf,
+        /// Names that they are for, besides localhost and 127.0.0.1
+        #[arg(long = "name")]
+        names: Vec<String>,
+    },
     /// Print our own file made of nginx's upstream and location blocks; what is not carried over is told beside it
     ImportNginx { file: PathBuf },
 }
@@ -60,6 +67,7 @@
         None => start(line.run),
         Some(Command::Run(run)) => start(run),
         Some(Command::Check { file }) => check(&file),
+        Some(Command::MakeCertificates { folder, names }) => make_certificates(&folder, &names),
         Some(Command::ImportNginx { file }) => import_nginx(&file),
     }
 }
@@ -87,6 +95,19 @@
     }
 }
 
+fn make_certificates(folder: &Path, names: &[String]) -> ExitCode {
+    match tls::make(folder, names) {
+        Ok(written) => {
+            written.iter().for_each(|path| println!("{}", path.display()));
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn check(file: &Path) -> ExitCode {
     match config::check(file) {
         Ok(summary) => {
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -8,20 +8,27 @@
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, SendStream};
 use http::{Request, Response, StatusCode};
+use rustls::ClientConfig;
+use rustls::pki_types::ServerName;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
+use tokio_util::either::Either;
 
 use super::pool::{ClaimId, Denial, Left, LineId, Order, Pool};
 use super::{PATH, TOPIC, TTL};
 use crate::config::PoolLimits;
 use crate::core::{Carrier, Core, Node, Ticket};
 use crate::job::{Job, Notice, Outcome};
+use crate::tls;
 
 /// Streams of claims given up that a late answer may still come for without ending the connection.
 const RESET_STREAMS: usize = 1024;
@@ -41,11 +48,31 @@
     gateways: RefCell<HashMap<SocketAddr, Rc<Gateway>>>,
     notices: Cell<SocketAddr>,
     limits: Cell<PoolLimits>,
+    secured: RefCell<Secured>,
 }
 
+/// Gateways that are reached by TLS.
+#[derive(Clone, Default)]
+pub struct Secured {
+    pub config: Option<Arc<ClientConfig>>,
+    /// The name that the certificate of each must be for.
+    pub names: HashMap<SocketAddr, ServerName<'static>>,
+}
+
+impl Secured {
+    fn of(&self, address: SocketAddr) -> Option<Trust> {
+        Some((self.config.clone()?, self.names.get(&address)?.clone()))
+    }
+}
+
+/// How a gateway is reached by TLS.
+type Trust = (Arc<ClientConfig>, ServerName<'static>);
+type Stream = Either<TcpStream, TlsStream<TcpStream>>;
+
 /// The connections to one gateway.
 struct Gateway {
     address: SocketAddr,
+    trust: RefCell<Option<Trust>>,
     pool: RefCell<Pool>,
     lines: RefCell<HashMap<LineId, Line>>,
     waiting: RefCell<HashMap<ClaimId, oneshot::Sender<Result<LineId, Denial>>>>,
@@ -60,7 +87,7 @@
     driver: actix_rt::task::JoinHandle<()>,
 }
 
-type Driver = Connection<TcpStream, Bytes>;
+type Driver = Connection<Stream, Bytes>;
 
 /// A claim's place at a gateway: it waits for a stream or has one.
 struct Place {
@@ -77,9 +104,10 @@
 }
 
 impl Gateway {
-    fn new(address: SocketAddr, limits: PoolLimits) -> Rc<Self> {
+    fn new(address: SocketAddr, limits: PoolLimits, trust: Option<Trust>) -> Rc<Self> {
         Rc::new(Gateway {
             address,
+            trust: RefCell::new(trust),
             pool: RefCell::new(Pool::new(limits)),
             lines: RefCell::default(),
             waiting: RefCell::default(),
@@ -120,7 +148,8 @@
 
     async fn dial(self: Rc<Self>, id: LineId) {
         let limit = self.pool.borrow().limits().dial;
-        let up = match timeout(limit, handshake(self.address)).await {
+        let trust = self.trust.borrow().clone();
+        let up = match timeout(limit, handshake(self.address, trust)).await {
             Ok(up) => up,
             Err(_) => Err("no connection in time".into()),
         };
@@ -319,9 +348,23 @@
     }
 }
 
-async fn handshake(address: SocketAddr) -> Result<(SendRequest<Bytes>, PingPong, Driver), String> {
+async fn handshake(
+    address: SocketAddr,
+    trust: Option<Trust>,
+) -> Result<(SendRequest<Bytes>, PingPong, Driver), String> {
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let stream = match trust {
+        None => Either::Left(stream),
+        Some((config, name)) => {
+            let secured = TlsConnector::from(config).connect(name, stream).await;
+            let secured = secured.map_err(|e| format!("TLS: {e}"))?;
+            if !tls::speaks_h2(secured.get_ref().1.alpn_protocol()) {
+                return Err("TLS: it does not agree on HTTP/2".into());
+            }
+            Either::Right(secured)
+        }
+    };
     let mut builder = h2::client::Builder::new();
     builder.enable_push(false).max_concurrent_reset_streams(RESET_STREAMS).max_header_list_size(LONGEST_HEAD);
     let (sender, mut connection) = builder.handshake(stream).await.map_err(|e| e.to_string())?;
@@ -376,7 +419,17 @@
 
 impl Gateways {
     pub fn new(limits: PoolLimits, notices: SocketAddr) -> Self {
-        Gateways { gateways: RefCell::default(), notices: Cell::new(notices), limits: Cell::new(limits) }
+        let (notices, limits) = (Cell::new(notices), Cell::new(limits));
+        Gateways { gateways: RefCell::default(), notices, limits, secured: RefCell::default() }
+    }
+
+    /// Takes up how gateways are reached by TLS. Connections that are up keep what they were opened with, and give way
+    /// to others as they end.
+    pub fn secure(&self, secured: Secured) {
+        for (address, gateway) in self.gateways.borrow().iter() {
+            *gateway.trust.borrow_mut() = secured.of(*address);
+        }
+        *self.secured.borrow_mut() = secured;
     }
 
     /// Takes up other limits, and another reader of notices. What is under way goes on.
@@ -389,7 +442,8 @@
 
     fn gateway(&self, address: SocketAddr) -> Rc<Gateway> {
         let mut gateways = self.gateways.borrow_mut();
-        gateways.entry(address).or_insert_with(|| Gateway::new(address, self.limits.get())).clone()
+        let new = || Gateway::new(address, self.limits.get(), self.secured.borrow().of(address));
+        gateways.entry(address).or_insert_with(new).clone()
     }
 
     fn known(&self, address: SocketAddr) -> Option<Rc<Gateway>> {
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -1,23 +1,30 @@
 //! The way in: submitters hand in push messages over HTTP/2, by RFC 8030.
+use actix_http::error::DispatchError;
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
-use actix_service::fn_service;
+use actix_service::{ServiceFactoryExt, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use rustls::ServerConfig;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::server::TlsStream;
+use tokio_util::either::Either;
 
 use super::{PATH, TOPIC, TTL};
 use crate::config::{Location, Push, Urgency};
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners};
 use crate::job::{Answer, Job};
+use crate::tls;
 
 /// A submitter's connection may stand idle for so long; then it is pinged, and closed if nothing comes back.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
@@ -49,6 +56,8 @@
     locations: RefCell<Vec<Location>>,
     body_limit: Cell<usize>,
     reading: Cell<usize>,
+    /// What it presents, where it speaks TLS.
+    secured: RefCell<Option<Arc<ServerConfig>>>,
     /// Ids of this process begin so; a counter follows.
     prefix: String,
     next_id: Cell<u64>,
@@ -60,6 +69,7 @@
             locations: RefCell::new(push.locations.clone()),
             body_limit: Cell::new(push.body_limit),
             reading: Cell::new(0),
+            secured: RefCell::new(push.secured.clone()),
             prefix: format!("{seed:016x}"),
             next_id: Cell::new(0),
             core,
@@ -67,21 +77,28 @@
     }
 
     /// The file was read anew.
-    pub fn settle(&self, locations: Vec<Location>, body_limit: usize) {
+    pub fn settle(&self, locations: Vec<Location>, body_limit: usize, secured: Option<Arc<ServerConfig>>) {
+        // Connections that are open keep what they were greeted with.
+        *self.secured.borrow_mut() = secured;
         self.body_limit.set(body_limit);
         *self.locations.borrow_mut() = locations;
     }
 
     pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Arc<Semaphore>) {
+        let greeter = self.clone();
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
             .client_request_timeout(READ_TIME)
-            .on_connect_ext(|_: &Gate, _| ())
+            .on_connect_ext(|_: &Line, _| ())
             .h2(fn_service(move |request: Request| {
                 let server = self.clone();
                 async move { Ok::<_, Infallible>(server.serve(request).await) }
             }));
-        door::accept(listener, places, MANNERS, service).await;
+        let greet = fn_service(move |(gate, peer): (Gate, Option<SocketAddr>)| {
+            let secured = greeter.secured.borrow().clone();
+            async move { Ok::<_, DispatchError>((greeted(gate, secured).await?, peer)) }
+        });
+        door::accept(listener, places, MANNERS, greet.and_then(service)).await;
     }
 
     async fn serve(&self, mut request: Request) -> Response<String> {
@@ -175,6 +192,20 @@
     }
 }
 
+/// A submitter's connection, by TLS or without.
+type Line = Either<Gate, TlsStream<Gate>>;
+
+async fn greeted(gate: Gate, secured: Option<Arc<ServerConfig>>) -> Result<Line, DispatchError> {
+    let Some(config) = secured else { return Ok(Either::Left(gate)) };
+    // Guards against submitters that begin a handshake and go no further.
+    let handshake = tokio::time::timeout(READ_TIME, TlsAcceptor::from(config).accept(gate)).await;
+    let line = handshake.map_err(|_| DispatchError::SlowRequestTimeout)?.map_err(DispatchError::Io)?;
+    if !tls::speaks_h2(line.get_ref().1.alpn_protocol()) {
+        return Err(DispatchError::Io(std::io::Error::other("TLS without HTTP/2")));
+    }
+    Ok(Either::Right(line))
+}
+
 /// A request that is being read. Guards against counting for ever those whose streams are reset meanwhile.
 struct Reading<'a>(&'a Cell<usize>);
 
