One piece of code for what stood twice: lateness, pruning, fields, names of gateways

Read once more, the change had the time at which a message would be done in rank and in late, two prunings of maps alike, two lookups of a job's field, the urgencies' names beside their serde names, the same check of figures for two tables, and the waiting list of a pool filled past the function that is there for it. Gateways' addresses were resolved twice at each start and reload.

Courier::done, look_through, Job::field, Urgency::named and one loop serve both sides; gateways() gives the names with the list; config::Secured replaces a copy of its parts; Pool::sizes, used by a test alone, is gone. Behaviour stays.

--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
 use rustls::pki_types::ServerName;
+use serde::de::IntoDeserializer;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use slatethread::{Effect, Fade, Kind, Nanos, Settings, Weights};
@@ -222,15 +223,31 @@
     pub rules: Rules,
     /// What is presented to submitters, where the front speaks TLS.
     pub secured: Option<Arc<rustls::ServerConfig>>,
-    /// What gateways that are reached by TLS are held to, and their names by address.
-    pub trust: Option<Arc<rustls::ClientConfig>>,
-    pub names: HashMap<SocketAddr, ServerName<'static>>,
+    pub trust: Secured,
     /// The connections to each gateway.
     pub pool: PoolLimits,
     pub gateways: NodeList,
     pub locations: Vec<Location>,
 }
 
+/// Gateways that are reached by TLS.
+#[derive(Clone, Default)]
+pub struct Secured {
+    /// What they are held to.
+    pub config: Option<Arc<rustls::ClientConfig>>,
+    /// The name that the certificate of each must be for.
+    pub names: HashMap<SocketAddr, ServerName<'static>>,
+}
+
+/// How a gateway is reached by TLS.
+pub type Trust = (Arc<rustls::ClientConfig>, ServerName<'static>);
+
+impl Secured {
+    pub fn of(&self, address: SocketAddr) -> Option<Trust> {
+        Some((self.config.clone()?, self.names.get(&address)?.clone()))
+    }
+}
+
 /// What binds the connections to a gateway.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLimits {
@@ -273,6 +290,14 @@
     High,
 }
 
+impl Urgency {
+    /// The one of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        let name: serde::de::value::StrDeserializer<'_, serde::de::value::Error> = name.into_deserializer();
+        Urgency::deserialize(name).ok()
+    }
+}
+
 /// The file as it is written. The importer writes this form, the push front runs it.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -373,20 +398,6 @@
     }
 }
 
-impl GatewaysTable {
-    fn check(&self, faults: &mut Vec<String>) {
-        let figures = [
-            ("streams", self.streams as u64),
-            ("connections", self.connections as u64),
-            ("quiet_ms", self.quiet_ms),
-            ("pong_ms", self.pong_ms),
-        ];
-        for (key, _) in figures.iter().filter(|(_, value)| *value == 0) {
-            faults.push(format!("gateways.{key}: must be at least 1"));
-        }
-    }
-}
-
 impl Default for LimitsTable {
     fn default() -> Self {
         LimitsTable {
@@ -556,12 +567,18 @@
     if !table.disk_mb.is_finite() || table.disk_mb < 0.1 {
         faults.push(format!("push.disk_mb: {} is too small to keep a journal in", table.disk_mb));
     }
-    for (key, value) in
-        [("slots", file.limits.slots), ("jobs", file.limits.jobs), ("tries", file.limits.tries)]
-    {
-        if value == 0 {
-            faults.push(format!("limits.{key}: must be at least 1"));
-        }
+    let (limits, gateways) = (&file.limits, &file.gateways);
+    let figures = [
+        ("limits.slots", u64::from(limits.slots)),
+        ("limits.jobs", limits.jobs.into()),
+        ("limits.tries", limits.tries.into()),
+        ("gateways.streams", gateways.streams as u64),
+        ("gateways.connections", gateways.connections as u64),
+        ("gateways.quiet_ms", gateways.quiet_ms),
+        ("gateways.pong_ms", gateways.pong_ms),
+    ];
+    for (key, _) in figures.iter().filter(|(_, value)| *value == 0) {
+        faults.push(format!("{key}: must be at least 1"));
     }
     let one = |key: &str, value: &str| {
         value.parse::<SocketAddr>().map_err(|_| format!("{key}: '{value}' is no address and port"))
@@ -569,7 +586,6 @@
     let mut sound = |part: Result<SocketAddr, String>| part.map_err(|fault| faults.push(fault)).ok();
     let listen = sound(one("push.listen", &table.listen));
     let notices = sound(one("push.notices", &table.notices));
-    file.gateways.check(faults);
     if !(1..=MOST_STEP_MS).contains(&file.limits.step_ms) {
         faults.push(format!("limits.step_ms: must be from 1 to {MOST_STEP_MS}"));
     }
@@ -581,8 +597,7 @@
     }
     let trust =
         file.gateways.tls.as_ref().map(tls::client).transpose().map_err(|e| faults.push(e)).ok().flatten();
-    let names = names(file, faults);
-    let gateways = gateways(&file.upstreams, faults);
+    let (gateways, names) = self::gateways(file, faults);
     let locations = locations(file, faults);
     Some(Push {
         listen: listen?,
@@ -592,8 +607,7 @@
         body_limit: table.body_limit,
         connections: table.connections.max(1),
         secured,
-        trust,
-        names,
+        trust: Secured { config: trust, names },
         pool: PoolLimits {
             streams: file.gateways.streams,
             connections: file.gateways.connections,
@@ -676,9 +690,22 @@
     u64::from(crc32fast::hash(upstream.as_bytes()))
 }
 
-fn gateways(upstreams: &[UpstreamTable], faults: &mut Vec<String>) -> NodeList {
-    let mut instances = Vec::new();
+/// All gateways, and the names of those that are reached by TLS.
+fn gateways(
+    file: &OwnFile,
+    faults: &mut Vec<String>,
+) -> (NodeList, HashMap<SocketAddr, ServerName<'static>>) {
+    let (mut instances, mut names) = (Vec::new(), HashMap::new());
+    let upstreams = &file.upstreams;
     for (i, upstream) in upstreams.iter().enumerate() {
+        let name = upstream.tls.as_ref().and_then(|name| {
+            if file.gateways.tls.is_none() {
+                let missing = "gateways.tls, with the authorities to trust, is missing";
+                faults.push(format!("upstream[{i}].tls: {missing}"));
+            }
+            let fault = |e| faults.push(format!("upstream[{i}].tls: '{name}': {e}"));
+            ServerName::try_from(name.clone()).map_err(fault).ok()
+        });
         if let Some(other) = upstreams[..i].iter().find(|o| number(&o.name) == number(&upstream.name)) {
             faults.push(format!("upstream[{i}].name: '{}' is taken by '{}'", upstream.name, other.name));
         }
@@ -687,6 +714,7 @@
             let addresses = server.address.to_socket_addrs();
             let addresses = addresses.map_err(|e| faults.push(fault(e.to_string())));
             for address in addresses.into_iter().flatten() {
+                names.extend(name.clone().map(|name| (address, name)));
                 instances.push(NodeEntry {
                     instance_id: format!("{}/{address}", upstream.name).into(),
                     host_port: address.to_string().into(),
@@ -700,27 +728,7 @@
             }
         }
     }
-    NodeList::of(instances)
-}
-
-/// The names of gateways that are reached by TLS.
-fn names(file: &OwnFile, faults: &mut Vec<String>) -> HashMap<SocketAddr, ServerName<'static>> {
-    let mut names = HashMap::new();
-    for (i, upstream) in file.upstreams.iter().enumerate() {
-        let Some(name) = &upstream.tls else { continue };
-        if file.gateways.tls.is_none() {
-            faults
-                .push(format!("upstream[{i}].tls: gateways.tls, with the authorities to trust, is missing"));
-        }
-        match ServerName::try_from(name.clone()) {
-            Err(e) => faults.push(format!("upstream[{i}].tls: '{name}': {e}")),
-            Ok(name) => {
-                let servers = upstream.servers.iter().filter_map(|s| s.address.to_socket_addrs().ok());
-                names.extend(servers.flatten().map(|address| (address, name.clone())));
-            }
-        }
-    }
-    names
+    (NodeList::of(instances), names)
 }
 
 fn locations(file: &OwnFile, faults: &mut Vec<String>) -> Vec<Location> {
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -124,10 +124,20 @@
             self.gone.insert(node.dest, Instant::now());
         }
         // Guards against destinations that never come again being remembered for ever.
-        if self.gone.len() > 2 * self.gone_left + 64 {
-            self.gone.retain(|_, at| at.elapsed() < GONE_KEPT);
-            self.gone_left = self.gone.len();
-        }
+        look_through(&mut self.gone, &mut self.gone_left, |_, at| at.elapsed() < GONE_KEPT);
+    }
+}
+
+/// Drops what is not to be kept, once there are twice as many entries as were left: its cost does not follow how many
+/// there are.
+fn look_through<K: Eq + Hash, V>(
+    map: &mut HashMap<K, V>,
+    left: &mut usize,
+    mut keep: impl FnMut(&K, &V) -> bool,
+) {
+    if map.len() > 2 * *left + 64 {
+        map.retain(|key, value| keep(key, value));
+        *left = map.len();
     }
 }
 
@@ -366,14 +376,12 @@
         let apart = self.rules().settings.kinds.get(node.kind().0).and_then(|k| k.apart).unwrap_or(false);
         let unit = (node.dest, apart.then_some(node.id));
         let mut state = self.state.borrow_mut();
-        if state.waits.len() > 2 * state.waits_left + 64 {
-            // Guards against a wait kept for each destination that was ever called: one that is over, and that no
-            // claim looks at, is none.
-            let now = Instant::now();
-            state.waits.retain(|_, until| Rc::strong_count(until) > 1 || until.get() > now);
-            state.waits_left = state.waits.len();
-        }
-        state.waits.entry(unit).or_insert_with(|| Rc::new(Cell::new(self.start))).clone()
+        let State { waits, waits_left, .. } = &mut *state;
+        // Guards against a wait kept for each destination that was ever called: one that is over, and that no claim
+        // looks at, is none.
+        let now = Instant::now();
+        look_through(waits, waits_left, |_, until| Rc::strong_count(until) > 1 || until.get() > now);
+        waits.entry(unit).or_insert_with(|| Rc::new(Cell::new(self.start))).clone()
     }
 }
 
--- a/relay/src/job.rs
+++ b/relay/src/job.rs
@@ -99,6 +99,11 @@
 }
 
 impl Job {
+    /// The value of a field, if it has that.
+    pub fn field(&self, name: &str) -> Option<&[u8]> {
+        self.fields.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_ref())
+    }
+
     pub fn left(&self) -> Duration {
         self.deadline.duration_since(SystemTime::now()).unwrap_or_default()
     }
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -8,13 +8,10 @@
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, SendStream};
 use http::{Request, Response, StatusCode};
-use rustls::ClientConfig;
-use rustls::pki_types::ServerName;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -25,7 +22,7 @@
 
 use super::pool::{ClaimId, Denial, Left, LineId, Order, Pool};
 use super::{PATH, TOPIC, TTL};
-use crate::config::PoolLimits;
+use crate::config::{PoolLimits, Secured, Trust};
 use crate::core::{Carrier, Core, Node, Ticket};
 use crate::job::{Job, Notice, Outcome};
 use crate::tls;
@@ -51,22 +48,6 @@
     secured: RefCell<Secured>,
 }
 
-/// Gateways that are reached by TLS.
-#[derive(Clone, Default)]
-pub struct Secured {
-    pub config: Option<Arc<ClientConfig>>,
-    /// The name that the certificate of each must be for.
-    pub names: HashMap<SocketAddr, ServerName<'static>>,
-}
-
-impl Secured {
-    fn of(&self, address: SocketAddr) -> Option<Trust> {
-        Some((self.config.clone()?, self.names.get(&address)?.clone()))
-    }
-}
-
-/// How a gateway is reached by TLS.
-type Trust = (Arc<ClientConfig>, ServerName<'static>);
 type Stream = Either<TcpStream, TlsStream<TcpStream>>;
 
 /// The connections to one gateway.
@@ -201,11 +182,13 @@
         for _ in 0..CLOSED_ONES {
             self.look();
             let (seat, answer) = oneshot::channel();
-            let mut orders = Vec::new();
-            let claim = self.pool.borrow_mut().want(Instant::now(), &mut orders);
-            self.waiting.borrow_mut().insert(claim, seat);
+            let claim = self.tell(|pool, now, orders| {
+                let claim = pool.want(now, orders);
+                // The answer may be among the orders.
+                self.waiting.borrow_mut().insert(claim, seat);
+                claim
+            });
             let mut place = Place { gateway: self.clone(), claim, left: Left::Unheard };
-            orders.into_iter().for_each(|order| self.act(order));
             let line = match answer.await {
                 Ok(Ok(line)) => line,
                 Ok(Err(Denial::Withdrawn)) => return Err(Fault::NotSent),
@@ -405,15 +388,14 @@
 }
 
 fn request(job: &Job, address: SocketAddr) -> Result<Request<()>, http::Error> {
-    let field = |name: &str| job.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
-    let path = field(PATH).and_then(|p| std::str::from_utf8(p).ok()).unwrap_or("/");
+    let path = job.field(PATH).and_then(|p| std::str::from_utf8(p).ok()).unwrap_or("/");
     let mut request = Request::post(format!("http://{address}{path}"));
     for (name, value) in job.fields.iter().filter(|(name, _)| name != PATH && name != TTL) {
         request = request.header(name.as_str(), value.as_ref());
     }
     // What is left of the time to live, in whole seconds. Zero, at once or never, passes as it came.
     let left = job.deadline.duration_since(SystemTime::now()).unwrap_or_default().as_secs();
-    let ttl = if field(TTL) == Some(b"0") { 0 } else { left };
+    let ttl = if job.field(TTL) == Some(b"0") { 0 } else { left };
     request.header(TTL, ttl).body(())
 }
 
@@ -499,8 +481,7 @@
     }
 
     fn replaces(&self, job: &Job) -> Option<String> {
-        let field = |name: &str| job.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
-        let (path, topic) = (field(PATH)?, field(TOPIC)?);
+        let (path, topic) = (job.field(PATH)?, job.field(TOPIC)?);
         Some(format!("{} {} {}", job.dest, String::from_utf8_lossy(path), String::from_utf8_lossy(topic)))
     }
 
--- a/relay/src/push/pool.rs
+++ b/relay/src/push/pool.rs
@@ -120,11 +120,6 @@
         self.lines.is_empty() && self.waiting.is_empty()
     }
 
-    /// Connections, and streams on them.
-    pub fn sizes(&self) -> (usize, usize) {
-        (self.lines.values().filter(|l| l.state != State::Ended).count(), self.places.len())
-    }
-
     /// A claim wants a stream; it is granted or denied one sooner or later, unless it leaves before.
     pub fn want(&mut self, now: Instant, orders: &mut Vec<Order>) -> ClaimId {
         self.next += 1;
@@ -402,7 +397,7 @@
         assert_eq!(dialled(&played.want(4)), 1);
         assert_eq!(dialled(&played.want(1)), 1);
         assert_eq!(dialled(&played.want(100)), 1, "three at most");
-        assert_eq!(played.pool.sizes(), (3, 0));
+        assert_eq!((played.pool.lines.len(), played.pool.places.len()), (3, 0));
     }
 
     #[test]
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -279,13 +279,8 @@
 /// How urgent a message is called; normal unless told (RFC 8030, 5.3).
 fn urgency(headers: &HeaderMap) -> Result<Urgency, Unfit> {
     let Some(value) = only(headers, "urgency")? else { return Ok(Urgency::default()) };
-    match value.as_bytes() {
-        b"very-low" => Ok(Urgency::VeryLow),
-        b"low" => Ok(Urgency::Low),
-        b"normal" => Ok(Urgency::Normal),
-        b"high" => Ok(Urgency::High),
-        _ => Err(Unfit::bad("urgency", "it is none of very-low, low, normal and high")),
-    }
+    let named = value.to_str().ok().and_then(Urgency::named);
+    named.ok_or(Unfit::bad("urgency", "it is none of very-low, low, normal and high"))
 }
 
 /// Checks a message's topic (RFC 8030, 5.4): a later message with the same to the same place takes its place.
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -11,7 +11,6 @@
 use crate::door::Places;
 use crate::hook::Hooks;
 use crate::journal::Journal;
-use crate::push::gateways::Secured;
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -196,7 +195,7 @@
     // Not told by anybody: this front's own, new with each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = crate::push::gateways::Gateways::new(config.pool, config.notices);
-    gateways.secure(Secured { config: config.trust.clone(), names: config.names.clone() });
+    gateways.secure(config.trust.clone());
     let core = start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
         .map_err(|e| format!("push.state: {e}"))?;
     core.take_list(&config.gateways).await;
@@ -219,7 +218,7 @@
                     tracing::warn!("SIGHUP: push.listen and push.state are taken up with the next start");
                 }
                 self.core.carrier.settle(push.pool, push.notices);
-                self.core.carrier.secure(Secured { config: push.trust, names: push.names });
+                self.core.carrier.secure(push.trust);
                 self.core.settle(push.rules, push.disk);
                 self.core.take_list(&push.gateways).await;
                 self.server.settle(push.locations, push.body_limit, push.secured);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -535,8 +535,7 @@
 
     /// The most urgent worth first: what meets its aim before what is late by then, by worth, then aim.
     pub(crate) fn rank(&self, now: Nanos, message: &Message) -> Rank {
-        let unit = message.lane.and_then(|lane| lane.unit).and_then(|unit| self.units.get(&unit));
-        let done = now + nanos(unit.map_or(0.0, |u| u.predictor.recent));
+        let done = self.done(now, message.lane.and_then(|lane| lane.unit));
         let late = if done > message.aim_at { STALE_RANK } else { 1.0 };
         (-(message.worth * self.weights[message.class] * late * 1e6) as i64, message.aim_at)
     }
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -25,11 +25,16 @@
 
     /// How many of a lane's messages would be late if they were sent now: they are its first.
     pub(crate) fn late(&self, now: Nanos, lane: &Lane, queue: &VecDeque<Waiting>) -> usize {
-        let unit = lane.unit.and_then(|unit| self.units.get(&unit));
-        let done = now + nanos(unit.map_or(0.0, |u| u.predictor.recent));
+        let done = self.done(now, lane.unit);
         queue.partition_point(|w| w.aim_at < done)
     }
 
+    /// When a message would be done that is sent now and takes as long as the latest there.
+    pub(crate) fn done(&self, now: Nanos, unit: Option<UnitId>) -> Nanos {
+        let unit = unit.and_then(|unit| self.units.get(&unit));
+        now + nanos(unit.map_or(0.0, |u| u.predictor.recent))
+    }
+
     /// Messages held for a unit that go before this one.
     pub(crate) fn ahead(&self, now: Nanos, unit: UnitId, message: &Message) -> u32 {
         let rank = self.rank(now, message);
