Tests, benches and laboratory: one start of the relay, one set of requests, one dial

after_a_slow_call, troubles, tests/common, tests/program and push::dial serve both places. Assertions are as they were.

--- a/benches/held.rs
+++ b/benches/held.rs
@@ -1,38 +1,16 @@
 //! What a round costs in which one message comes and one is answered, by how many others are held.
 //! `cargo bench -p slatethread --bench held`; the figures should not grow with what is held.
+#[path = "../tests/common/mod.rs"]
+mod common;
+use common::{MS, SECOND, closed, endpoint, request};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use slatethread::*;
 
-const MS: Nanos = 1_000_000;
-const SECOND: Nanos = 1000 * MS;
 /// The destinations that take messages; those held wait at others, or at these.
 const BUSY: u32 = 50;
 
-fn endpoint(id: u32) -> Endpoint {
-    Endpoint {
-        id: EndpointId(id),
-        dest: DestId(u64::from(id)),
-        zone: ZoneId(0),
-        kind: KindId(0),
-        condition: Condition::Active,
-        weight: None,
-        started: 0,
-    }
-}
-
-fn request(msg: u32, dest: u32) -> Event {
-    Event::Request(Request {
-        msg: MsgId(msg),
-        dest: DestId(u64::from(dest)),
-        class: ClassId(0),
-        tenant: None,
-        key: None,
-        patience: 4000 * SECOND,
-        retry: false,
-        reconnect: false,
-        tries: 0,
-        risk: None,
-    })
+fn ask(msg: u32, dest: u32) -> Event {
+    Event::Request(Request { patience: 4000 * SECOND, ..request(msg, u64::from(dest), 0) })
 }
 
 /// A courier that holds so many messages for so many destinations that are busy with a call each.
@@ -49,9 +27,9 @@
         ..Settings::default()
     };
     let mut courier = Courier::new(settings, 1);
-    let list = (1..=BUSY + dests).map(endpoint).collect();
+    let list = (1..=BUSY + dests).map(|id| endpoint(id, u64::from(id))).collect();
     courier.on_round(SECOND, &[Event::List { scope: ListScope::Whole, entries: list }], &mut Vec::new());
-    let requests: Vec<_> = (0..held + dests).map(|i| request(1_000_000 + i, BUSY + 1 + i % dests)).collect();
+    let requests: Vec<_> = (0..held + dests).map(|i| ask(1_000_000 + i, BUSY + 1 + i % dests)).collect();
     courier.on_round(SECOND, &requests, &mut Vec::new());
     // Late enough that they are not fresh any more: those are looked at by themselves.
     (courier, 2 * SECOND)
@@ -69,17 +47,9 @@
                     // Little enough time that those held stay as they are.
                     now += 10_000;
                     actions.clear();
-                    courier.on_round(now, &[request(msg, 1 + msg % BUSY)], &mut actions);
+                    courier.on_round(now, &[ask(msg, 1 + msg % BUSY)], &mut actions);
                     assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
-                    let closed = Event::Closed {
-                        msg: MsgId(msg),
-                        attempt: 0,
-                        endpoint: EndpointId(1 + msg % BUSY),
-                        outcome: Outcome::Ok,
-                        latency: 5_000,
-                        no_more: true,
-                        report: Report::default(),
-                    };
+                    let closed = closed(msg, 0, 1 + msg % BUSY, Outcome::Ok, 5_000);
                     courier.on_round(now + 5_000, &[closed], &mut actions);
                 });
             });
--- a/benches/listed.rs
+++ b/benches/listed.rs
@@ -1,23 +1,16 @@
 //! What a message and a change of the list cost the module, by how many endpoints are listed.
 //! `cargo bench -p slatethread`; the figures of each size should lie within a few hundredths of one another.
+#[path = "../tests/common/mod.rs"]
+mod common;
+use common::{MS, SECOND, closed, endpoint, request};
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use slatethread::*;
 
-const MS: Nanos = 1_000_000;
-const SECOND: Nanos = 1000 * MS;
 const BUSY: u32 = 50;
 const SIZES: [u32; 3] = [100, 10_000, 100_000];
 
-fn endpoint(id: u32) -> Endpoint {
-    Endpoint {
-        id: EndpointId(id),
-        dest: DestId(u64::from(id)),
-        zone: ZoneId(0),
-        kind: KindId(0),
-        condition: Condition::Active,
-        weight: Some(100.0),
-        started: 0,
-    }
+fn listed_at(id: u32, weight: f64) -> Endpoint {
+    Endpoint { weight: Some(weight), ..endpoint(id, u64::from(id)) }
 }
 
 /// A courier with so many endpoints listed, some of which are in use.
@@ -33,7 +26,8 @@
         ..Settings::default()
     };
     let mut courier = Courier::new(settings, 1);
-    let list = Event::List { scope: ListScope::Whole, entries: (1..=size).map(endpoint).collect() };
+    let list =
+        Event::List { scope: ListScope::Whole, entries: (1..=size).map(|id| listed_at(id, 100.0)).collect() };
     courier.on_round(SECOND, &[list], &mut Vec::new());
     let (mut now, mut msg) = (SECOND, 0);
     for _ in 0..BUSY {
@@ -45,18 +39,8 @@
 /// One message, in and delivered.
 fn job(courier: &mut Courier, now: &mut Nanos, msg: &mut u32) {
     *msg += 1;
-    let request = Event::Request(Request {
-        msg: MsgId(*msg),
-        dest: DestId(u64::from(*msg % BUSY) + 1),
-        class: ClassId(0),
-        tenant: None,
-        key: None,
-        patience: 6 * SECOND,
-        retry: false,
-        reconnect: false,
-        tries: 0,
-        risk: None,
-    });
+    let dest = u64::from(*msg % BUSY) + 1;
+    let request = Event::Request(Request { patience: 6 * SECOND, ..request(*msg, dest, 0) });
     let mut actions = Vec::new();
     *now += 5 * MS;
     courier.on_round(*now, &[request], &mut actions);
@@ -64,15 +48,8 @@
         Action::Send { endpoint, .. } => Some(*endpoint),
         _ => None,
     });
-    let closed = Event::Closed {
-        msg: MsgId(*msg),
-        attempt: 0,
-        endpoint: sent.expect("a free endpoint"),
-        outcome: Outcome::Ok,
-        latency: 5 * MS,
-        no_more: true,
-        report: Report::default(),
-    };
+    let sent = sent.expect("a free endpoint");
+    let closed = closed(*msg, 0, sent.0, Outcome::Ok, 5 * MS);
     *now += 5 * MS;
     courier.on_round(*now, &[closed], &mut actions);
 }
@@ -94,7 +71,7 @@
             b.iter_batched(
                 || {
                     weight += 1.0;
-                    let entry = Endpoint { weight: Some(weight), ..endpoint(size) };
+                    let entry = listed_at(size, weight);
                     Event::List { scope: ListScope::Patch, entries: vec![entry] }
                 },
                 |event| {
--- a/lab/src/floor.rs
+++ b/lab/src/floor.rs
@@ -13,7 +13,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
+
+use crate::push;
 
 #[derive(Deserialize)]
 struct File {
@@ -60,12 +62,12 @@
 /// Forwards until the process is ended.
 pub fn run(file: &Path) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let File { push, upstream, location } = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let File { push: table, upstream, location } = toml::from_str(&text).map_err(|e| e.to_string())?;
     let address = |name: &str| upstream.iter().find(|u| u.name == name)?.server.first().map(|s| s.address);
     let places = location.iter().filter_map(|l| Some((l.path.clone(), address(&l.upstream)?))).collect();
     let floor = Rc::new(Floor { places, lines: RefCell::default(), next: Cell::new(0) });
     actix_rt::System::new().block_on(async move {
-        let listener = TcpListener::bind(push.listen).await.map_err(|e| e.to_string())?;
+        let listener = TcpListener::bind(table.listen).await.map_err(|e| e.to_string())?;
         loop {
             let (stream, _) = listener.accept().await.map_err(|e| e.to_string())?;
             let floor = floor.clone();
@@ -126,12 +128,9 @@
         {
             return Some(ready);
         }
-        let stream = TcpStream::connect(place).await.ok()?;
-        stream.set_nodelay(true).ok()?;
         let mut builder = h2::client::Builder::new();
         builder.enable_push(false).initial_max_send_streams(STREAMS);
-        let (sender, connection) = builder.handshake(stream).await.ok()?;
-        actix_rt::spawn(async move { drop(connection.await) });
+        let sender = push::dial(place, &builder).await?;
         *line = Some(sender.clone());
         sender.ready().await.ok()
     }
--- a/lab/src/push.rs
+++ b/lab/src/push.rs
@@ -201,6 +201,15 @@
     Ok(address)
 }
 
+/// Opens a connection over HTTP/2 that reads and writes by itself.
+pub async fn dial(address: SocketAddr, builder: &client::Builder) -> Option<client::SendRequest<Bytes>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (line, connection) = builder.handshake(stream).await.ok()?;
+    spawn_local(async move { drop(connection.await) });
+    Some(line)
+}
+
 /// The submitters of one relay: a few connections, with a stream for each message.
 pub struct Submitters {
     relay: SocketAddr,
@@ -227,10 +236,7 @@
         {
             return Some(line);
         }
-        let stream = TcpStream::connect(self.relay).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (line, connection) = client::handshake(stream).await.ok()?;
-        spawn_local(async move { drop(connection.await) });
+        let line = dial(self.relay, &client::Builder::new()).await?;
         self.lines.borrow_mut()[place] = Some(line.clone());
         line.ready().await.ok()
     }
--- a/lab/tests/short.rs
+++ b/lab/tests/short.rs
@@ -45,44 +45,34 @@
     [list]
     told_again = 1
     told_at = [1.0]
-    [[trouble]]
-    at_s = 1.0
-    for_s = 1.0
-    dest = 0
-    kind = "hang"
-    [[trouble]]
-    at_s = 1.0
-    for_s = 1.0
-    dest = 1
-    kind = "down"
-    [[trouble]]
-    at_s = 1.0
-    for_s = 1.0
-    dest = 2
-    kind = "shut-told"
-    [[trouble]]
-    at_s = 1.0
-    for_s = 1.0
-    dest = 3
-    kind = "drain"
-    [[trouble]]
-    at_s = 1.0
-    for_s = 1.0
-    dest = 4
-    kind = "move"
+    [[expect]]
+    figure = "rules_broken"
+    most = 0
+"#;
+
+const LATER: &str = r#"
     [[trouble]]
     at_s = 2.0
     for_s = 0.5
     dest = 5
     kind = "lose-answers"
-    [[expect]]
-    figure = "rules_broken"
-    most = 0
 "#;
 
+/// One trouble for each of the first destinations, from the first second to the second.
+fn troubles(kinds: &[&str]) -> String {
+    let trouble = |(dest, kind): (usize, &&str)| {
+        format!("[[trouble]]\nat_s = 1.0\nfor_s = 1.0\ndest = {dest}\nkind = \"{kind}\"\n")
+    };
+    kinds.iter().enumerate().map(trouble).collect()
+}
+
+fn small() -> String {
+    format!("{SMALL}{}{LATER}", troubles(&["hang", "down", "shut-told", "drain", "move"]))
+}
+
 #[test]
 fn sockets_and_virtual_time_agree_and_no_rule_is_broken() {
-    let experiment = Experiment::parse(SMALL).expect("sound");
+    let experiment = Experiment::parse(&small()).expect("sound");
     let legs = vec![sockets(&experiment), in_virtual_time(&experiment, experiment.dests(), 0)];
     let outcome = Outcome::new(&experiment, legs);
     assert!(outcome.held(), "{:?}", outcome.legs.iter().map(|leg| &leg.breaches).collect::<Vec<_>>());
@@ -97,7 +87,7 @@
 /// The rules are checked in earnest: a world in which they cannot be kept shows it.
 #[test]
 fn a_partner_that_falls_over_at_a_touch_is_reported_as_pushed_over() {
-    let text = SMALL
+    let text = small()
         .replace("count = 2000", "count = 8\nnature = { fall_multiple = 0.01, rate = 2.0, queue = 500 }");
     let text = text.replace("kind = \"down\"\n", "kind = \"restart\"\nunlisted = true\n");
     let text = text.replace("rate = 80.0", "rate = 200.0");
@@ -189,26 +179,6 @@
         [load]
         rate = 80.0
         busy = 6
-        [[trouble]]
-        at_s = 1.0
-        for_s = 1.0
-        dest = 0
-        kind = "lose-answers"
-        [[trouble]]
-        at_s = 1.0
-        for_s = 1.0
-        dest = 1
-        kind = "down"
-        [[trouble]]
-        at_s = 1.0
-        for_s = 1.0
-        dest = 2
-        kind = "shut-told"
-        [[trouble]]
-        at_s = 1.0
-        for_s = 1.0
-        dest = 3
-        kind = "hang"
         [[expect]]
         figure = "rules_broken"
         most = 0
@@ -216,7 +186,8 @@
         figure = "delivered_share"
         least = 0.6
     "#;
-    let experiment = Experiment::parse(text).expect("sound");
+    let text = format!("{text}{}", troubles(&["lose-answers", "down", "shut-told", "hang"]));
+    let experiment = Experiment::parse(&text).expect("sound");
     let outcome = Outcome::new(&experiment, vec![sockets(&experiment)]);
     let breaches = outcome.legs.iter().map(|leg| &leg.breaches).collect::<Vec<_>>();
     assert!(outcome.held(), "{:?} {breaches:?}", outcome.figures);
--- a/relay/tests/conformance/main.rs
+++ b/relay/tests/conformance/main.rs
@@ -14,20 +14,21 @@
 //!
 //! `docs/conformance.md` is written from the cases and from how they came out: CONFORMANCE_WRITE=1 writes it anew.
 mod cases;
+#[path = "../program/mod.rs"]
+mod program;
 mod wire;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Stdio;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::time::{sleep, timeout};
 
 use cases::{CASES, Case, Role};
+use program::Program;
 use wire::{Frame, Line, PREFACE, block, code, frame, hex, kind};
 
 /// Cases played at once.
@@ -80,18 +81,9 @@
     }
     let path = folder.path().join("push.toml");
     std::fs::write(&path, file).expect("the file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
-    command.env_clear().env("ONYXGLADE_LOG", "info").stdout(Stdio::piped()).kill_on_drop(true);
-    let mut relay = command.arg("--config").arg(path).spawn().expect("the relay");
-    let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
-    let front = loop {
-        let line = lines.next_line().await.expect("a log").expect("it starts");
-        if line.contains("push front is ready") {
-            break line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
-        }
-    };
+    let Program { child, mut lines, address: front } = Program::start(&path, "info").await;
     tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-    Stage { _folder: folder, _relay: relay, front, gateways, _notices: notices }
+    Stage { _folder: folder, _relay: child, front, gateways, _notices: notices }
 }
 
 /// A gateway that takes everything.
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -56,18 +56,23 @@
     );
 }
 
-#[test]
-fn what_cannot_be_served_in_time_is_refused_at_once_with_a_time_to_come_again() {
-    play(
-        None,
-        "send list n1:7
+/// Plays a scenario after a call that has taken 400 ms.
+fn after_a_slow_call(scenario: &str) {
+    let slow = "send list n1:7
          send relay start
          send s1 POST /notice id=j1 dest=7 left=2000
          expect s1 202
          expect n1 POST
          wait 400
          send n1 200
-         expect relay log=Delivered
+         expect relay log=Delivered";
+    play(None, &format!("{slow}\n{scenario}"));
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once_with_a_time_to_come_again() {
+    after_a_slow_call(
+        "
          send s1 POST /notice id=j2 dest=7 left=100     # a call takes 400 ms there
          expect s1 429 retry-after>0
          expect n1 nothing 200
@@ -509,16 +514,8 @@
 
 #[test]
 fn an_id_that_is_known_is_answered_as_before_and_a_destination_that_is_not_is_refused() {
-    play(
-        None,
-        "send list n1:7
-         send relay start
-         send s1 POST /notice id=j1 dest=7 left=2000
-         expect s1 202
-         expect n1 POST
-         wait 400
-         send n1 200
-         expect relay log=Delivered
+    after_a_slow_call(
+        "
          send s2 POST /notice id=j1 dest=7 left=2000     # once more, after its delivery
          expect s2 202
          send s1 POST /notice id=j2 dest=7 left=100      # a call takes 400 ms there
--- a/relay/tests/tls.rs
+++ b/relay/tests/tls.rs
@@ -1,18 +1,18 @@
 //! TLS on both sides of the second front: what is presented, who is let in, and that reloading drops nothing.
+mod program;
+
 use bytes::Bytes;
 use h2::{client, server};
 use http::{Request, Response};
 use onyxglade::tls::{self, ClientTable, Least, ServerTable};
+use program::Program;
 use rustls::pki_types::ServerName;
 use rustls::{ClientConfig, ServerConfig};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, ChildStdout, Command};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_rustls::client::TlsStream;
@@ -77,9 +77,7 @@
 }
 
 struct Relay {
-    child: Child,
-    lines: Lines<BufReader<ChildStdout>>,
-    address: SocketAddr,
+    program: Program,
     _folder: tempfile::TempDir,
 }
 
@@ -104,23 +102,14 @@
         );
         let file = folder.path().join("push.toml");
         std::fs::write(&file, text).expect("the file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
-        command.env_clear().env("ONYXGLADE_LOG", "onyxglade=debug").stdout(Stdio::piped()).kill_on_drop(true);
-        let mut child = command.arg("--config").arg(file).spawn().expect("the relay");
-        let lines = BufReader::new(child.stdout.take().expect("piped")).lines();
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        let mut relay = Relay { child, lines, address, _folder: folder };
-        let ready = relay.logs("push front is ready").await;
-        relay.address =
-            ready.split("listen=").nth(1).and_then(|a| a.trim().parse().ok()).expect("an address");
-        relay
+        Relay { program: Program::start(&file, "onyxglade=debug").await, _folder: folder }
     }
 
     /// Waits for a line of the log.
     async fn logs(&mut self, part: &str) -> String {
         let find = async {
             loop {
-                let line = self.lines.next_line().await.expect("a log").expect("it runs");
+                let line = self.program.lines.next_line().await.expect("a log").expect("it runs");
                 if line.contains(part) {
                     return line;
                 }
@@ -135,7 +124,7 @@
         protocols: &[&[u8]],
     ) -> std::io::Result<TlsStream<TcpStream>> {
         config.alpn_protocols = protocols.iter().map(|p| p.to_vec()).collect();
-        let stream = TcpStream::connect(self.address).await?;
+        let stream = TcpStream::connect(self.program.address).await?;
         let name = ServerName::try_from("localhost").expect("a name");
         TlsConnector::from(Arc::new(config)).connect(name, stream).await
     }
@@ -173,7 +162,7 @@
     for name in ["server.pem", "server.key"] {
         std::fs::copy(other.file(name), own.file(name)).expect("replaced");
     }
-    let id = relay.child.id().expect("it runs").to_string();
+    let id = relay.program.child.id().expect("it runs").to_string();
     std::process::Command::new("kill").args(["-HUP", &id]).status().expect("a signal");
     relay.logs("SIGHUP: file read anew").await;
     assert_eq!(post(&first, "/push/b").await.expect("the old connection goes on"), 201);
