Lists are asked for in the fleet's turn, and from the one that is held on

Cause: a hundred relays started together, or told of the same change, asked discovery at once, and after a failure again after 25 to 375 ms (choice.rs, ASK_AGAIN and must_ask_in / 40). Discovery answers one call after another. A session also began with the whole list though one was held (discovery.rs).

Ruled out: the watches themselves.

Change: src/asking.rs decides on the pauses. Where nothing was told (503, no connection) they grow with the number of relays in the settings, 16 to 80 ms for each, within must_ask_in; the first ask is spread over the same time. What broke off or stayed silent may have told of a drain, and is asked for within 25 to 375 ms as before, until a list comes. A session begins with a watch from the generation that is held. Up to three relays ask just as before.

--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -232,7 +232,7 @@
                 NoticeEnd::Replaced => tally.replaced += 1,
             });
             let label = job.label.as_deref().unwrap_or("");
-            tracing::debug!(id = job.id, end = ?notice.end, label, "ended undelivered");
+            tracing::debug!(id = job.id, dest = job.dest, end = ?notice.end, label, "ended undelivered");
             let mut pause = NOTICE_FIRST_PAUSE;
             while let Err(e) = self.carrier.notify(&notice).await {
                 // Its room in the journal is kept: should nobody listen for long, new jobs are refused.
@@ -265,6 +265,7 @@
     /// Gives a new job its answer instead of taking it on.
     fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
         self.count(|tally| tally.turned_away += 1);
+        tracing::debug!(id = job.id, dest = job.dest, ?refusal, "turned away");
         self.decided(&job.id, Some(refusal));
         if let Some(answer) = answer {
             // A submitter that is gone needs none.
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -355,8 +355,9 @@
     }
 
     /// The list could not be had.
-    pub fn list_broken(&self) {
-        self.state.borrow_mut().inbox.push(Event::List { scope: ListScope::Broken, entries: Vec::new() });
+    pub fn list_broken(&self, torn: bool) {
+        let scope = if torn { ListScope::Torn } else { ListScope::Broken };
+        self.state.borrow_mut().inbox.push(Event::List { scope, entries: Vec::new() });
         self.wake.notify_one();
     }
 
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -1,5 +1,7 @@
-//! Follows the platform's list of execute nodes: the whole list, then a watch that is renewed at once.
+//! Follows the platform's list of execute nodes by a watch that is renewed at once: from the list that is held on, or
+//! from the whole one where none is.
 //! When to ask again after a failure is the module's decision.
+use awc::error::SendRequestError;
 use futures_util::StreamExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,55 +29,82 @@
 }
 
 /// Follows the list whenever the module asks for it, for as long as that goes well, and from its first word on
-/// wherever discovery has moved to.
-pub async fn follow<C: Carrier>(core: Rc<Core<C>>, mut place: watch::Receiver<Place>) {
+/// wherever discovery has moved to. `held` is the generation of the list that is known already.
+pub async fn follow<C: Carrier>(core: Rc<Core<C>>, mut place: watch::Receiver<Place>, mut held: Option<u64>) {
     let mut moved = false;
     loop {
-        if !std::mem::take(&mut moved) {
+        if !moved {
             tokio::select! {
                 () = core.asked_to_follow() => {}
-                Ok(()) = place.changed() => {}
+                Ok(()) = place.changed() => moved = true,
             }
         }
+        if std::mem::take(&mut moved) {
+            // Another one may count otherwise.
+            held = None;
+        }
         let now = place.borrow_and_update().clone();
         tokio::select! {
             // Guards against following the old one to its end, or asking the new one only after a pause.
             Ok(()) = place.changed() => moved = true,
-            fault = session(&core, &now) => {
-                tracing::warn!(fault, "discovery cannot be followed; the module asks again later");
-                core.list_broken();
+            fault = session(&core, &now, &mut held) => {
+                let Fault { text, torn } = fault;
+                // What broke off is had whole, whatever it held.
+                held = held.filter(|_| !torn);
+                tracing::warn!(fault = text, torn, "discovery cannot be followed; the module asks again later");
+                core.list_broken(torn);
             }
         }
     }
 }
 
+/// What went wrong with a call.
+struct Fault {
+    text: String,
+    /// Discovery may have told something that did not come through: its answer broke off, or none came in time.
+    torn: bool,
+}
+
+impl Fault {
+    fn torn(text: impl ToString) -> Self {
+        Fault { text: text.to_string(), torn: true }
+    }
+
+    fn untold(text: impl ToString) -> Self {
+        Fault { text: text.to_string(), torn: false }
+    }
+}
+
 /// Ends with what went wrong. A list is taken in while the next watch is already under way, since a watch goes on
-/// only if it is renewed at once; but no more than one at a time.
-async fn session<C: Carrier>(core: &Rc<Core<C>>, place: &Place) -> String {
+/// only if it is renewed at once; but no more than one at a time. Where a list is held, what it lacks is asked for and
+/// no more. Guards against a fleet that starts and has discovery write the whole list to every relay first.
+async fn session<C: Carrier>(core: &Rc<Core<C>>, place: &Place, held: &mut Option<u64>) -> Fault {
     let base = format!("http://{}/v1/endpoints", place.address);
-    let mut generation = match fetch(place, &base, PATIENCE).await {
-        Ok(list) => {
-            let (generation, nodes) = (list.generation, list.len());
-            tracing::info!(generation, nodes, "list of execute nodes");
-            take(core, list);
-            generation
-        }
-        Err(fault) => return fault,
-    };
+    let mut first = true;
     loop {
+        tracing::debug!(?held, "discovery is asked");
         let wait = core.rules().must_ask_in() / WAIT_PART;
-        let watch = format!("{base}?index={generation}&wait={}", wait.as_millis());
-        match fetch(place, &watch, wait + PATIENCE).await {
-            Ok(list) => {
-                generation = list.generation;
-                if list.reset || !list.is_empty() {
-                    let changes = list.len();
-                    tracing::info!(generation, changes, "list of execute nodes changed");
-                    core.lists_taken().await;
-                    take(core, list);
-                }
+        let answer = match *held {
+            Some(held) => {
+                let watch = format!("{base}?index={held}&wait={}", wait.as_millis());
+                fetch(place, &watch, wait + PATIENCE).await
             }
+            None => fetch(place, &base, PATIENCE).await,
+        };
+        let list = match answer {
+            Ok(list) => list,
             Err(fault) => return fault,
+        };
+        let (generation, changes, whole) = (list.generation, list.len(), list.reset);
+        if held.replace(generation).is_none() {
+            tracing::info!(generation, nodes = changes, "list of execute nodes");
+        } else if whole || changes > 0 {
+            tracing::info!(generation, changes, whole, "list of execute nodes changed");
+        }
+        // The first is taken in even if nothing changed: the module hears that the list can be had.
+        if std::mem::take(&mut first) || whole || changes > 0 {
+            core.lists_taken().await;
+            take(core, list);
         }
     }
 }
@@ -85,26 +114,30 @@
     actix_rt::spawn(async move { core.take_list(&list).await });
 }
 
-async fn fetch(place: &Place, url: &str, patience: Duration) -> Result<NodeList, String> {
+async fn fetch(place: &Place, url: &str, patience: Duration) -> Result<NodeList, Fault> {
     let call = async {
-        let mut response = place.client.get(url).no_decompress().send().await.map_err(|e| e.to_string())?;
+        let mut response = place.client.get(url).no_decompress().send().await.map_err(|e| match e {
+            SendRequestError::Connect(e) => Fault::untold(e),
+            e => Fault::torn(e),
+        })?;
         if response.status() != 200 {
-            return Err(format!("status {}", response.status().as_u16()));
+            return Err(Fault::untold(format!("status {}", response.status().as_u16())));
         }
         let mut text = ListText::default();
         while let Some(part) = response.next().await {
-            let part = part.map_err(|e| e.to_string())?;
-            if !text.add(&part, place.list_limit).map_err(|e| e.to_string())? {
+            let part = part.map_err(Fault::torn)?;
+            if !text.add(&part, place.list_limit).map_err(Fault::torn)? {
                 let limit = place.list_limit;
-                return Err(format!("the list is longer than idle.list_limit_mb allows ({limit} bytes)"));
+                let what = format!("the list is longer than idle.list_limit_mb allows ({limit} bytes)");
+                return Err(Fault::torn(what));
             }
         }
         if !text.is_long() {
-            return NodeList::read(text);
+            return NodeList::read(text).map_err(Fault::torn);
         }
         // On another thread, so that jobs go on meanwhile.
         let read = spawn_blocking(move || NodeList::read(text)).await;
-        read.unwrap_or_else(|e| Err(e.to_string()))
+        read.map_err(Fault::torn)?.map_err(Fault::torn)
     };
-    timeout(patience, call).await.unwrap_or_else(|_| Err("no answer".into()))
+    timeout(patience, call).await.unwrap_or_else(|_| Err(Fault::torn("no answer")))
 }
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -141,7 +141,8 @@
     let core = start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk)
         .map_err(|e| format!("BALANCER_STATE: {e}"))?;
     core.take_list(&config.known).await;
-    actix_rt::spawn(crate::discovery::follow(core.clone(), discovery));
+    let held = (!config.known.is_empty()).then_some(config.known.generation);
+    actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held));
     actix_rt::spawn(crate::platform::carrier::close_idle(core.clone()));
     let listener = listen("BALANCER_LISTEN", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -561,6 +561,22 @@
     );
 }
 
+#[test]
+fn a_list_that_is_held_is_watched_from_and_not_had_whole_again() {
+    play(
+        None,
+        "send list n1:7
+         send relay start known=2             # as the list stands
+         expect relay log=discovery_is_asked_held=Some(2)
+         send list n1:7 n2:8
+         expect relay log=list_of_execute_nodes_changed
+         send s1 POST /notice id=j1 dest=8 left=2000
+         expect s1 202
+         expect n2 POST
+         send n2 200",
+    );
+}
+
 #[test]
 fn what_was_never_used_begins_slowly_where_the_operators_ask_for_it() {
     play(
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -291,8 +291,12 @@
         let sockets = of("sockets", "256");
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
         let discovery = self.party(&of("discovery", "list")).address.expect("it listens");
+        let known = said(words, "known").map_or(String::new(), |generation| {
+            let list = &self.list.borrow().1;
+            format!(r#""known":{{"generation":{generation},"reset":true,"instances":[{list}]}},"#)
+        });
         format!(
-            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f","limits":{{"sockets":{sockets},"disk_mb":{disk}}},
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}",{known}"seed":"8c1f","limits":{{"sockets":{sockets},"disk_mb":{disk}}},
             "settings":{{"step":5000000,"categories":[
               {{"name":"notice","aim":1000000000,"give_up":6000000000,"effect":"read_like","late_worth":0.0,"credit":1.0}},
               {{"name":"order","aim":4000000000,"give_up":28000000000,"effect":"idempotency_key","group":"all","window":{window}000000,"late_worth":0.3,"credit":2.0}}],
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,4 +1,5 @@
 //! All decisions of a courier. Its types, events and actions are in `src/interface.rs`.
+use crate::asking::Asking;
 use crate::hold::{Hold, Rank, Turn};
 use crate::interface::*;
 use crate::roster::Roster;
@@ -77,10 +78,6 @@
 const SWEEP: Nanos = SECOND / 2;
 /// What a look leaves of the service counted by class: a minute's worth stays.
 const SERVICE_FADE: f64 = 0.99;
-/// First pause before asking for the list again after a failure: what broke off may have told of a drain.
-const ASK_AGAIN: Nanos = SECOND / 20;
-/// The pause doubles up to this part of `must_ask_in`, and starts anew after a `must_ask_in` without failure.
-const ASK_PART: Nanos = 40;
 
 const LOOK_NONCE: u64 = 1;
 const ASK_NONCE: u64 = 2;
@@ -200,8 +197,7 @@
     look: Nanos,
     sweep_at: Nanos,
     warm: bool,
-    asking: Nanos,
-    broken_at: Nanos,
+    asking: Asking,
     started: bool,
     random: Random,
 }
@@ -209,7 +205,7 @@
 impl Courier {
     /// A courier that knows its settings and nothing else. The seed feeds its jitter.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let start = Courier { load: 1.0, asking: ASK_AGAIN / 2, look: LOOK, ..Courier::default() };
+        let start = Courier { load: 1.0, look: LOOK, ..Courier::default() };
         let mut courier = Courier { random: Random(seed), ..start };
         courier.settle(settings);
         courier
@@ -227,13 +223,16 @@
         self.by_kind.resize(settings.kinds.len(), learned);
         self.cold = settings.rules.cold.unwrap_or(10 * SECOND).max(1);
         self.fall = settings.rules.fall.unwrap_or(SECOND);
+        self.asking.settle(self.couriers, settings.rules.must_ask_in.unwrap_or(10 * SECOND));
         self.settings = settings;
     }
 
     /// Takes in all events of a round, then decides.
     pub fn on_round(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.started, true) && self.settings.list_on_request {
-            actions.push(Action::Follow { want: true });
+            let after = self.asking.start(&mut self.random);
+            let later = Action::SetTimer { nonce: ASK_NONCE, after };
+            actions.push(if after > 0 { later } else { Action::Follow { want: true } });
         }
         let mut fresh = Vec::new();
         for event in events {
@@ -964,16 +963,13 @@
     }
 
     fn take_list(&mut self, now: Nanos, scope: ListScope, entries: &[Endpoint], actions: &mut Vec<Action>) {
-        if scope == ListScope::Broken {
-            let quiet = self.settings.rules.must_ask_in.unwrap_or(10 * SECOND);
-            let anew = now > self.broken_at + quiet;
-            self.asking = if anew { ASK_AGAIN } else { (self.asking * 2).min(quiet / ASK_PART) };
-            self.broken_at = now;
-            let after = nanos(secs(self.asking) * (0.5 + self.random.unit()));
+        if matches!(scope, ListScope::Broken | ListScope::Torn) {
+            let after = self.asking.failed(now, scope == ListScope::Torn, &mut self.random);
             actions.push(Action::SetTimer { nonce: ASK_NONCE, after });
             actions.push(Action::Log { line: "list unavailable, asking again".into() });
             return;
         }
+        self.asking.told();
         if scope != ListScope::Patch {
             for id in self.roster.keep_only(entries) {
                 let Some(peer) = self.peers.get_mut(&id) else { continue };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,6 +229,8 @@
     Stale,
     /// A request for the list failed, or the subscription broke; no entries.
     Broken,
+    /// The same, but the answer broke off or did not come in time: what it held may count as told.
+    Torn,
 }
 
 /// A new message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asking;
 mod choice;
 mod hold;
 mod interface;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -105,7 +105,7 @@
     let mut now = SECOND;
     let mut asked_again_after = |now, actions: &mut Vec<Action>| {
         actions.clear();
-        courier.on_round(now, &[Event::List { scope: ListScope::Broken, entries: vec![] }], actions);
+        courier.on_round(now, &[Event::List { scope: ListScope::Torn, entries: vec![] }], actions);
         let timer = actions.iter().find(|a| matches!(a, Action::SetTimer { .. })).cloned();
         let Some(Action::SetTimer { nonce, after }) = timer else { panic!("no timer to ask again") };
         actions.clear();
@@ -132,6 +132,52 @@
     );
 }
 
+/// A hundred couriers whose calls all fail: the asks of each second, and the longest time without one.
+fn asks_of_a_fleet(scope: ListScope, seconds: usize) -> (Vec<u32>, Nanos) {
+    let (mut asks, mut longest) = (vec![0; seconds + 20], 0);
+    for seed in 0..100 {
+        let settings = Settings { list_on_request: true, couriers: Some(100), ..settings() };
+        let mut courier = Courier::new(settings, seed);
+        let (mut now, mut events) = (0, Vec::new());
+        while now < seconds as u64 * SECOND {
+            let mut actions = Vec::new();
+            courier.on_round(now, &events, &mut actions);
+            let timer = actions.iter().find_map(|a| match a {
+                Action::SetTimer { nonce, after } => Some((*nonce, *after)),
+                _ => None,
+            });
+            if let Some((nonce, after)) = timer {
+                longest = longest.max(after);
+                now += after;
+                courier.on_round(now, &[Event::Timer { nonce }], &mut actions);
+            }
+            assert!(actions.contains(&Action::Follow { want: true }));
+            asks[(now / SECOND) as usize] += 1;
+            events = vec![Event::List { scope, entries: vec![] }];
+            now += MS;
+        }
+    }
+    (asks, longest)
+}
+
+#[test]
+fn a_fleet_spreads_its_asks_so_that_discovery_can_answer() {
+    let (asks, longest) = asks_of_a_fleet(ListScope::Broken, 40);
+    assert!(asks[..40].iter().all(|n| *n <= 50), "a herd: {asks:?}");
+    assert!(asks[30..40].iter().sum::<u32>() <= 180, "still so many: {asks:?}");
+    assert!(longest <= 13 * SECOND, "{longest}");
+    // What broke off may have told of a drain: that is not put off, however many they are.
+    assert!(asks_of_a_fleet(ListScope::Torn, 10).1 <= 8 * SECOND);
+    let settings = Settings { list_on_request: true, couriers: Some(100), ..settings() };
+    let mut courier = Courier::new(settings, 1);
+    let mut actions = Vec::new();
+    courier.on_round(0, &[Event::List { scope: ListScope::Torn, entries: vec![] }], &mut actions);
+    courier.on_round(MS, &[Event::List { scope: ListScope::Broken, entries: vec![] }], &mut actions);
+    assert!(matches!(actions.last(), Some(Action::Log { .. })));
+    let soon = |a: &Action| matches!(a, Action::SetTimer { after, .. } if *after <= SECOND / 5);
+    assert_eq!(actions.iter().filter(|a| soon(a)).count(), 2, "{actions:?}");
+}
+
 #[test]
 fn strange_events_are_harmless() {
     let mut world = World::new(settings(), vec![endpoint(1, 5)]);
