Refused relays call at an even share of the limit, at times of their own

Cause: collapse at the nominal limit. A clump or chance sets it off, and it stays: each of 100 relays with something held goes on at a pace that falls by a fifth a refusal from LEAST_RATE = 2 a second, is doubled up to that by each success (Unit::grow), and returns after a told wait of 0.9 s all within as much again (learn).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,9 +115,12 @@
             self.window += 1.0;
         }
         let gain = if self.pace < self.even { PACE_GAIN } else { PACE_GAIN_MORE };
-        self.pace = (self.pace * (1.0 + gain))
-            .max(LEAST_RATE.min(self.pace * 2.0))
-            .min(self.listed.unwrap_or(f64::INFINITY));
+        let least = (if self.scarce() { self.even } else { LEAST_RATE }).min(self.pace * 2.0);
+        self.pace = (self.pace * (1.0 + gain)).max(least).min(self.listed.unwrap_or(f64::INFINITY));
+        if self.scarce() && self.held == 0 {
+            // What was turned away has gone, and what comes is as much as before.
+            self.pace = self.pace.max(LEAST_RATE);
+        }
     }
 
     /// Takes up what an answer tells of the limit; it is not exact, so it moves the figure part of the way.
@@ -136,14 +139,21 @@
         self.window = (self.window / 2.0).max(1.0);
     }
 
-    /// Guards against sending above a limit: a refusal without a told wait slows the pace as well.
-    fn refused(&mut self, now: Nanos) {
-        self.tokens = self.tokens.min(0.0);
+    /// Whether an even share of the limit is so small that what one courier is told has to hold for all.
+    fn scarce(&self) -> bool {
+        self.even < LEAST_RATE / 2.0
+    }
+
+    /// Guards against sending above a limit: a refusal slows the pace as well, to an even share at most where that
+    /// is small. A lot decides when the next call may go: couriers refused together must not return together.
+    fn refused(&mut self, now: Nanos, random: &mut Random) {
+        self.tokens = self.tokens.min(if self.scarce() { random.unit() } else { 0.0 });
         if now < self.cut {
             return;
         }
         self.cut = now + CUT_REST;
         let base = if self.pace.is_finite() { self.pace } else { self.sent_rate.now(now, RATE_TAU) };
+        let base = base.min(if self.scarce() { self.even } else { base });
         let least = self.even.min(LEAST_RATE) / 4.0;
         self.pace = (base * PACE_CUT).max((base / 2.0).clamp(least, LEAST_RATE));
     }
@@ -899,7 +909,10 @@
             // of the trouble so far, more and more of them, as a cold destination warms.
             let spread = secs(wait).max(age).min(secs(self.cold));
             let late = spread * (1.0 - 1.0 / self.couriers) * self.random.unit().sqrt();
-            unit.wait_until = now + wait + nanos(late);
+            // Where an even share is small, the pace does that, from then on.
+            let paced = unit.scarce() && limited;
+            unit.wait_until = now + wait + if paced { 0 } else { nanos(late) };
+            unit.filled = unit.filled.max(if paced { unit.wait_until } else { 0 });
         }
         if let Some(ramp) = unit.ramp.as_mut().filter(|_| first) {
             match outcome {
@@ -914,7 +927,7 @@
             Outcome::Full { .. } => {
                 unit.shrink();
                 if limited {
-                    unit.refused(now);
+                    unit.refused(now, &mut self.random);
                 }
             }
             Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => unit.shrink(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,7 @@
     /// An even share of the listed rate; infinite without one.
     pub even: f64,
     pub tokens: f64,
+    /// Until when the tokens are filled; past a told wait they begin to fill.
     pub filled: Nanos,
     pub cut: Nanos,
     pub sent_rate: Rate,
@@ -106,16 +107,17 @@
     /// Fills the tokens at the pace, up to `burst` seconds of it and at least one.
     pub fn refill(&mut self, now: Nanos, burst: f64) {
         let most = (self.pace * burst).max(1.0);
-        let gained = if self.pace.is_finite() { self.pace * secs(now - self.filled) } else { f64::INFINITY };
+        let time = secs(now.saturating_sub(self.filled));
+        let gained = if self.pace.is_finite() { self.pace * time } else { f64::INFINITY };
         self.tokens = (self.tokens + gained).min(most);
-        self.filled = now;
+        self.filled = self.filled.max(now);
     }
 
     /// When a call may go as far as a told wait, pace and ramp are concerned, once the tokens are filled.
     pub fn opens_at(&self, now: Nanos) -> Nanos {
         let token = if self.tokens < 1.0 { nanos((1.0 - self.tokens) / self.pace.max(1e-9)) } else { 0 };
         let ramp = self.ramp.as_ref().map_or(0, Ramp::next);
-        (now + token).max(self.wait_until).max(ramp)
+        (now.max(self.filled) + token).max(self.wait_until).max(ramp)
     }
 }
 
