An outage no longer shortens the life of idle connections

An endpoint that is down refuses connections; learn_keep took each for a full table while the endpoint still counted as up, and cut the time that idle connections of the whole kind are kept to an eighth, several times over.

Change: a connect that fails cuts the keep only when the next call there is served within rules.fall; a second failure says that the endpoint is down. Also, where an even share of the limit is small, the first answer after an outage begins the return (judge): its budget grows from then on, while the second answer was a trial's gap away. A claim's line in the log names its destination. The tokens of tenants are a plain record (src/state.rs).

A test in tests/failures.rs fails without the change.

--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -200,7 +200,8 @@
             if ticket.is_delivered() { Outcome::Delivered } else { outcome }
         };
         let label = job.label.as_deref().unwrap_or("");
-        tracing::debug!(id = job.id, node = &*node.name, attempt, ?outcome, took = ?sent.elapsed(), label, "claim");
+        let (took, dest) = (sent.elapsed(), job.dest);
+        tracing::debug!(id = job.id, dest, node = &*node.name, attempt, ?outcome, ?took, label, "claim");
         if outcome.never_ran() {
             if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -118,7 +118,7 @@
         let least = (if self.scarce() { self.even } else { LEAST_RATE }).min(self.pace * 2.0);
         self.pace = (self.pace * (1.0 + gain)).max(least).min(self.listed.unwrap_or(f64::INFINITY));
         if self.scarce() && self.held == 0 {
-            // What was turned away has gone, and what comes is as much as before.
+            // What was turned away has gone.
             self.pace = self.pace.max(LEAST_RATE);
         }
     }
@@ -189,7 +189,7 @@
     pub(crate) keys: BTreeMap<OrderKey, KeyLine>,
     /// What was learned of each kind of destination.
     by_kind: Vec<Learned>,
-    quotas: Vec<(f64, Nanos)>,
+    quotas: Vec<Tokens>,
     service: Service,
     /// What a unit of each class's worth counts just now.
     weights: Vec<f64>,
@@ -228,7 +228,7 @@
         self.slots = settings.slots.map_or(usize::MAX, |s| s as usize);
         self.lost_slots = (self.slots as f64 * LOST_SHARE).ceil() as usize;
         self.guard = GUARD_STEPS * settings.step.unwrap_or(LOOK);
-        self.quotas.resize(settings.tenants.len(), (1.0, 0));
+        self.quotas.resize_with(settings.tenants.len(), Tokens::default);
         self.service.resize(settings.classes.len());
         self.by_kind.resize(settings.kinds.len(), learned);
         self.cold = settings.rules.cold.unwrap_or(10 * SECOND).max(1);
@@ -408,6 +408,7 @@
     /// Feeds one outcome of a call or probe to the endpoint's health.
     fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
+        let rare = self.units[&peer.unit].scarce();
         // A full answer is taken for a limit while others are served there, for a shut destination otherwise.
         let at_limit = now - peer.served < self.fall;
         let failed = match outcome {
@@ -416,18 +417,17 @@
             Outcome::Full { .. } if at_limit => return,
             _ => true,
         };
-        let bad = peer.bad;
-        peer.bad += (f64::from(u8::from(failed)) - bad) * BAD_STEP;
+        peer.bad += (f64::from(u8::from(failed)) - peer.bad) * BAD_STEP;
         peer.refused = if failed && outcome != Outcome::Timeout { now } else { peer.refused };
         if !failed {
-            // A lone failure ends with the first answer, since lost answers and stalls are no outages; else
-            // two close answers do. A courier with little traffic there seldom has them (design.md, 4).
+            // A lone failure ends with the first answer, since lost answers and stalls are no outages, else
+            // two close ones do; a courier with few calls there seldom has them (design.md, 4).
             let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
             peer.served = now;
-            if peer.health == Health::Down && (close || bad <= BAD_STEP) {
+            if peer.health == Health::Down && (close || peer.bad <= BAD_STEP * (1.0 - BAD_STEP)) {
                 peer.health = Health::Up;
                 peer.bad = 0.0;
-            } else if peer.health == Health::Down && peer.bad <= ILL {
+            } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
                 peer.health = Health::Returning(now);
                 let gap = self.cold_gap(now, &self.peers[&id]);
                 let peer = self.peers.get_mut(&id).expect("just found");
@@ -484,13 +484,9 @@
     /// Whether a tenant's traffic here exceeds an even part of its quota over the last seconds.
     fn over_share(&mut self, now: Nanos, tenant: TenantId) -> bool {
         let quota = self.settings.tenants.get(tenant.0).and_then(|t| t.quota);
-        let (Some(quota), Some((tokens, at))) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
+        let (Some(quota), Some(tokens)) = (quota, self.quotas.get_mut(tenant.0)) else { return false };
         let rate = quota / self.couriers;
-        *tokens = (*tokens + rate * secs(now.saturating_sub(*at))).min((rate * RATE_TAU).max(1.0));
-        *at = now;
-        let over = *tokens < 1.0;
-        *tokens -= f64::from(u8::from(!over));
-        over
+        !tokens.take(now, rate, (rate * RATE_TAU).max(1.0))
     }
 
     /// Refuses on arrival what could not be served in the time it has left, as predicted.
@@ -865,18 +861,22 @@
     }
 
     /// Cuts the keep of idle connections when a reused one fails unseen (no matter of health; a time-out only
-    /// past any idle time yet served) or an endpoint that is up has no new one; a success adds a little.
+    /// past any idle time yet served) or one call finds none and the next is served; a success adds a little.
     fn learn_keep(&mut self, now: Nanos, out: &Attempt, outcome: Outcome, idle: Option<Nanos>) {
-        let Some(peer) = self.peers.get(&out.endpoint) else { return };
+        let Some(peer) = self.peers.get_mut(&out.endpoint) else { return };
         let Some(kind) = self.by_kind.get_mut(peer.entry.kind.0) else { return };
+        // Whether the table was full or the endpoint is down, the next call there tells.
+        let unmet = peer.unmet.take();
+        peer.unmet = (outcome == Outcome::ConnectFailed && peer.bad < BAD_STEP).then_some(now);
         let stale = match outcome {
-            Outcome::ConnectFailed => peer.health == Health::Up,
+            Outcome::Ok => unmet.is_some_and(|failed| now < failed + self.fall),
             Outcome::Reset => idle.is_some() && peer.served > out.sent,
             Outcome::Timeout => idle.is_some_and(|i| i > kind.proven) && peer.served > out.sent,
             _ => false,
         };
         if stale && now >= kind.keep_cut {
-            kind.keep = idle.map_or(kind.keep, |i| i.min(kind.keep)) / KEEP_CUT;
+            let kept = idle.filter(|_| outcome != Outcome::Ok).unwrap_or(kind.keep).min(kind.keep);
+            kind.keep = kept / KEEP_CUT;
             kind.keep_cut = now + CUT_REST;
         } else if outcome == Outcome::Ok {
             let most = self.settings.idle_close.unwrap_or(SECOND);
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,29 @@
     }
 }
 
+/// Tokens that fill at a rate; there is one at first.
+pub struct Tokens {
+    left: f64,
+    at: Nanos,
+}
+
+impl Default for Tokens {
+    fn default() -> Self {
+        Tokens { left: 1.0, at: 0 }
+    }
+}
+
+impl Tokens {
+    /// Takes one if there is one, of at most so many that are kept.
+    pub fn take(&mut self, now: Nanos, rate: f64, most: f64) -> bool {
+        self.left = (self.left + rate * secs(now.saturating_sub(self.at))).min(most);
+        self.at = now;
+        let there = self.left >= 1.0;
+        self.left -= f64::from(u8::from(there));
+        there
+    }
+}
+
 /// The states of the machine.
 pub enum State {
     /// No call since long.
@@ -146,6 +169,8 @@
     pub called: Nanos,
     /// When a call last failed other than by silence.
     pub refused: Nanos,
+    /// When the last call found no connection, if one before it was served.
+    pub unmet: Option<Nanos>,
     /// Idle connections, by the time they were last used.
     pub warm: Vec<Nanos>,
     /// Classes that it left unanswered or failed, and until when they go elsewhere.
@@ -165,6 +190,7 @@
             next_trial: 0,
             called: 0,
             refused: 0,
+            unmet: None,
             warm: Vec::new(),
             shun: BTreeMap::new(),
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -77,6 +77,26 @@
     assert!(idle_after(4).is_some_and(|quarters| quarters <= 20), "{:?}", idle_after(4));
 }
 
+/// The large fleet: an endpoint that is down refuses connections as well. That says nothing of its table, and
+/// connections that are kept too short a time cost a handshake for each call all day long.
+#[test]
+fn an_outage_does_not_make_idle_connections_short_lived() {
+    let settings = Settings { idle_close: Some(10 * SECOND), ..settings() };
+    let mut world = World::new(settings, vec![endpoint(1, 5), endpoint(2, 6)]);
+    world.ask(1, 6, 0);
+    world.round(SECOND, &[closed(1, 0, 2, Outcome::Ok, 60 * MS)]);
+    world.ask(2, 6, 0);
+    // The endpoint has begun to refuse connections, and does so for three tries.
+    for attempt in 0..3 {
+        world.round(60 * MS, &[closed(2, attempt, 2, Outcome::ConnectFailed, 60 * MS)]);
+        (0..400).find(|_| !sends(&world.round(20 * MS, &[])).is_empty());
+    }
+    world.round(60 * MS, &[closed(2, 3, 2, Outcome::Ok, 60 * MS)]);
+    world.ask(100, 5, 0);
+    world.close(100 * MS, 100, 0, Outcome::Ok);
+    assert!((1..=30).all(|_| !closes(&world.round(SECOND / 4, &[]))));
+}
+
 /// Grown deployments: with hundreds of couriers an even share of a listed rate is a few calls a minute; a
 /// second message must not wait for it.
 #[test]
