Where calls are few, a full answer is a limit's, and the refused return spread out

Change: where an even share is small a full answer has no bearing on health; the next call after it goes by a lot within two of the pace's times. tests/fleet.rs has both, and fails without them.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,7 +147,7 @@
     /// Guards against sending above a limit: a refusal slows the pace as well, to an even share at most where that
     /// is small. A lot decides when the next call may go: couriers refused together must not return together.
     fn refused(&mut self, now: Nanos, random: &mut Random) {
-        self.tokens = self.tokens.min(if self.scarce() { random.unit() } else { 0.0 });
+        self.tokens = if self.scarce() { 2.0 * random.unit() - 1.0 } else { self.tokens.min(0.0) };
         if now < self.cut {
             return;
         }
@@ -409,8 +409,8 @@
     fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         let rare = self.units[&peer.unit].scarce();
-        // A full answer is taken for a limit while others are served there, for a shut destination otherwise.
-        let at_limit = now - peer.served < self.fall;
+        // A full answer is a limit's while others are served there, or may be where calls are few; else it is shut.
+        let at_limit = rare || now - peer.served < self.fall;
         let failed = match outcome {
             Outcome::Ok => false,
             Outcome::Cancelled | Outcome::Moot => return,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -108,3 +108,31 @@
     // It is over within a few seconds: no call is refused any more.
     assert!(counts[20..].iter().all(|c| c.served == c.sent), "{counts:?}");
 }
+
+#[test]
+fn refused_together_they_do_not_return_together() {
+    // Two seconds of the limit at once, and hardly anything else: what was refused is what is sent later on.
+    let counts = play(30.0, |second| if second == 2 { 60 } else { 2 }, 20);
+    let later = &counts[4..];
+    assert!(later.iter().all(|c| c.sent <= 20), "{counts:?}");
+    assert!(later.iter().filter(|c| c.sent > 3).count() >= 4, "all at once: {counts:?}");
+}
+
+/// With a call in three seconds, others are served unseen: a limit is no outage, whose return would be owed trials.
+#[test]
+fn full_answers_where_calls_are_few_are_a_limits() {
+    let settings = Settings { couriers: Some(COURIERS), weights: Weights::Exact, ..settings() };
+    let mut courier = Courier::new(settings, 1);
+    let listed = Endpoint { weight: Some(30.0), ..endpoint(1, 5) };
+    let mut actions = Vec::new();
+    courier.on_round(0, &[Event::List { scope: ListScope::Whole, entries: vec![listed] }], &mut actions);
+    for msg in 1..6 {
+        let now = u64::from(msg) * 20 * SECOND;
+        courier.on_round(now, &[Event::Request(request(msg, 5, 0))], &mut actions);
+        assert!(!sends(&actions).is_empty(), "{actions:?}");
+        actions.clear();
+        let full = closed(msg, 0, 1, Outcome::Full { wait: None }, TRIP);
+        courier.on_round(now + TRIP, &[full, Event::Expired { msg: MsgId(msg) }], &mut actions);
+        assert!(!actions.iter().any(|a| matches!(a, Action::Log { .. })), "{actions:?}");
+    }
+}
