A returning partner's budget is taken of its limit and from half way to the last failure

Change, where an even share of the limit is small: the budget is taken of that share at least, and the warmth counts from half way between the last failure and the first answer, which over many relays is right on average.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -118,7 +118,6 @@
         let least = (if self.scarce() { self.even } else { LEAST_RATE }).min(self.pace * 2.0);
         self.pace = (self.pace * (1.0 + gain)).max(least).min(self.listed.unwrap_or(f64::INFINITY));
         if self.scarce() && self.held == 0 {
-            // What was turned away has gone.
             self.pace = self.pace.max(LEAST_RATE);
         }
     }
@@ -428,7 +427,8 @@
                 peer.health = Health::Up;
                 peer.bad = 0.0;
             } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
-                peer.health = Health::Returning(now);
+                // Where calls are few, it came back somewhere between the last failure and now: on average half way.
+                peer.health = Health::Returning(if rare { now - (now - peer.refused) / 2 } else { now });
                 let gap = self.cold_gap(now, &self.peers[&id]);
                 let peer = self.peers.get_mut(&id).expect("just found");
                 peer.next_trial = peer.next_trial.min(now + gap);
@@ -451,6 +451,7 @@
         let count = self.endpoints(peer.unit).count().max(1) as f64;
         let prior = if unit.even.is_finite() { unit.even } else { 0.0 };
         let rate = (unit.arrived + prior * cold) / (secs(now - unit.known) + cold) / count;
+        let rate = if unit.scarce() { rate.max(unit.even / count) } else { rate };
         let part = share + (1.0 - share) * warmth.min(1.0);
         nanos(1.0 / (COLD_PART * rules.fall_multiple.unwrap_or(1.0) * part * rate))
     }
@@ -789,9 +790,7 @@
         self.learn_rest(now, id, &out, outcome);
         match outcome {
             Outcome::Timeout => self.shun(now, out.endpoint, class),
-            Outcome::Ok => {
-                self.peers.get_mut(&out.endpoint).and_then(|p| p.shun.remove(&class));
-            }
+            Outcome::Ok => drop(self.peers.get_mut(&out.endpoint).map(|p| p.shun.remove(&class))),
             _ => {}
         }
         let idle = self.calls.get(&out.call).and_then(|c| c.idle);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -38,13 +38,23 @@
     served: u32,
 }
 
-/// Couriers that are handed messages at so many a second, by turns, and a clump at times.
+/// Couriers before a limit whose refused calls count, handed so many messages in each second.
 fn play(rate: f64, asked: impl Fn(u64) -> u64, seconds: u64) -> Vec<Counts> {
+    let mut limited = Limited { rate, tokens: 0.0, at: 0, refused: 0 };
+    play_with(rate, |now| limited.call(now), asked, seconds)
+}
+
+/// Couriers that are handed messages, in no order of couriers or times, and calls that end as told.
+fn play_with(
+    rate: f64,
+    mut call: impl FnMut(Nanos) -> Outcome,
+    asked: impl Fn(u64) -> u64,
+    seconds: u64,
+) -> Vec<Counts> {
     let settings =
         Settings { couriers: Some(COURIERS), weights: Weights::Exact, slots: Some(4), ..settings() };
     let mut couriers: Vec<_> =
         (0..COURIERS).map(|n| Courier::new(settings.clone(), u64::from(n) + 1)).collect();
-    let mut limited = Limited { rate, tokens: 0.0, at: 0, refused: 0 };
     let mut counts = vec![Counts::default(); seconds as usize + 20];
     // What happens, by its time and its turn; and the attempts that each message has had.
     let mut queue: BTreeMap<(Nanos, u32), (u32, Event)> = BTreeMap::new();
@@ -79,7 +89,7 @@
         for action in actions {
             match action {
                 Action::Send { msg, .. } => {
-                    let outcome = limited.call(now);
+                    let outcome = call(now);
                     count.sent += 1;
                     count.served += u32::from(outcome == Outcome::Ok);
                     let attempt = tries.entry(msg.0).or_default();
@@ -136,3 +146,26 @@
         assert!(!actions.iter().any(|a| matches!(a, Action::Log { .. })), "{actions:?}");
     }
 }
+
+#[test]
+fn a_fleet_follows_a_cold_partner_as_it_warms_and_does_not_push_it_over() {
+    const RATE: f64 = 90.0;
+    let capacity = |second: u64| 1.2 * RATE * (0.2 + 0.08 * second.saturating_sub(15) as f64).min(1.0);
+    let mut limited = Limited { rate: 0.0, tokens: 0.0, at: 0, refused: 0 };
+    let call = |now: Nanos| match now / SECOND {
+        10..15 => Outcome::ConnectFailed,
+        second => {
+            limited.rate = capacity(second);
+            limited.call(now)
+        }
+    };
+    let counts = play_with(RATE, call, |_| 45, 30);
+    for second in 15..27 {
+        let (sent, takes) = (second..second + 3).fold((0.0, 0.0), |(sent, takes), second| {
+            (sent + f64::from(counts[second].sent), takes + capacity(second as u64))
+        });
+        assert!(sent < 2.0 * takes, "pushed over from {second} s on: {counts:?}");
+    }
+    let served: u32 = counts[15..22].iter().map(|c| c.served).sum();
+    assert!(served >= 7 * 38, "{served} served in seven seconds after the return: {counts:?}");
+}
