--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -50,8 +50,21 @@
     /// Refusals tell the wait until the span ends.
     #[serde(default)]
     pub told: bool,
+    /// Refused calls use it up too, and the span is the one before each call.
+    #[serde(default)]
+    pub refused_count: bool,
+}
+
+impl Limit {
+    /// Calls a second.
+    pub fn rate(&self) -> f64 {
+        f64::from(self.calls) * 1000.0 / self.span_ms as f64
+    }
 }
 
+/// What is left of a limit while it is lowered.
+const LOWERED: f64 = 0.4;
+
 impl Default for Nature {
     fn default() -> Self {
         Nature {
@@ -71,6 +84,13 @@
     }
 }
 
+impl Nature {
+    /// Calls a second that the list tells of: the limit, if there is one.
+    pub fn listed(&self) -> f64 {
+        self.limit.as_ref().map_or(self.rate, Limit::rate)
+    }
+}
+
 /// What is wrong with a partner for a while.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -93,6 +113,8 @@
     Down,
     /// It works at a tenth of its rate.
     Tenth,
+    /// Two fifths of its limit are left.
+    Lowered,
 }
 
 /// What a partner makes of a call.
@@ -122,6 +144,8 @@
     reckoned: At,
     /// Calls of the present span, and its number.
     span: (u64, u32),
+    /// The latest calls, as many as the limit allows in its span, where refused ones count.
+    latest: VecDeque<At>,
     /// What is wrong, from when until when.
     trouble: Option<(Trouble, At, At)>,
     fallen: Option<At>,
@@ -144,6 +168,7 @@
             backlog: 0.0,
             reckoned: At::ZERO,
             span: (0, 0),
+            latest: VecDeque::new(),
             trouble: None,
             fallen: None,
             recent: VecDeque::new(),
@@ -192,8 +217,8 @@
     /// Calls a second that it takes on just now: no more than its limit allows.
     pub fn takes(&self, now: At) -> f64 {
         let limit = self.nature.limit.as_ref();
-        let limit = limit.map_or(f64::INFINITY, |l| f64::from(l.calls) * 1000.0 / l.span_ms as f64);
-        self.rate(now).min(limit)
+        let share = if self.trouble(now) == Some(Trouble::Lowered) { LOWERED } else { 1.0 };
+        self.rate(now).min(limit.map_or(f64::INFINITY, |l| l.rate() * share))
     }
 
     /// Whether it started so lately that it is not warm yet.
@@ -254,7 +279,22 @@
             self.fallen = Some(now + Duration::from_secs_f64(self.nature.fallen_s));
             return Fate::Lost;
         }
-        if let Some(limit) = &self.nature.limit {
+        if let Some(limit) = self.nature.limit.as_ref().filter(|limit| limit.refused_count) {
+            let share = if trouble == Some(Trouble::Lowered) { LOWERED } else { 1.0 };
+            let (calls, span) =
+                ((f64::from(limit.calls) * share).ceil(), Duration::from_millis(limit.span_ms));
+            while self.latest.front().is_some_and(|at| *at + span <= now) {
+                self.latest.pop_front();
+            }
+            let full = self.latest.len() as f64 >= calls;
+            if full {
+                self.latest.pop_front();
+            }
+            self.latest.push_back(now);
+            if full {
+                return Fate::Full(limit.told.then_some(span));
+            }
+        } else if let Some(limit) = &self.nature.limit {
             let number = now.as_millis() as u64 / limit.span_ms.max(1);
             let used = if self.span.0 == number { self.span.1 } else { 0 };
             if used >= limit.calls {
@@ -312,7 +352,7 @@
 
     #[test]
     fn a_counted_window_tells_when_it_ends() {
-        let limit = Some(Limit { calls: 2, span_ms: 1000, told: true });
+        let limit = Some(Limit { calls: 2, span_ms: 1000, told: true, refused_count: false });
         let mut partner = Partner::new(Nature { limit, ..even() }, 1);
         partner.call(at(100));
         partner.call(at(200));
@@ -360,6 +400,18 @@
         assert_eq!(partner.rate(at(150_000)), 1.0);
     }
 
+    #[test]
+    fn refused_calls_use_a_limit_up_where_they_count() {
+        let limit = Some(Limit { calls: 10, span_ms: 1000, told: false, refused_count: true });
+        let mut partner = Partner::new(Nature { limit, rate: 100.0, ..even() }, 1);
+        assert_eq!(play(&mut partner, 0, 5000, 125), (40, 40), "eight a second");
+        // Sixteen a second: after the first ten, none.
+        assert_eq!(play(&mut partner, 10_000, 15_000, 62).1, 10);
+        partner.begin_at(Trouble::Lowered, at(20_000), at(30_000));
+        assert_eq!(play(&mut partner, 20_000, 25_000, 125).1, 4);
+        assert_eq!(partner.takes(at(21_000)), 4.0);
+    }
+
     proptest! {
         /// Whatever comes when, no more is served than the rate and the queue allow, and the same seed does the same.
         #[test]
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -111,7 +111,7 @@
     pub fn entry(&self, dest: usize, place: u32) -> Entry {
         let partners = self.experiment.partners_of(dest);
         let weight =
-            self.experiment.relay.weights.then_some(partners.nature.rate * partners.endpoints as f64);
+            self.experiment.relay.weights.then(|| partners.nature.listed() * partners.endpoints as f64);
         let plain =
             Entry { place, dest, generation: 0, moved: 0, state: State::Serving, weight, started: None };
         self.entries.get(&place).cloned().unwrap_or(plain)
--- a/lab/tests/short.rs
+++ b/lab/tests/short.rs
@@ -129,6 +129,18 @@
     return_is_kept("hour.toml", 5000);
 }
 
+/// A hundred relays before the same partner do as well as three: the clump, the lowered limit, the cold return.
+#[test]
+fn many_relays_hold_what_few_hold() {
+    for name in ["fleet-limit-few", "fleet-limit-many", "fleet-return-few", "fleet-return-many"] {
+        let experiment = file(&format!("{name}.toml"));
+        for repeat in 0..2 {
+            let outcome = Outcome::new(&experiment, vec![in_virtual_time(&experiment, 1, repeat)]);
+            assert!(outcome.held(), "{name}, {repeat}: {:?}", outcome.expectations);
+        }
+    }
+}
+
 /// The hard cases of a return, each in virtual time over several seeds.
 #[test]
 fn hard_cases_of_a_return_push_nobody_over() {
