--- a/src/choice.rs
+++ b/src/choice.rs
@@ -427,7 +427,7 @@
                 peer.health = Health::Up;
                 peer.bad = 0.0;
             } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
-                // Where calls are few, it came back somewhere between the last failure and now: on average half way.
+                // Where calls are few, it came back between the last failure and now: on average half way.
                 peer.health = Health::Returning(if rare { now - (now - peer.refused) / 2 } else { now });
                 let gap = self.cold_gap(now, &self.peers[&id]);
                 let peer = self.peers.get_mut(&id).expect("just found");
