--- a/src/choice.rs
+++ b/src/choice.rs
@@ -143,7 +143,7 @@
         self.even < LEAST_RATE / 2.0
     }
 
-    /// Guards against sending above a limit: a refusal slows the pace as well, to an even share at most where that
+    /// Whether an even share of the limit is so small that what one courier is told holds for all.
     /// is small. A lot decides when the next call may go: couriers refused together must not return together.
     fn refused(&mut self, now: Nanos, random: &mut Random) {
         self.tokens = if self.scarce() { 2.0 * random.unit() - 1.0 } else { self.tokens.min(0.0) };
@@ -408,7 +408,7 @@
     fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         let rare = self.units[&peer.unit].scarce();
-        // A full answer is a limit's while others are served there, or may be where calls are few; else it is shut.
+        // A full answer is a limit's while others are served there or calls are few; else it is shut.
         let at_limit = rare || now - peer.served < self.fall;
         let failed = match outcome {
             Outcome::Ok => false,
