--- a/src/choice.rs
+++ b/src/choice.rs
@@ -144,7 +144,7 @@
     }
 
     /// Guards against sending above a limit: a refusal slows the pace as well, to an even share at most where
-    /// it is small. A lot decides when the next call may go: couriers refused together must not return together.
+    /// it is small. A lot decides when the next call may go: refused together, they must not return together.
     fn refused(&mut self, now: Nanos, random: &mut Random) {
         self.tokens = if self.scarce() { 2.0 * random.unit() - 1.0 } else { self.tokens.min(0.0) };
         if now < self.cut {
