A lowered limit lowers plain limits too, and what was written tersely reads plainly again

In the laboratory the share of a lowered limit was reckoned twice, and a plain limit was told as lowered (takes) while its calls were not: both now follow one reckoning.

--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -217,8 +217,12 @@
     /// Calls a second that it takes on just now: no more than its limit allows.
     pub fn takes(&self, now: At) -> f64 {
         let limit = self.nature.limit.as_ref();
-        let share = if self.trouble(now) == Some(Trouble::Lowered) { LOWERED } else { 1.0 };
-        self.rate(now).min(limit.map_or(f64::INFINITY, |l| l.rate() * share))
+        self.rate(now).min(limit.map_or(f64::INFINITY, |l| l.rate() * self.limit_share(now)))
+    }
+
+    /// What is left of its limit just now.
+    fn limit_share(&self, now: At) -> f64 {
+        if self.trouble(now) == Some(Trouble::Lowered) { LOWERED } else { 1.0 }
     }
 
     /// Whether it started so lately that it is not warm yet.
@@ -279,14 +283,14 @@
             self.fallen = Some(now + Duration::from_secs_f64(self.nature.fallen_s));
             return Fate::Lost;
         }
+        let allowed = |limit: &Limit| (f64::from(limit.calls) * self.limit_share(now)).ceil() as usize;
+        let calls = self.nature.limit.as_ref().map_or(0, allowed);
         if let Some(limit) = self.nature.limit.as_ref().filter(|limit| limit.refused_count) {
-            let share = if trouble == Some(Trouble::Lowered) { LOWERED } else { 1.0 };
-            let (calls, span) =
-                ((f64::from(limit.calls) * share).ceil(), Duration::from_millis(limit.span_ms));
+            let span = Duration::from_millis(limit.span_ms);
             while self.latest.front().is_some_and(|at| *at + span <= now) {
                 self.latest.pop_front();
             }
-            let full = self.latest.len() as f64 >= calls;
+            let full = self.latest.len() >= calls;
             if full {
                 self.latest.pop_front();
             }
@@ -297,7 +301,7 @@
         } else if let Some(limit) = &self.nature.limit {
             let number = now.as_millis() as u64 / limit.span_ms.max(1);
             let used = if self.span.0 == number { self.span.1 } else { 0 };
-            if used >= limit.calls {
+            if used as usize >= calls {
                 let end = Duration::from_millis((number + 1) * limit.span_ms);
                 return Fate::Full(limit.told.then(|| end.saturating_sub(now)));
             }
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -17,7 +17,7 @@
 /// The pauses of one courier.
 #[derive(Default)]
 pub struct Asking {
-    /// Most couriers that ask, and within what time the rules want each to ask.
+    /// How many couriers there are, and within what time the rules want each to ask.
     couriers: f64,
     quiet: Nanos,
     pause: Nanos,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -152,7 +152,7 @@
         }
         self.cut = now + CUT_REST;
         let base = if self.pace.is_finite() { self.pace } else { self.sent_rate.now(now, RATE_TAU) };
-        let base = base.min(if self.scarce() { self.even } else { base });
+        let base = if self.scarce() { base.min(self.even) } else { base };
         let least = self.even.min(LEAST_RATE) / 4.0;
         self.pace = (base * PACE_CUT).max((base / 2.0).clamp(least, LEAST_RATE));
     }
@@ -416,14 +416,15 @@
             Outcome::Full { .. } if at_limit => return,
             _ => true,
         };
-        peer.bad += (f64::from(u8::from(failed)) - peer.bad) * BAD_STEP;
+        let bad = peer.bad;
+        peer.bad += (f64::from(u8::from(failed)) - bad) * BAD_STEP;
         peer.refused = if failed && outcome != Outcome::Timeout { now } else { peer.refused };
         if !failed {
             // A lone failure ends with the first answer, since lost answers and stalls are no outages, else
             // two close ones do; a courier with few calls there seldom has them (design.md, 4).
             let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
             peer.served = now;
-            if peer.health == Health::Down && (close || peer.bad <= BAD_STEP * (1.0 - BAD_STEP)) {
+            if peer.health == Health::Down && (close || bad <= BAD_STEP) {
                 peer.health = Health::Up;
                 peer.bad = 0.0;
             } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
@@ -790,7 +791,7 @@
         self.learn_rest(now, id, &out, outcome);
         match outcome {
             Outcome::Timeout => self.shun(now, out.endpoint, class),
-            Outcome::Ok => drop(self.peers.get_mut(&out.endpoint).map(|p| p.shun.remove(&class))),
+            Outcome::Ok => _ = self.peers.get_mut(&out.endpoint).and_then(|p| p.shun.remove(&class)),
             _ => {}
         }
         let idle = self.calls.get(&out.call).and_then(|c| c.idle);
