--- /dev/null
+++ b/relay/src/admin/call.rs
@@ -0,0 +1,117 @@
+//! What a call to the second address asks for. Owns its form only: no socket, and no relay.
+use actix_http::Method;
+
+/// Longest id of an endpoint; the list has none longer.
+const LONGEST_ID: usize = 200;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    Figures,
+    /// Leave an endpoint out, or take it back.
+    Endpoint {
+        id: String,
+        out: bool,
+    },
+    Drain,
+    Resume,
+}
+
+/// Why a call is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    NoSuchPath,
+    /// The path has another method.
+    Method(&'static str),
+    Id(&'static str),
+}
+
+impl Call {
+    pub fn read(method: &Method, path: &str) -> Result<Call, Unfit> {
+        let (wanted, call) = match path.strip_prefix("/-/") {
+            Some("ready") => (Method::GET, Call::Ready),
+            Some("metrics") => (Method::GET, Call::Figures),
+            Some("drain") => (Method::PUT, Call::Drain),
+            Some("resume") => (Method::PUT, Call::Resume),
+            rest => {
+                let of = rest.and_then(|rest| rest.strip_prefix("endpoints/"));
+                let (id, what) = of.and_then(|of| of.rsplit_once('/')).ok_or(Unfit::NoSuchPath)?;
+                let out = match what {
+                    "disable" => true,
+                    "enable" => false,
+                    _ => return Err(Unfit::NoSuchPath),
+                };
+                (Method::PUT, Call::Endpoint { id: decoded(id)?, out })
+            }
+        };
+        match method == wanted {
+            true => Ok(call),
+            false if wanted == Method::GET => Err(Unfit::Method("GET")),
+            false => Err(Unfit::Method("PUT")),
+        }
+    }
+}
+
+/// An id as it stands in a path, percent signs decoded.
+fn decoded(id: &str) -> Result<String, Unfit> {
+    let mut bytes = Vec::with_capacity(id.len());
+    let mut rest = id.bytes();
+    while let Some(byte) = rest.next() {
+        let mut digit = || rest.next().and_then(|b| char::from(b).to_digit(16));
+        bytes.push(match byte {
+            b'%' => match (digit(), digit()) {
+                (Some(high), Some(low)) => (high * 16 + low) as u8,
+                _ => return Err(Unfit::Id("a percent sign without two hexadecimal digits")),
+            },
+            b'/' => return Err(Unfit::Id("it has a slash")),
+            byte => byte,
+        });
+    }
+    let id = String::from_utf8(bytes).map_err(|_| Unfit::Id("it is not UTF-8"))?;
+    match id.len() {
+        0 => Err(Unfit::Id("it is empty")),
+        1..=LONGEST_ID if !id.chars().any(char::is_control) => Ok(id),
+        1..=LONGEST_ID => Err(Unfit::Id("it has control characters")),
+        _ => Err(Unfit::Id("it is longer than 200 bytes")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_call_has_one_path_and_one_method() {
+        let endpoint = |id: &str, out| Ok(Call::Endpoint { id: id.into(), out });
+        let long = format!("/-/endpoints/{}/disable", "x".repeat(201));
+        let cases = [
+            ("GET", "/-/ready", Ok(Call::Ready)),
+            ("GET", "/-/metrics", Ok(Call::Figures)),
+            ("PUT", "/-/drain", Ok(Call::Drain)),
+            ("PUT", "/-/resume", Ok(Call::Resume)),
+            ("PUT", "/-/endpoints/s-5be2a07c/disable", endpoint("s-5be2a07c", true)),
+            ("PUT", "/-/endpoints/a%20%2Fb/enable", endpoint("a /b", false)),
+            ("POST", "/-/drain", Err(Unfit::Method("PUT"))),
+            ("PUT", "/-/ready", Err(Unfit::Method("GET"))),
+            ("GET", "/-/endpoints/n1/enable", Err(Unfit::Method("PUT"))),
+            ("GET", "/ready", Err(Unfit::NoSuchPath)),
+            ("GET", "/-/", Err(Unfit::NoSuchPath)),
+            ("PUT", "/-/endpoints/n1/restart", Err(Unfit::NoSuchPath)),
+            ("PUT", "/-/endpoints/disable", Err(Unfit::NoSuchPath)),
+            ("PUT", "/-/endpoints//disable", Err(Unfit::Id("it is empty"))),
+            ("PUT", "/-/endpoints/a/b/disable", Err(Unfit::Id("it has a slash"))),
+            (
+                "PUT",
+                "/-/endpoints/%4/disable",
+                Err(Unfit::Id("a percent sign without two hexadecimal digits")),
+            ),
+            ("PUT", "/-/endpoints/%ff/disable", Err(Unfit::Id("it is not UTF-8"))),
+            ("PUT", "/-/endpoints/%0a/disable", Err(Unfit::Id("it has control characters"))),
+            ("PUT", &long, Err(Unfit::Id("it is longer than 200 bytes"))),
+        ];
+        for (method, path, wanted) in cases {
+            let method = Method::from_bytes(method.as_bytes()).expect("a method");
+            assert_eq!(Call::read(&method, path), wanted, "{method} {path}");
+        }
+    }
+}
--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -20,6 +20,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where those who run the relay call.
+    pub admin: Option<SocketAddr>,
     /// The folder that lasts.
     pub state: PathBuf,
     pub seed: u64,
@@ -81,6 +83,7 @@
     name: String,
     listen: SocketAddr,
     discovery: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     limits: ToldLimits,
@@ -131,6 +134,7 @@
         name: variable("BALANCER_NAME")?.unwrap_or(told.name),
         listen: address("BALANCER_LISTEN")?.unwrap_or(told.listen),
         discovery,
+        admin: told.admin,
         state: Path::new(&state).to_owned(),
         seed: seed.map_err(|_| format!("BALANCER_CONFIG: seed: '{}' is not hexadecimal", told.seed))?,
         limits: Limits { disk: (disk * 1e6) as u64, sockets: told.limits.sockets },
@@ -164,6 +168,11 @@
     }
 }
 
+/// Where those who run the relay call, if the environment says so: over any file.
+pub fn admin() -> Result<Option<SocketAddr>, String> {
+    address("BALANCER_ADMIN")
+}
+
 fn address(name: &str) -> Result<Option<SocketAddr>, String> {
     let value = variable(name)?;
     value.map(|v| v.parse().map_err(|_| format!("{name}: '{v}' is no address and port"))).transpose()
@@ -177,6 +186,8 @@
     pub hook: Option<HookTable>,
     /// How destinations are kept that are seldom used.
     pub idle: Idle,
+    /// Where those who run the relay call.
+    pub admin: Option<SocketAddr>,
 }
 
 /// How destinations are kept that are seldom used, on the fronts that are on.
@@ -302,6 +313,9 @@
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OwnFile {
+    /// Address and port.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admin: Option<String>,
     pub push: Option<PushTable>,
     pub hook: Option<HookTable>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -517,8 +531,12 @@
         faults.push("hook.operations: must be at least 1".into());
     }
     let idle = idle(file.idle.take().unwrap_or_default(), &mut faults);
+    let admin = file.admin.take().and_then(|text| {
+        let address = text.parse::<SocketAddr>();
+        address.map_err(|_| faults.push(format!("admin: '{text}' is no address and port"))).ok()
+    });
     let push = file.push.take().and_then(|table| push(table, &file, &idle, &mut faults));
-    if faults.is_empty() { Ok(Own { push, hook, idle }) } else { Err(faults) }
+    if faults.is_empty() { Ok(Own { push, hook, idle, admin }) } else { Err(faults) }
 }
 
 fn idle(table: IdleTable, faults: &mut Vec<String>) -> Idle {
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -7,6 +7,7 @@
 
 use super::rounds::{ORDERS, Order};
 use super::{Carrier, Core, DEFAULT_BACKOFF, FAR_OFF, Node};
+use crate::figures::Ended;
 use crate::job::{Answer, Job, Notice, NoticeEnd, Outcome, nanos};
 use crate::journal::{Key, MayHaveRun, Open};
 
@@ -120,7 +121,11 @@
                 Order::Claim { node, limit } => {
                     let outcome = self.claim(&job, &mut course, &mut seat, &node, limit).await;
                     match outcome {
-                        Outcome::Delivered | Outcome::Over => break None,
+                        Outcome::Delivered => {
+                            self.figures.ended(&job.class, Ended::Delivered);
+                            break None;
+                        }
+                        Outcome::Over => break None,
                         Outcome::Rejected(status) => break Some(job.failed(Some(status))),
                         _ => {}
                     }
@@ -232,6 +237,8 @@
                 NoticeEnd::Returned { .. } => tally.returned += 1,
                 NoticeEnd::Replaced => tally.replaced += 1,
             });
+            let failed = matches!(notice.end, NoticeEnd::Failed { .. });
+            self.figures.ended(&job.class, if failed { Ended::Failed } else { Ended::TurnedBack });
             let label = job.label.as_deref().unwrap_or("");
             tracing::debug!(id = job.id, dest = job.dest, end = ?notice.end, label, "ended undelivered");
             let mut pause = NOTICE_FIRST_PAUSE;
@@ -266,6 +273,8 @@
     /// Gives a new job its answer instead of taking it on.
     fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
         self.count(|tally| tally.turned_away += 1);
+        let failed = refusal == Answer::Failed;
+        self.figures.ended(&job.class, if failed { Ended::Failed } else { Ended::TurnedBack });
         tracing::debug!(id = job.id, dest = job.dest, ?refusal, "turned away");
         self.decided(&job.id, Some(refusal));
         if let Some(answer) = answer {
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -17,12 +17,14 @@
 use nodes::Nodes;
 #[cfg(test)]
 pub(crate) use nodes::tests;
-pub use nodes::{Node, Ticket};
+pub use nodes::{Node, NotOut, Ticket};
 
 use crate::config::Rules;
+use crate::figures::{Census, Ended, Figures};
 use crate::hook::Hooks;
 use crate::job::{Answer, Job, Notice, Outcome, nanos};
 use crate::journal::{Journal, Open};
+use crate::outs::Outs;
 use life::Course;
 use rounds::Order;
 
@@ -106,6 +108,8 @@
     hooks: Option<Hooks>,
     state: RefCell<State>,
     journal: RefCell<Journal>,
+    outs: RefCell<Outs>,
+    figures: Rc<Figures>,
     /// Held while a list is taken in: lists are taken in in their order.
     listing: tokio::sync::Mutex<()>,
     wake: Notify,
@@ -130,7 +134,15 @@
 const FAR_OFF: Duration = Duration::from_secs(3600);
 
 impl<C: Carrier> Core<C> {
-    pub fn new(carrier: C, rules: Rules, hooks: Option<Hooks>, seed: u64, journal: Journal) -> Rc<Self> {
+    pub fn new(
+        carrier: C,
+        rules: Rules,
+        hooks: Option<Hooks>,
+        seed: u64,
+        journal: Journal,
+        outs: Outs,
+        figures: Rc<Figures>,
+    ) -> Rc<Self> {
         let state = State {
             courier: Courier::new(rules.settings.clone(), seed),
             inbox: Vec::new(),
@@ -151,6 +163,8 @@
             hooks,
             state: RefCell::new(state),
             journal: RefCell::new(journal),
+            outs: RefCell::new(outs),
+            figures,
             listing: tokio::sync::Mutex::new(()),
             wake: Notify::new(),
             follow: Notify::new(),
@@ -187,6 +201,7 @@
             self.rules().settings.max_held.is_some_and(|m| self.state.borrow().seats.len() >= m as usize);
         if full || self.winding_down.get() || !self.knows(job.dest) {
             self.count(|tally| tally.turned_away += 1);
+            self.figures.ended(&job.class, Ended::TurnedBack);
             return Answer::Refused { after: Some(DEFAULT_BACKOFF) };
         }
         loop {
@@ -209,6 +224,14 @@
         answered.await.unwrap_or(Answer::Failed)
     }
 
+    /// What there is just now, for the figures.
+    pub fn census(&self) -> Census {
+        let state = self.state.borrow();
+        let in_progress = state.ids.values().filter(|taken| **taken).count();
+        let (known, closed) = state.nodes.count();
+        Census { in_progress, known, skipped: closed + state.courier.avoided() }
+    }
+
     /// Whether a job has no end yet.
     pub fn is_open(&self, id: &str) -> bool {
         self.state.borrow().ids.contains_key(id)
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -1,5 +1,6 @@
 //! Execute nodes: the list of them, the leave to send one a claim, and the waits they tell.
 use compact_str::CompactString;
+use prometheus::IntCounter;
 use slatethread::{Condition, DestId, Endpoint, EndpointId, Event, KindId, ListScope, ZoneId};
 use std::borrow::Borrow;
 use std::cell::Cell;
@@ -14,6 +15,7 @@
 use crate::config::Rules;
 use crate::job::nanos;
 use crate::list::{Lifecycle, NodeEntry, NodeList};
+use crate::outs::Refused;
 
 /// Longest name of a node, and of a zone together with it, that fits into a journal record.
 const LONGEST_NODE_NAME: usize = 200;
@@ -38,12 +40,28 @@
     weight: Cell<f64>,
     /// Its last start, as Unix time in milliseconds; 0 is long ago.
     started_ms: Cell<u64>,
-    /// Neither draining nor gone.
-    open: Cell<bool>,
+    /// When it was last taken back by hand, likewise.
+    back_ms: Cell<u64>,
+    /// By the list neither draining nor gone.
+    serving: Cell<bool>,
+    /// It is out by hand.
+    out: Cell<bool>,
     /// The last whole list that named it.
     seen: Cell<u32>,
 }
 
+/// Why a node is not out by hand, or not taken back.
+#[derive(Debug)]
+pub enum NotOut {
+    /// Nobody has that name.
+    Unknown,
+    Unkept(Refused),
+}
+
+fn unix_ms(at: SystemTime) -> u64 {
+    at.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
 /// All execute nodes that are listed: each once, found by number and by name.
 #[derive(Default)]
 pub(super) struct Nodes {
@@ -90,6 +108,11 @@
         self.by_name.get(name).map(|named| &named.0)
     }
 
+    /// How many are listed, and how many of them are closed.
+    pub fn count(&self) -> (usize, usize) {
+        (self.by_id.len(), self.by_id.values().filter(|node| !node.is_open()).count())
+    }
+
     /// Whether there is such a destination, or was one a moment ago.
     fn knows(&self, dest: u64) -> bool {
         self.by_id.is_empty()
@@ -149,6 +172,7 @@
     not_after: Option<Instant>,
     sent: Cell<bool>,
     delivered: Cell<bool>,
+    tries: IntCounter,
 }
 
 impl Ticket {
@@ -156,12 +180,14 @@
     /// node that drains by now, into a wait told by now, or past the memory of an earlier claim.
     pub fn may_begin(&self) -> bool {
         let now = Instant::now();
-        self.node.open.get() && now >= self.wait.get() && self.not_after.is_none_or(|end| now < end)
+        self.node.is_open() && now >= self.wait.get() && self.not_after.is_none_or(|end| now < end)
     }
 
     /// To be called once the last byte is on its way: from here on the claim may run.
     pub fn mark_sent(&self) {
-        self.sent.set(true);
+        if !self.sent.replace(true) {
+            self.tries.inc();
+        }
     }
 
     pub fn is_sent(&self) -> bool {
@@ -194,7 +220,7 @@
         }
         if list.reset {
             let gone = self.not_seen(number);
-            gone.iter().for_each(|node| node.open.set(false));
+            gone.iter().for_each(|node| node.serving.set(false));
             for part in gone.chunks(LET_GO) {
                 self.change(|state| part.iter().map(|node| self.drop_node(state, node)).collect());
                 yield_now().await;
@@ -296,15 +322,16 @@
             places: Cell::new(places(entry, rules)),
             weight: Cell::new(entry.weight.unwrap_or(f64::NAN)),
             started_ms: Cell::new(entry.started_at_ms),
-            open: Cell::new(serving),
+            back_ms: Cell::new(known.as_ref().map_or(0, |node| node.back_ms.get())),
+            serving: Cell::new(serving),
+            out: Cell::new(self.outs.borrow().contains(&entry.instance_id)),
             seen: Cell::new(list),
         };
-        let condition = if serving { Condition::Active } else { Condition::Leaving };
-        let heard = self.endpoint(&node, condition);
+        let heard = self.endpoint(&node, node.condition());
         match (known, stays.is_some()) {
             (Some(old), true) => {
                 // Claims that are decided on look at this very record: it is changed where it stands.
-                old.open.set(node.open.get());
+                old.serving.set(serving);
                 old.places.set(node.places.get());
                 old.weight.set(node.weight.get());
                 old.started_ms.set(node.started_ms.get());
@@ -324,7 +351,7 @@
 
     /// Lets a node go; gives what the module is to hear of it.
     fn drop_node(&self, state: &mut State, node: &Rc<Node>) -> Endpoint {
-        node.open.set(false);
+        node.serving.set(false);
         self.carrier.forget(node);
         state.nodes.remove(node);
         state.waits.remove(&(node.dest, Some(node.id)));
@@ -339,8 +366,9 @@
 
     /// A node as the module has it. Its start is put on the module's clock; one in the future is a start just now.
     fn endpoint(&self, node: &Node, condition: Condition) -> Endpoint {
-        let started = SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(node.started_ms.get()));
-        let ago = started.filter(|_| node.started_ms.get() > 0);
+        let started_ms = node.started_ms.get().max(node.back_ms.get());
+        let started = SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(started_ms));
+        let ago = started.filter(|_| started_ms > 0);
         let ago = ago.map(|at| SystemTime::now().duration_since(at).unwrap_or_default());
         let now = self.module_time(Instant::now());
         Endpoint {
@@ -354,6 +382,27 @@
         }
     }
 
+    /// Leaves a node out whatever the list says of it, or takes it back. To the module it drains meanwhile, and
+    /// returns as one that has just started: operators restart what they take out.
+    pub fn set_out(&self, name: &str, out: bool) -> Result<(), NotOut> {
+        let was = self.outs.borrow().contains(name);
+        let node = self.state.borrow().nodes.named(name).cloned();
+        if !was && node.is_none() {
+            return Err(NotOut::Unknown);
+        }
+        self.outs.borrow_mut().set(name, out).map_err(NotOut::Unkept)?;
+        if was != out {
+            tracing::info!(node = name, out, "an execute node is out by hand, or back");
+        }
+        if let Some(node) = node.filter(|node| node.out.replace(out) != out) {
+            if !out {
+                node.back_ms.set(unix_ms(SystemTime::now()));
+            }
+            self.change(|_| vec![self.endpoint(&node, node.condition())]);
+        }
+        Ok(())
+    }
+
     /// The list could not be had.
     pub fn list_broken(&self, torn: bool) {
         let scope = if torn { ListScope::Torn } else { ListScope::Broken };
@@ -369,6 +418,7 @@
             not_after,
             sent: Cell::new(false),
             delivered: Cell::new(false),
+            tries: self.figures.tries(),
         })
     }
 
@@ -395,13 +445,22 @@
         KindId(usize::from(self.places.get().1))
     }
 
+    /// Whether anything new may go there.
+    fn is_open(&self) -> bool {
+        self.serving.get() && !self.out.get()
+    }
+
+    fn condition(&self) -> Condition {
+        if self.is_open() { Condition::Active } else { Condition::Leaving }
+    }
+
     fn weight(&self) -> Option<f64> {
         Some(self.weight.get()).filter(|weight| !weight.is_nan())
     }
 
     /// Whether an entry says nothing new of it.
     fn is(&self, entry: &NodeEntry, rules: &Rules) -> bool {
-        self.open.get() == (entry.lifecycle == Lifecycle::Serving)
+        self.serving.get() == (entry.lifecycle == Lifecycle::Serving)
             && self.dest == entry.cell
             && self.weight() == entry.weight
             && self.started_ms.get() == entry.started_at_ms
@@ -422,8 +481,10 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
+    use crate::figures::Figures;
     use crate::job::{Job, Notice, Outcome};
     use crate::journal::Journal;
+    use crate::outs::Outs;
 
     /// A ticket for a node of its own.
     pub(crate) fn ticket(open: bool, wait: Duration, memory: Option<Duration>) -> Rc<Ticket> {
@@ -436,7 +497,9 @@
             places: Cell::new((0, 0)),
             weight: Cell::new(f64::NAN),
             started_ms: Cell::new(0),
-            open: Cell::new(open),
+            back_ms: Cell::new(0),
+            serving: Cell::new(open),
+            out: Cell::new(false),
             seen: Cell::new(0),
         };
         Rc::new(Ticket {
@@ -445,6 +508,7 @@
             not_after: memory.map(|left| now + left),
             sent: Cell::new(false),
             delivered: Cell::new(false),
+            tries: Figures::new(&[]).tries(),
         })
     }
 
@@ -477,7 +541,7 @@
     fn core(folder: &std::path::Path) -> Rc<Core<Nowhere>> {
         let (journal, _) = Journal::open(folder, 1_000_000).expect("it opens");
         let rules = Rules { settings: slatethread::Settings::default(), names: Default::default() };
-        Core::new(Nowhere, rules, None, 1, journal)
+        Core::new(Nowhere, rules, None, 1, journal, Outs::open(folder), Figures::new(&[]))
     }
 
     fn entry(name: usize, port: u16, lifecycle: Lifecycle) -> NodeEntry<'static> {
@@ -535,7 +599,43 @@
             assert_eq!(take(&core, false, vec![heavier]).await, [(8, Active)]);
             assert_eq!(node.weight(), Some(3.0));
             take(&core, false, vec![entry(7, 1, Lifecycle::Draining)]).await;
-            assert!(!node.open.get());
+            assert!(!node.is_open());
+        });
+    }
+
+    #[test]
+    fn a_node_out_by_hand_drains_whatever_the_list_says_and_returns_as_just_started() {
+        use Condition::*;
+        use Lifecycle::*;
+        let folder = tempfile::tempdir().expect("a folder");
+        actix_rt::System::new().block_on(async {
+            let core = core(folder.path());
+            let list = |lifecycle| vec![entry(1, 1, lifecycle), entry(2, 1, Serving)];
+            take(&core, true, list(Serving)).await;
+            let heard = || {
+                let events = std::mem::take(&mut core.state.borrow_mut().inbox);
+                let entries = events.into_iter().flat_map(|event| match event {
+                    Event::List { entries, .. } => entries,
+                    other => panic!("{other:?}"),
+                });
+                entries.map(|e| (e.id.0, e.condition, e.started > 0)).collect::<Vec<_>>()
+            };
+            assert!(matches!(core.set_out("n9", true), Err(NotOut::Unknown)));
+            assert!(matches!(core.set_out("n9", false), Err(NotOut::Unknown)));
+            core.set_out("n1", true).expect("listed");
+            core.set_out("n1", true).expect("listed");
+            assert_eq!(heard(), [(1, Leaving, false)]);
+            // Through lists, its leaving and its coming again, and a restart of this process.
+            assert_eq!(take(&core, true, list(Serving)).await, []);
+            assert_eq!(take(&core, true, list(Draining)).await, [(1, Leaving)]);
+            assert_eq!(take(&core, false, vec![entry(1, 1, Deleted)]).await, [(1, Left)]);
+            assert_eq!(take(&core, false, list(Serving)).await, [(3, Leaving)]);
+            let after = self::core(folder.path());
+            assert_eq!(take(&after, true, list(Serving)).await, [(1, Leaving), (2, Active)]);
+            core.set_out("n1", false).expect("out");
+            core.set_out("n1", false).expect("listed");
+            core.set_out("n2", false).expect("listed");
+            assert_eq!(heard(), [(3, Active, true)]);
         });
     }
 
--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 /// After a connection could not be taken, above all for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -27,6 +28,8 @@
 const ROOM_SILENT: Duration = Duration::from_millis(30);
 /// A connection without an open request may be closed once it has been one for so long.
 const ROOM_IDLE: Duration = Duration::from_millis(2050);
+/// A new connection is not sent away before it has had so long for its first word.
+const FIRST_WORD: Duration = Duration::from_millis(300);
 /// What is closed has so long to take its last answer.
 const FAREWELL: Duration = Duration::from_secs(1);
 
@@ -39,21 +42,47 @@
     pub whole: Option<Duration>,
     /// A connection may stand idle for so long.
     pub idle: Duration,
+    /// What makes room for the next connection where there is none.
+    pub yields: Yields,
+}
+
+/// Which connections make room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Yields {
+    /// Those on which no request is open.
+    Silent,
+    /// Those on which the first request is not whole, too.
+    Unfinished,
 }
 
 /// How many connections there may be; the number may change while they are taken.
 pub struct Places {
     free: Arc<Semaphore>,
     number: Cell<usize>,
+    /// From then on connections are closed between requests.
+    leaving: Cell<Option<Instant>>,
+    /// No more connections are taken.
+    shut: CancellationToken,
 }
 
 impl Places {
     pub fn new(number: usize) -> Self {
-        Places { free: Arc::new(Semaphore::new(number)), number: Cell::new(number) }
+        Places {
+            free: Arc::new(Semaphore::new(number)),
+            number: Cell::new(number),
+            leaving: Cell::new(None),
+            shut: CancellationToken::new(),
+        }
     }
 
-    pub fn free(&self) -> Arc<Semaphore> {
-        self.free.clone()
+    /// From that time on connections are closed between requests, or not any more.
+    pub fn leave(&self, from: Option<Instant>) {
+        self.leaving.set(from);
+    }
+
+    /// No more connections are taken; those that there are go on.
+    pub fn shut(&self) {
+        self.shut.cancel();
     }
 
     /// Most places are taken. What is answered from then on should say that its connection ends: guards against
@@ -155,11 +184,21 @@
         most.is_some_and(|most| now >= self.since.get() + most)
     }
 
+    /// Whether it may be closed since all are sent away.
+    fn may_leave(&self, now: Instant) -> bool {
+        let least = if self.known.get() { Duration::ZERO } else { FIRST_WORD };
+        self.phase.get() == Phase::Waiting && now >= self.since.get() + least
+    }
+
     /// Whether it may be closed in favour of another.
-    fn may_make_room(&self, now: Instant) -> bool {
+    fn may_make_room(&self, now: Instant, yields: Yields) -> bool {
         let least = if self.known.get() { ROOM_IDLE } else { ROOM_SILENT };
-        let waits = self.phase.get() == Phase::Waiting && self.closed.get().is_none();
-        waits && now >= self.since.get() + least
+        let waits = match self.phase.get() {
+            Phase::Waiting => true,
+            Phase::Reading => yields == Yields::Unfinished && !self.known.get(),
+            Phase::Serving => false,
+        };
+        waits && self.closed.get().is_none() && now >= self.since.get() + least
     }
 }
 
@@ -182,8 +221,9 @@
 
     /// Closes what has overstayed. Guards against connections that send half a request or none, or were left
     /// open for good.
-    fn look(&self, now: Instant, manners: &Manners) {
-        let overdue = self.here().into_iter().filter(|s| s.closed.get().is_none() && s.overdue(now, manners));
+    fn look(&self, now: Instant, manners: &Manners, leaving: bool) {
+        let is_over = |seen: &Seen| seen.overdue(now, manners) || leaving && seen.may_leave(now);
+        let overdue = self.here().into_iter().filter(|seen| seen.closed.get().is_none() && is_over(seen));
         overdue.for_each(|seen| seen.close(now));
         // One that takes no bytes from us either is woken to be dropped.
         let stuck = self.here().into_iter().filter(|s| s.closed.get().is_some_and(|c| now >= c + FAREWELL));
@@ -191,8 +231,8 @@
     }
 
     /// Closes one connection that is not in use. Guards against hundreds of silent ones keeping submitters out.
-    fn make_room(&self, now: Instant) {
-        let may = self.here().into_iter().filter(|seen| seen.may_make_room(now));
+    fn make_room(&self, now: Instant, yields: Yields) {
+        let may = self.here().into_iter().filter(|seen| seen.may_make_room(now, yields));
         // Those that never asked anything first, then the longest idle.
         if let Some(seen) = may.min_by_key(|seen| (seen.known.get(), seen.since.get())) {
             seen.close(now);
@@ -259,7 +299,7 @@
 }
 
 /// Takes connections, each for a free place.
-pub async fn accept<F>(listener: TcpListener, places: Arc<Semaphore>, manners: Manners, factory: F)
+pub async fn accept<F>(listener: TcpListener, places: Rc<Places>, manners: Manners, factory: F)
 where
     F: ServiceFactory<(Gate, Option<SocketAddr>), Config = (), InitError = ()>,
     F::Service: 'static,
@@ -274,16 +314,20 @@
     let looking = async {
         loop {
             sleep(LOOK).await;
-            guests.look(Instant::now(), &manners);
+            let now = Instant::now();
+            let leaving = places.leaving.get().is_some_and(|from| now >= from);
+            guests.look(now, &manners, leaving);
         }
     };
     let taking = async {
+        // Dropped with this, not with what looks after connections.
+        let listener = listener;
         loop {
             let place = loop {
-                match timeout(ROOM_LOOK, places.clone().acquire_owned()).await {
+                match timeout(ROOM_LOOK, places.free.clone().acquire_owned()).await {
                     Ok(Ok(place)) => break place,
                     Ok(Err(_)) => return,
-                    Err(_) => guests.make_room(Instant::now()),
+                    Err(_) => guests.make_room(Instant::now(), manners.yields),
                 }
             };
             match listener.accept().await {
@@ -304,5 +348,34 @@
             }
         }
     };
-    tokio::join!(looking, taking);
+    // Its end drops the listener, while connections are looked after.
+    let taking = places.shut.run_until_cancelled(taking);
+    tokio::join!(looking, async move { _ = taking.await });
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn where_unfinished_calls_yield_the_oldest_goes_first_and_an_answer_is_never_cut() {
+        let guests = Guests::default();
+        let start = Instant::now();
+        let [first, second, serving] = [0, 10, 20].map(|ms| {
+            let seen = guests.add();
+            seen.since.set(start + Duration::from_millis(ms));
+            seen.came();
+            seen
+        });
+        serving.serving();
+        let later = start + Duration::from_secs(9);
+        let closed = || [&first, &second, &serving].map(|seen| seen.closed.get().is_some());
+        guests.make_room(later, Yields::Silent);
+        assert_eq!(closed(), [false, false, false]);
+        guests.make_room(later, Yields::Unfinished);
+        assert_eq!(closed(), [true, false, false]);
+        guests.make_room(later, Yields::Unfinished);
+        guests.make_room(later, Yields::Unfinished);
+        assert_eq!(closed(), [true, true, false]);
+    }
 }
--- /dev/null
+++ b/relay/src/figures.rs
@@ -0,0 +1,173 @@
+//! The figures that the second address tells, for all fronts of the process together.
+//!
+//! Owns counters and the form in which they are read (the Prometheus text format, which the library writes). It may
+//! know no job and no socket: who makes a thing happen counts it, at the one place where it happens; what stands at a
+//! moment ([`Census`]) is handed in when the figures are read.
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What all names begin with.
+const PREFIX: &str = "edge_balancer";
+
+/// How a message ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Delivered,
+    /// Refused at the door, or taken on and handed back.
+    TurnedBack,
+    Failed,
+}
+
+impl Ended {
+    const ALL: [Ended; 3] = [Ended::Delivered, Ended::TurnedBack, Ended::Failed];
+
+    fn label(self) -> &'static str {
+        match self {
+            Ended::Delivered => "passed",
+            Ended::TurnedBack => "dropped",
+            Ended::Failed => "bad_gateway",
+        }
+    }
+}
+
+/// What a front has just now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Messages taken on and not ended.
+    pub in_progress: usize,
+    /// Endpoints in the list.
+    pub known: usize,
+    /// Those of them that are avoided, each once whatever the reasons.
+    pub skipped: usize,
+}
+
+pub struct Figures {
+    registry: Registry,
+    /// By class. Guards against a series for whatever text somebody calls a class.
+    classes: HashMap<String, [IntCounter; 3]>,
+    tries: IntCounter,
+    in_progress: IntGauge,
+    known: IntGauge,
+    skipped: IntGauge,
+    loads: IntCounter,
+    load_errors: IntCounter,
+}
+
+impl Figures {
+    /// All of them, at zero, for messages of these classes.
+    pub fn new<'a>(classes: impl IntoIterator<Item = &'a String>) -> Rc<Self> {
+        let registry = Registry::new();
+        let opts = |name, help| Opts::new(name, help).namespace(PREFIX);
+        let counter = |name, help| put(&registry, IntCounter::with_opts(opts(name, help)));
+        let gauge = |name, help| put(&registry, IntGauge::with_opts(opts(name, help)));
+        let handled =
+            opts("handled_total", "Messages ended, by class and outcome, since the process started.");
+        let handled = put(&registry, IntCounterVec::new(handled, &["category", "outcome"]));
+        let series = |class: &str| Ended::ALL.map(|ended| handled.with_label_values(&[class, ended.label()]));
+        Rc::new(Figures {
+            classes: classes.into_iter().map(|class| (class.clone(), series(class))).collect(),
+            tries: counter("upstream_tries_total", "Messages written whole to endpoints."),
+            in_progress: gauge("in_progress", "Messages taken on and not ended."),
+            known: gauge("known_endpoints", "Endpoints in the list."),
+            skipped: gauge(
+                "skipped_endpoints",
+                "Listed endpoints that are avoided now, by hand or by choice.",
+            ),
+            loads: counter("loads_total", "Configurations taken up, the first one counted."),
+            load_errors: counter("load_errors_total", "Configurations that were faulty and not taken up."),
+            registry,
+        })
+    }
+
+    /// A message of a class has ended.
+    pub fn ended(&self, class: &str, ended: Ended) {
+        if let Some(series) = self.classes.get(class) {
+            series[ended as usize].inc();
+        }
+    }
+
+    /// The count of messages written whole to endpoints.
+    pub fn tries(&self) -> IntCounter {
+        self.tries.clone()
+    }
+
+    /// A configuration was read.
+    pub fn loaded(&self, taken_up: bool) {
+        if taken_up { self.loads.inc() } else { self.load_errors.inc() }
+    }
+
+    /// All figures as they are read.
+    pub fn text(&self, now: Census) -> String {
+        let whole = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.in_progress.set(whole(now.in_progress));
+        self.known.set(whole(now.known));
+        self.skipped.set(whole(now.skipped));
+        let mut text = Vec::new();
+        let written = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        written.expect("memory takes all that is written");
+        String::from_utf8(text).expect("names and labels are text")
+    }
+
+    /// How many messages have ended, for tests of who counts them.
+    #[cfg(test)]
+    pub fn all_ended(&self) -> u64 {
+        self.classes.values().flatten().map(IntCounter::get).sum()
+    }
+}
+
+/// Registers what was made; names and labels are constants, so that neither fails.
+fn put<T: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    made: prometheus::Result<T>,
+) -> T {
+    let made = made.expect("a sound name");
+    registry.register(Box::new(made.clone())).expect("a name of its own");
+    made
+}
+
+impl std::iter::Sum for Census {
+    fn sum<I: Iterator<Item = Census>>(parts: I) -> Census {
+        parts.fold(Census::default(), |sum, part| Census {
+            in_progress: sum.in_progress + part.in_progress,
+            known: sum.known + part.known,
+            skipped: sum.skipped + part.skipped,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_names_are_there_from_the_start_and_no_class_is_made_up() {
+        let figures = Figures::new(&["order".to_owned(), "notice".to_owned()]);
+        figures.ended("order", Ended::Delivered);
+        figures.ended("nobody's", Ended::Failed);
+        figures.tries().inc();
+        figures.loaded(true);
+        figures.loaded(false);
+        let text = figures.text(Census { in_progress: 3, known: 9, skipped: 2 });
+        let lines: Vec<_> = text.lines().filter(|line| !line.starts_with('#')).collect();
+        assert_eq!(
+            lines,
+            [
+                "edge_balancer_handled_total{category=\"notice\",outcome=\"bad_gateway\"} 0",
+                "edge_balancer_handled_total{category=\"notice\",outcome=\"dropped\"} 0",
+                "edge_balancer_handled_total{category=\"notice\",outcome=\"passed\"} 0",
+                "edge_balancer_handled_total{category=\"order\",outcome=\"bad_gateway\"} 0",
+                "edge_balancer_handled_total{category=\"order\",outcome=\"dropped\"} 0",
+                "edge_balancer_handled_total{category=\"order\",outcome=\"passed\"} 1",
+                "edge_balancer_in_progress 3",
+                "edge_balancer_known_endpoints 9",
+                "edge_balancer_load_errors_total 1",
+                "edge_balancer_loads_total 1",
+                "edge_balancer_skipped_endpoints 2",
+                "edge_balancer_upstream_tries_total 1",
+            ]
+        );
+        assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 7);
+        assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 7);
+    }
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -1,21 +1,26 @@
 //! A relay that hands messages on to partner systems; `slatethread` decides, this program acts.
 //!
 //! The rooms, each importing only those before it: plain values ([`job`]), what is read and written ([`config`],
-//! [`list`], [`tls`], [`journal`], [`notice`], [`import`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts share ([`door`],
-//! [`discovery`]), the fronts ([`platform`], [`push`]), and the program that wires them ([`run`]).
+//! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`outs`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts
+//! share ([`presence`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]), and the program that
+//! wires them ([`run`]).
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod config;
 pub mod core;
 pub mod discovery;
 pub mod door;
+pub mod figures;
 pub mod hook;
 pub mod import;
 pub mod job;
 pub mod journal;
 pub mod list;
 pub mod notice;
+pub mod outs;
 pub mod platform;
+pub mod presence;
 pub mod push;
 pub mod run;
 pub mod shelf;
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -9,12 +9,12 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 
 use super::carrier::KEY;
 use crate::core::{Carrier, Core};
-use crate::door::{self, Gate, Manners, Places, Seen};
+use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::job::{Answer, Job};
+use crate::presence::Presence;
 
 /// Largest body; the platform sends none larger.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -27,61 +27,35 @@
     first: Duration::from_millis(2500),
     whole: Some(Duration::from_millis(2500)),
     idle: Duration::from_secs(5),
+    yields: Yields::Silent,
 };
 /// What a submitter goes on sending after its answer is read for so long, so that it gets to see the answer.
 const LINGER: Duration = Duration::from_millis(500);
 
 pub struct Server<C> {
     core: Rc<Core<C>>,
-    ready: Cell<bool>,
-    leaving: Cell<bool>,
-    leave: Rc<Notify>,
+    presence: Rc<Cell<Presence>>,
 }
 
 impl<C: Carrier> Server<C> {
-    pub fn new(core: Rc<Core<C>>) -> Rc<Self> {
-        Rc::new(Server {
-            core,
-            ready: Cell::new(false),
-            leaving: Cell::new(false),
-            leave: Rc::new(Notify::new()),
-        })
-    }
-
-    /// Recovered and listening: from now on `GET /ready` says so.
-    pub fn set_ready(&self) {
-        self.ready.set(true);
-    }
-
-    /// From now on each answer closes its connection.
-    pub fn set_leaving(&self) {
-        self.leaving.set(true);
-    }
-
-    /// Closes connections on which no request is being read or answered.
-    pub fn close_idle(&self) {
-        self.leave.notify_waiters();
+    pub fn new(core: Rc<Core<C>>, presence: Rc<Cell<Presence>>) -> Rc<Self> {
+        Rc::new(Server { core, presence })
     }
 
     /// Takes connections.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Rc<Places>) {
-        let leave = self.leave.clone();
-        let free = places.free();
+        let taken = places.clone();
         let service = HttpService::build()
             // The door sees to time, with manners of its own.
             .keep_alive(KeepAlive::Os)
             .client_request_timeout(Duration::ZERO)
             .client_disconnect_timeout(LINGER)
             .on_connect_ext(|gate: &Gate, data| drop(data.insert(gate.seen())))
-            .graceful_shutdown_signal(move || {
-                let leave = leave.clone();
-                async move { leave.notified().await }
-            })
             .h1(fn_service(move |request: Request| {
                 let (server, places) = (self.clone(), places.clone());
                 async move { Ok::<_, Infallible>(server.serve(request, &places).await) }
             }));
-        door::accept(listener, free, MANNERS, service).await;
+        door::accept(listener, taken, MANNERS, service).await;
     }
 }
 
@@ -89,7 +63,9 @@
     async fn serve(&self, mut request: Request, places: &Places) -> Response<&'static str> {
         let seen = request.conn_data::<Rc<Seen>>().cloned();
         let mut response = match (request.method(), request.path()) {
-            (&Method::GET, "/ready") if self.ready.get() => Response::with_body(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/ready") if self.presence.get().is_ready() => {
+                Response::with_body(StatusCode::OK, "ready\n")
+            }
             (&Method::GET, "/ready") => answer(StatusCode::SERVICE_UNAVAILABLE),
             (&Method::POST, _) => match self.read(&mut request).await {
                 Ok(job) => {
@@ -104,7 +80,7 @@
             _ => answer(StatusCode::NOT_FOUND),
         };
         seen.iter().for_each(|seen| seen.answered());
-        if self.leaving.get() || places.crowded() {
+        if self.presence.get().sends_away() || places.crowded() {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         response
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -14,7 +14,6 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::server::TlsStream;
 use tokio_util::either::Either;
@@ -22,7 +21,7 @@
 use super::{PATH, TOPIC, TTL};
 use crate::config::{Location, Push, Urgency};
 use crate::core::{Carrier, Core};
-use crate::door::{self, Gate, Manners};
+use crate::door::{self, Gate, Manners, Places, Yields};
 use crate::job::{Answer, Job};
 use crate::tls;
 
@@ -31,7 +30,7 @@
 /// HTTP/2's opening must be done, and a body be whole, within this time.
 const READ_TIME: Duration = Duration::from_millis(2500);
 /// Silent connections make room; the rest is HTTP/2's own, with pings.
-const MANNERS: Manners = Manners { first: READ_TIME, whole: None, idle: KEEP_ALIVE };
+const MANNERS: Manners = Manners { first: READ_TIME, whole: None, idle: KEEP_ALIVE, yields: Yields::Silent };
 /// Where a message that was taken on can be asked for while it is open.
 const MESSAGE: &str = "/message/";
 /// All header names and values that a job carries.
@@ -84,7 +83,7 @@
         *self.locations.borrow_mut() = locations;
     }
 
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Arc<Semaphore>) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Rc<Places>) {
         let greeter = self.clone();
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -1,16 +1,21 @@
 //! Wires the fronts that are configured, and takes signals.
+use std::cell::{Cell, RefCell};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
+use crate::admin::{Admin, Front, Process};
 use crate::config::{self, Idle, Limits, Own, Rules};
-use crate::core::{Carrier, Core};
+use crate::core::{Carrier, Core, NotOut};
 use crate::door::Places;
+use crate::figures::{Census, Figures};
 use crate::hook::Hooks;
 use crate::journal::Journal;
+use crate::outs::Outs;
+use crate::presence::{Presence, Word};
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -22,6 +27,8 @@
 const SUBMITTERS_PART: f64 = 0.4;
 /// Descriptors kept for files, listeners, discovery and posts of notices.
 const BESIDE: usize = 32;
+/// Of them, callers' at the second address. Guards against those that finish no call keeping others out.
+const CALLERS: usize = 12;
 
 /// Runs the fronts that are configured until SIGTERM.
 pub async fn run(file: Option<PathBuf>) -> Result<(), String> {
@@ -29,7 +36,7 @@
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let platform = config::platform()?;
     let own = file.as_deref().map(config::own).transpose()?;
-    let own = own.unwrap_or(Own { push: None, hook: None, idle: Idle::default() });
+    let own = own.unwrap_or(Own { push: None, hook: None, idle: Idle::default(), admin: None });
     if platform.is_none() && own.push.is_none() {
         return Err(
             "no front is configured: set BALANCER_CONFIG or name a file with [push] (--config FILE)".into()
@@ -37,38 +44,51 @@
     }
     // Each front has its own, read from the same script.
     let hooks = || own.hook.as_ref().map(Hooks::load).transpose();
+    let told = platform.as_ref().and_then(|platform| platform.admin);
+    let admin = config::admin()?.or(told).or(own.admin);
+    let rules = platform.as_ref().map(|p| &p.rules).into_iter().chain(own.push.as_ref().map(|p| &p.rules));
+    let figures = Figures::new(rules.flat_map(|rules| &rules.names.classes));
+    let process = Rc::new(Standing::default());
+    let desk = Admin::new(figures.clone(), process.clone());
+    if let Some(address) = admin {
+        let listener = listen("BALANCER_ADMIN", address).await?;
+        tracing::info!(listen = %listener.local_addr().unwrap_or(address), "second address is ready");
+        actix_rt::spawn(desk.clone().accept(listener, Rc::new(Places::new(CALLERS))));
+    }
     let platform = match platform {
-        Some(platform) => Some(start_platform(platform, &own.idle, hooks()?).await?),
+        Some(platform) => Some(start_platform(platform, &own.idle, hooks()?, &figures, &process).await?),
         None => None,
     };
     let push = match own.push {
-        Some(push) => Some(start_push(push, hooks()?).await?),
+        Some(push) => Some(start_push(push, hooks()?, &figures).await?),
         None => None,
     };
+    figures.loaded(true);
+    let first = platform.as_ref().map(|platform| platform.core.clone() as Rc<dyn Front>);
+    let second = push.as_ref().map(|push| push.core.clone() as Rc<dyn Front>);
+    process.turn(Word::Started);
+    desk.open(first.into_iter().chain(second).collect());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => {
-                if let Some(platform) = &platform {
-                    platform.reload(file.as_deref());
-                }
-                if let (Some(push), Some(file)) = (&push, &file) {
-                    push.reload(file).await;
-                }
+                let first = platform.as_ref().is_none_or(|platform| platform.reload(file.as_deref()));
+                let second = match (&push, &file) {
+                    (Some(push), Some(file)) => push.reload(file).await,
+                    _ => true,
+                };
+                figures.loaded(first && second);
             }
         }
     }
     tracing::info!("SIGTERM: winding down");
-    if let Some(platform) = &platform {
-        platform.server.set_leaving();
-    }
+    process.turn(Word::Terminate);
     sleep(STILL_SERVING).await;
     if let Some(platform) = &platform {
-        platform.accepting.abort();
-        platform.server.close_idle();
+        platform.places.shut();
     }
     if let Some(push) = &push {
-        push.accepting.abort();
+        push.places.shut();
     }
     tracing::info!("winding down: no connections are taken any more");
     sleep(STILL_SENDING).await;
@@ -86,10 +106,33 @@
     Ok(())
 }
 
+/// What the process is to submitters, and the places that follow it.
+#[derive(Default)]
+struct Standing {
+    presence: Rc<Cell<Presence>>,
+    places: RefCell<Option<Rc<Places>>>,
+}
+
+impl Process for Standing {
+    fn turn(&self, word: Word) -> bool {
+        let before = self.presence.get();
+        let Some(after) = before.after(word) else { return false };
+        self.presence.set(after);
+        if let Some(places) = &*self.places.borrow() {
+            // Idle ones that were told to go before go on going.
+            if before.sends_away() != after.sends_away() {
+                places.leave(after.sends_away().then(|| Instant::now() + STILL_SERVING));
+            }
+        }
+        if before.is_drained() != after.is_drained() {
+            tracing::info!(drained = after.is_drained(), "clients are sent away, or taken again");
+        }
+        true
+    }
+}
+
 struct PlatformFront {
     core: Rc<Core<crate::platform::carrier::ToNodes>>,
-    server: Rc<crate::platform::server::Server<crate::platform::carrier::ToNodes>>,
-    accepting: actix_rt::task::JoinHandle<()>,
     places: Rc<Places>,
     listen: std::net::SocketAddr,
 }
@@ -97,13 +140,23 @@
 struct PushFront {
     core: Rc<Core<crate::push::gateways::Gateways>>,
     server: Rc<crate::push::server::Server<crate::push::gateways::Gateways>>,
-    accepting: actix_rt::task::JoinHandle<()>,
-    places: Places,
+    places: Rc<Places>,
     listen: std::net::SocketAddr,
     state: PathBuf,
 }
 
+impl<C: Carrier> Front for Core<C> {
+    fn census(&self) -> Census {
+        Core::census(self)
+    }
+
+    fn set_out(&self, id: &str, out: bool) -> Result<(), NotOut> {
+        Core::set_out(self, id, out)
+    }
+}
+
 /// A core with its journal and what that holds open, playing rounds.
+#[allow(clippy::too_many_arguments)]
 fn start_core<C: Carrier>(
     front: &'static str,
     carrier: C,
@@ -112,10 +165,11 @@
     seed: u64,
     state: &Path,
     disk: u64,
+    figures: &Rc<Figures>,
 ) -> Result<Rc<Core<C>>, String> {
     let (journal, open) =
         Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
-    let core = Core::new(carrier, rules, hooks, seed, journal);
+    let core = Core::new(carrier, rules, hooks, seed, journal, Outs::open(state), figures.clone());
     tracing::info!(recovered = open.len(), "journal read");
     open.into_iter().for_each(|open| core.resume(open));
     let (rounds, tally) = (core.clone(), core.clone());
@@ -132,26 +186,30 @@
     mut config: config::Platform,
     idle: &Idle,
     hooks: Option<Hooks>,
+    figures: &Rc<Figures>,
+    process: &Standing,
 ) -> Result<PlatformFront, String> {
     idle.apply(&mut config.rules);
     let to_nodes = crate::platform::carrier::ToNodes::new(&config.rules, config.discovery, idle.list_limit);
     to_nodes.set_connections(connections(idle, config.limits.sockets));
     let discovery = to_nodes.platform();
     let Limits { disk, sockets } = config.limits;
-    let core = start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk)
-        .map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    let core =
+        start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk, figures)
+            .map_err(|e| format!("BALANCER_STATE: {e}"))?;
     core.take_list(&config.known).await;
     let held = (!config.known.is_empty()).then_some(config.known.generation);
     actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held));
     actix_rt::spawn(crate::platform::carrier::close_idle(core.clone()));
     let listener = listen("BALANCER_LISTEN", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
-    let server = crate::platform::server::Server::new(core.clone());
+    let server = crate::platform::server::Server::new(core.clone(), process.presence.clone());
     let places = Rc::new(Places::new(submitters(sockets)));
-    let accepting = actix_rt::spawn(server.clone().accept(listener, places.clone()));
-    server.set_ready();
+    *process.places.borrow_mut() = Some(places.clone());
+    actix_rt::spawn(server.accept(listener, places.clone()));
+    process.turn(Word::Started);
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
-    Ok(PlatformFront { core, server, accepting, places, listen: config.listen })
+    Ok(PlatformFront { core, places, listen: config.listen })
 }
 
 /// How many descriptors submitters may take.
@@ -165,8 +223,8 @@
 }
 
 impl PlatformFront {
-    /// Reads the configuration anew and takes it up without dropping a job or a connection.
-    fn reload(&self, file: Option<&Path>) {
+    /// Reads the configuration anew and takes it up without dropping a job or a connection. False if it is faulty.
+    fn reload(&self, file: Option<&Path>) -> bool {
         let own = file.map(config::own).transpose();
         let read = own.and_then(|own| Ok((config::platform()?, own.map_or(Idle::default(), |own| own.idle))));
         let (config, idle) = match read {
@@ -174,11 +232,11 @@
                 idle.apply(&mut config.rules);
                 (config, idle)
             }
-            Ok((None, _)) => return,
+            Ok((None, _)) => return true,
             Err(fault) => {
                 // Guards against half a file: nothing of it is taken up.
                 tracing::error!(fault, "SIGHUP: the configuration is faulty; nothing changes");
-                return;
+                return false;
             }
         };
         if config.listen != self.listen {
@@ -189,30 +247,36 @@
         self.core.settle(config.rules, config.limits.disk);
         self.places.set(submitters(config.limits.sockets));
         tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
+        true
     }
 }
 
-async fn start_push(config: config::Push, hooks: Option<Hooks>) -> Result<PushFront, String> {
+async fn start_push(
+    config: config::Push,
+    hooks: Option<Hooks>,
+    figures: &Rc<Figures>,
+) -> Result<PushFront, String> {
     // Not told by anybody: this front's own, new with each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = crate::push::gateways::Gateways::new(config.pool, config.notices);
     gateways.secure(config.trust.clone());
-    let core = start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk)
-        .map_err(|e| format!("push.state: {e}"))?;
+    let core =
+        start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk, figures)
+            .map_err(|e| format!("push.state: {e}"))?;
     core.take_list(&config.gateways).await;
     actix_rt::spawn(crate::push::gateways::tend(core.clone()));
     let listener = listen("push.listen", config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = crate::push::server::Server::new(core.clone(), &config, seed);
-    let places = Places::new(config.connections);
-    let accepting = actix_rt::spawn(server.clone().accept(listener, places.free()));
+    let places = Rc::new(Places::new(config.connections));
+    actix_rt::spawn(server.clone().accept(listener, places.clone()));
     tracing::info!(listen = %address, "push front is ready");
-    Ok(PushFront { core, server, accepting, places, listen: config.listen, state: config.state })
+    Ok(PushFront { core, server, places, listen: config.listen, state: config.state })
 }
 
 impl PushFront {
-    /// Reads the file anew and takes it up without dropping a message or a connection.
-    async fn reload(&self, file: &Path) {
+    /// Reads the file anew and takes it up without dropping a message or a connection. False if it is faulty.
+    async fn reload(&self, file: &Path) -> bool {
         match config::own(file).and_then(|own| own.push.ok_or("push: the table is gone".into())) {
             Ok(push) => {
                 if (push.listen, &push.state) != (self.listen, &self.state) {
@@ -225,8 +289,12 @@
                 self.server.settle(push.locations, push.body_limit, push.secured);
                 self.places.set(push.connections);
                 tracing::info!(gateways = push.gateways.len(), "SIGHUP: file read anew");
+                true
+            }
+            Err(fault) => {
+                tracing::error!(fault, "SIGHUP: the file is faulty; nothing changes");
+                false
             }
-            Err(fault) => tracing::error!(fault, "SIGHUP: the file is faulty; nothing changes"),
         }
     }
 }
--- /dev/null
+++ b/relay/tests/operation.rs
@@ -0,0 +1,176 @@
+//! Scenarios of daily operation: the second address, and what is done there.
+mod scenario;
+
+use scenario::play;
+
+#[test]
+fn the_second_address_tells_what_has_become_of_each_message() {
+    play(
+        None,
+        "send list n1:7 n2:8:DRAINING
+         send relay start
+         send a GET /-/ready
+         expect a 200
+         send a GET /-/metrics
+         expect a 200 edge_balancer_handled_total:order:bad_gateway=0 edge_balancer_in_progress=0 edge_balancer_loads_total=1
+         send s1 POST /order id=j1 dest=7 left=5000 key=k1
+         expect s1 202
+         expect n1 POST
+         send a GET /-/metrics
+         expect a 200 edge_balancer_in_progress=1 edge_balancer_upstream_tries_total=1 edge_balancer_handled_total:order:passed=0
+         send n1 200
+         expect relay log=Delivered
+         send s1 POST /order id=j2 dest=7 left=5000 key=k2
+         expect s1 202
+         expect n1 POST
+         send n1 410                               # over: withdrawn by its submitter
+         expect relay log=Over
+         send s1 POST /notice id=j3 dest=99 left=5000  # nobody serves it
+         expect s1 429
+         send s1 POST /notice id=j4 dest=8 left=400
+         expect s1 202
+         expect list returned id=j4
+         send s1 POST /nosuch id=j5 dest=7 left=400
+         expect s1 400
+         wait 50
+         send a GET /-/metrics
+         expect a 200 edge_balancer_handled_total:order:passed=1 edge_balancer_handled_total:notice:dropped=2 edge_balancer_handled_total:notice:passed=0 edge_balancer_handled_total:order:dropped=0 edge_balancer_in_progress=0 edge_balancer_upstream_tries_total=2 edge_balancer_known_endpoints=2 edge_balancer_skipped_endpoints=1",
+    );
+}
+
+#[test]
+fn a_message_that_outlived_its_process_is_in_progress_until_its_end() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect n1 POST
+         send relay kill
+         expect relay exit
+         send relay start
+         send a GET /-/metrics
+         expect a 200 edge_balancer_in_progress=1
+         expect n1 POST x-request-id=j1
+         send n1 200
+         expect relay log=Delivered
+         send a GET /-/metrics
+         expect a 200 edge_balancer_in_progress=0 edge_balancer_handled_total:notice:passed=1",
+    );
+}
+
+#[test]
+fn configurations_and_faulty_ones_are_counted() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send relay hup
+         expect relay log=configuration_read_anew
+         send relay hup discovery=list window=x
+         expect relay log=nothing_changes
+         send a GET /-/metrics
+         expect a 200 edge_balancer_loads_total=2 edge_balancer_load_errors_total=1",
+    );
+}
+
+#[test]
+fn calls_that_are_none_are_answered_with_a_reason() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send a GET /
+         expect a 404
+         send a POST /-/metrics
+         expect a 405 allow=GET
+         send a GET /-/drain
+         expect a 405 allow=PUT
+         send a PUT /-/endpoints/%zz/disable
+         expect a 400",
+    );
+}
+
+#[test]
+fn callers_that_finish_no_call_keep_nobody_out() {
+    let silent: String = (0..40).map(|n| format!("send a{n} half\n")).collect();
+    play(None, &format!("send list n1:7\nsend relay start\n{silent}send a GET /-/ready\nexpect a 200"));
+}
+
+#[test]
+fn an_endpoint_out_by_hand_gets_nothing_until_it_is_taken_back() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start
+         expect relay log=list_of_execute_nodes
+         send a PUT /-/endpoints/n9/disable
+         expect a 404
+         send a PUT /-/endpoints/n1/disable
+         expect a 200
+         send a PUT /-/endpoints/n1/disable
+         expect a 200
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         send list n2:8                            # it leaves the list meanwhile, and returns
+         expect relay log=list_of_execute_nodes_changed
+         send list n1:7 n2:8
+         expect relay log=list_of_execute_nodes_changed
+         expect n1 nothing 200
+         send a GET /-/metrics
+         expect a 200 edge_balancer_known_endpoints=2 edge_balancer_skipped_endpoints=1 edge_balancer_in_progress=1
+         send relay kill
+         expect relay exit
+         send relay start
+         expect n1 nothing 200
+         send a2 PUT /-/endpoints/n1/enable
+         expect a2 200
+         expect n1 POST x-request-id=j1
+         send n1 200
+         expect relay log=Delivered
+         send a2 GET /-/metrics
+         expect a2 200 edge_balancer_skipped_endpoints=0
+         send a2 PUT /-/endpoints/n1/enable
+         expect a2 200",
+    );
+}
+
+#[test]
+fn a_drained_relay_says_no_sends_its_clients_away_and_comes_back() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 GET /ready
+         expect s1 200
+         send s2 GET /ready
+         expect s2 200
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send a PUT /-/drain
+         expect a 200
+         send a PUT /-/drain
+         expect a 200
+         send s3 GET /ready
+         expect s3 503 connection=close
+         expect s3 closed
+         send s1 POST /notice id=j2 dest=7 left=9000   # whoever comes is served all the same
+         expect s1 202 connection=close
+         expect s1 closed
+         expect s2 closed                              # it only stood there
+         send n1 200
+         expect n1 POST x-request-id=j2
+         send n1 200
+         expect relay log=Delivered
+         send a GET /-/ready
+         expect a 200
+         send a PUT /-/resume
+         expect a 200
+         send s4 GET /ready
+         expect s4 200
+         send s4 GET /ready
+         expect s4 200
+         expect s4 nothing 900",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -206,6 +206,30 @@
     [text.into_bytes(), body].concat()
 }
 
+/// A caller at the second address: one call to a connection, of which `half` is never finished. Figures are told as NAME or NAME:CLASS:OUTCOME.
+pub fn caller(relay: SocketAddr, tell: Tell, mut words: Words) {
+    tokio::spawn(async move {
+        let mut unfinished = Vec::new();
+        while let Some(words) = words.recv().await {
+            let mut stream = TcpStream::connect(relay).await.expect("the relay listens");
+            if words[0].0 == "half" {
+                stream.write_all(b"GET /-/re").await.expect("it takes bytes");
+                unfinished.push(stream);
+                continue;
+            }
+            stream.write_all(&request(&words)).await.expect("it takes a call");
+            let Some(mut got) = read(&mut stream, 1).await else { continue };
+            for line in got.fields["body"].clone().lines().filter(|line| !line.starts_with('#')) {
+                let Some((name, value)) = line.rsplit_once(' ') else { continue };
+                let name = name.replace(['{', ','], ":").replace(['"', '}'], "");
+                let name = name.replace("category=", "").replace("outcome=", "");
+                got.fields.insert(name, value.into());
+            }
+            let _ = tell.send(got);
+        }
+    });
+}
+
 /// A submitter's connection.
 pub fn submitter(relay: SocketAddr, tell: Tell, mut words: Words) {
     tokio::spawn(async move {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -8,6 +8,7 @@
 //!   NODE:DEST[:STATE] ...: it is up, and these are all nodes; with a STATE of HANG, no watch is
 //!   answered. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
+//! - `a...`: a caller at the second address; send half is a call that it never finishes.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
 //!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
@@ -175,6 +176,7 @@
                 "n" => address = Some(http1::node(tell, words)),
                 "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
                 "g" => address = Some(http2::gateway(tell, words, if name == "g3" { 1 } else { 200 })),
+                "a" => http1::caller(front(self, "admin"), tell, words),
                 "s" => http1::submitter(front(self, "platform"), tell, words),
                 "p" => http2::submitter(front(self, "push"), tell, words),
                 "e" if self.push.is_some() => address = Some(http2::gateway(tell, words, 200)),
@@ -231,18 +233,23 @@
             }
             let file = self.folder.path().join("config.json");
             fs::write(&file, self.settings(words)).map_err(|e| e.to_string())?;
-            command.env("BALANCER_CONFIG", file).env("BALANCER_STATE", self.folder.path().join("state"));
+            command
+                .env("BALANCER_ADMIN", "127.0.0.1:0")
+                .env("BALANCER_CONFIG", file)
+                .env("BALANCER_STATE", self.folder.path().join("state"));
         }
         let mut relay = command.spawn().map_err(|e| e.to_string())?;
         let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
         self.relay = Some(relay);
         let mut ready = false;
         while let Ok(Ok(Some(line))) = timeout(PATIENCE, lines.next_line()).await {
-            for front in ["platform", "push"] {
-                if line.contains(&format!("{front} front is ready")) {
+            for (front, told) in
+                [("admin", "second address"), ("platform", "platform front"), ("push", "push front")]
+            {
+                if line.contains(&format!("{told} is ready")) {
                     let at = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok());
                     self.fronts.insert(front, at.ok_or("no address is told")?);
-                    ready = true;
+                    ready |= front != "admin";
                 }
             }
             let _ = tell.send(Got::new("log", [("log", line.as_str())]));
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -31,6 +31,12 @@
         Kept { listed, full: self.peers.len(), rests, cold }
     }
 
+    /// How many listed endpoints are left alone for their health, those that drain not counted.
+    pub fn avoided(&self) -> usize {
+        let down = |p: &&Peer| p.entry.condition == Condition::Active && p.health == Health::Down;
+        self.peers.values().filter(down).count() + self.roster.down()
+    }
+
     /// Takes in an entry; costs the same however many there are.
     pub(crate) fn list_endpoint(&mut self, now: Nanos, entry: &Endpoint) {
         self.hold.touch(entry.dest);
@@ -41,7 +47,8 @@
             }
             return;
         }
-        let new = self.roster.put(now, entry) == Change::New;
+        let change = self.roster.put(now, entry);
+        let new = change == Change::New;
         if let Some(peer) = self.peers.get_mut(&entry.id) {
             let restarted = self.settings.cold_after.is_some() && entry.started > peer.entry.started;
             peer.entry = Endpoint { started: entry.started.max(peer.entry.started), ..entry.clone() };
@@ -50,10 +57,15 @@
                 (peer.health, peer.since, peer.served) = (Health::Returning(entry.started.min(now)), now, 0);
                 let unit = peer.unit;
                 self.begin_cold(now, unit);
+            } else if change == Change::Back {
+                // It was restarted while nothing went there: no failure has told that it is cold.
+                (peer.health, peer.since, peer.bad, peer.next_trial) = (Health::Returning(now), now, 0.0, 0);
             }
         } else if self.by_dest.contains_key(&entry.dest) {
             let listed = self.roster.of(entry.dest).find(|e| e.id == entry.id);
             listed.into_iter().for_each(|entry| self.enlist(now, entry, new));
+        } else if change == Change::Back {
+            self.roster.returned(entry.id, now);
         }
     }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -52,6 +52,8 @@
     New,
     /// It was listed.
     Known,
+    /// It drained, started anew, and is listed again.
+    Back,
 }
 
 /// All that is listed, and what rests.
@@ -67,6 +69,10 @@
     begun: Option<Nanos>,
 }
 
+fn came_back(old: &Listed, new: &Listed) -> bool {
+    new.condition == Condition::Active && new.came > old.came
+}
+
 fn small(place: usize) -> u16 {
     // The last number stands for a zone or kind that the settings do not name.
     u16::try_from(place).unwrap_or(u16::MAX)
@@ -77,7 +83,8 @@
     pub fn put(&mut self, now: Nanos, entry: &Endpoint) -> Change {
         let first = *self.begun.get_or_insert(now) == now;
         let place = (entry.dest, entry.id);
-        let old = self.listed.get(&place).map(|old| old.came);
+        let known = self.listed.get(&place).copied();
+        let old = known.map(|old| old.came);
         let listed = Listed {
             weight: entry.weight.unwrap_or(f64::NAN),
             came: old.unwrap_or(if first { 0 } else { now }).max(entry.started),
@@ -86,7 +93,11 @@
             condition: entry.condition,
         };
         self.listed.insert(place, listed);
-        if old.is_some() { Change::Known } else { Change::New }
+        match known {
+            None => Change::New,
+            Some(old) if old.condition == Condition::Leaving && came_back(&old, &listed) => Change::Back,
+            Some(_) => Change::Known,
+        }
     }
 
     /// Forgets an endpoint that has left, and its destination's rest with the last of them; but a wait that it told
@@ -150,6 +161,11 @@
         }
     }
 
+    /// An endpoint at rest is back from a start of its own.
+    pub fn returned(&mut self, id: EndpointId, now: Nanos) {
+        self.ill.insert(id, Illness { health: Health::Returning(now), since: now, bad: 0.0, next_trial: 0 });
+    }
+
     /// Puts an endpoint to rest; only one that is not up leaves anything behind.
     pub fn rest_peer(&mut self, peer: &Peer) {
         if peer.health != Health::Up && self.listed.contains_key(&(peer.entry.dest, peer.entry.id)) {
@@ -168,6 +184,11 @@
         self.ill.remove(&id)
     }
 
+    /// How many endpoints at rest were down when they went there.
+    pub fn down(&self) -> usize {
+        self.ill.values().filter(|ill| ill.health == Health::Down).count()
+    }
+
     /// Endpoints listed, and destinations and routes at rest that left something behind.
     pub fn sizes(&self) -> (usize, usize) {
         (self.listed.len(), self.rests.len())
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -320,3 +320,41 @@
     let closed = |a: &Action| matches!(a, Action::Close { .. });
     assert!(!world.log.iter().any(closed), "{:?}", world.log);
 }
+
+/// Daily operation: staff take an endpoint out, restart it and put it back. No call of ours has failed there, so
+/// nothing but its start tells that it is cold: it gets its cold budget, whether or not it was in use before.
+#[test]
+fn an_endpoint_back_from_a_drain_with_a_new_start_begins_on_its_cold_budget() {
+    for (used, restarted) in [(true, true), (false, true), (true, false)] {
+        let mut world = World::new(settings(), vec![endpoint(1, 5)]);
+        let mut sent = 0;
+        let mut play = |world: &mut World, rounds: u32| {
+            let mut calls = 0;
+            for _ in 0..rounds {
+                sent += 1;
+                let mut news = vec![Event::Request(Request { patience: SECOND / 2, ..request(sent, 5, 0) })];
+                let ours = sends(&world.round(50 * MS, &news));
+                news = ours.iter().map(|msg| closed(*msg, 0, 1, Outcome::Ok, 10 * MS)).collect();
+                calls += ours.len();
+                world.round(10 * MS, &news);
+            }
+            calls
+        };
+        if used {
+            assert_eq!(play(&mut world, 100), 100);
+        }
+        let list = |condition, started| Event::List {
+            scope: ListScope::Patch,
+            entries: vec![Endpoint { condition, started, ..endpoint(1, 5) }],
+        };
+        world.round(SECOND, &[list(Condition::Leaving, 0)]);
+        let started = if restarted { world.now } else { 0 };
+        world.round(SECOND, &[list(Condition::Active, started)]);
+        let calls = play(&mut world, 50);
+        assert_eq!(
+            calls < 45,
+            restarted,
+            "{calls} of 50 in three seconds; used {used}, restarted {restarted}"
+        );
+    }
+}
