--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -7,11 +7,13 @@
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::fn_service;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::core::NotOut;
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
@@ -30,6 +32,9 @@
 /// What a caller goes on sending after its answer is read for so long.
 const LINGER: Duration = Duration::from_millis(200);
 
+/// So long a call waits for the relay to become this process's: its caller waits a second.
+const PATIENCE: Duration = Duration::from_millis(800);
+
 /// A front as those who run the relay see it.
 pub trait Front {
     fn census(&self) -> Census;
@@ -45,19 +50,35 @@
 
 pub struct Admin {
     figures: Rc<Figures>,
-    /// None until they can serve.
+    /// None until the relay is this process's.
     fronts: RefCell<Vec<Rc<dyn Front>>>,
+    opened: Notify,
+    /// It can serve, be it only once another process has let go.
+    ready: Cell<bool>,
     process: Rc<dyn Process>,
 }
 
 impl Admin {
     pub fn new(figures: Rc<Figures>, process: Rc<dyn Process>) -> Rc<Self> {
-        Rc::new(Admin { figures, fronts: RefCell::default(), process })
+        Rc::new(Admin {
+            figures,
+            fronts: RefCell::default(),
+            opened: Notify::new(),
+            ready: Cell::new(false),
+            process,
+        })
+    }
+
+    /// The process can serve as soon as another one, which knows of it, lets go.
+    pub fn set_ready(&self) {
+        self.ready.set(true);
     }
 
     /// The fronts can serve.
     pub fn open(&self, fronts: Vec<Rc<dyn Front>>) {
+        self.set_ready();
         *self.fronts.borrow_mut() = fronts;
+        self.opened.notify_waiters();
     }
 
     /// Takes calls, one to a connection.
@@ -72,7 +93,7 @@
                 async move {
                     let seen = request.conn_data::<Rc<Seen>>().cloned();
                     seen.iter().for_each(|seen| seen.serving());
-                    let response = admin.answer(&request);
+                    let response = admin.answer(&request).await;
                     seen.iter().for_each(|seen| seen.answered());
                     Ok::<_, Infallible>(response)
                 }
@@ -80,11 +101,11 @@
         door::accept(listener, places, MANNERS, service).await;
     }
 
-    fn answer(&self, request: &Request) -> Response<String> {
+    async fn answer(&self, request: &Request) -> Response<String> {
         let call = Call::read(request.method(), request.path());
         tracing::debug!(method = %request.method(), path = request.path(), ?call, "call to the second address");
         match call {
-            Ok(Call::Ready) if self.fronts.borrow().is_empty() => {
+            Ok(Call::Ready) if !self.ready.get() => {
                 said(StatusCode::SERVICE_UNAVAILABLE, "not yet: it starts")
             }
             Ok(Call::Ready) => said(StatusCode::OK, "ready"),
@@ -93,6 +114,9 @@
                 let text = Response::with_body(StatusCode::OK, self.figures.text(census));
                 of_type(text, prometheus::TEXT_FORMAT)
             }
+            Ok(_) if !self.is_open().await => {
+                said(StatusCode::SERVICE_UNAVAILABLE, "another process still runs the relay: ask there")
+            }
             Ok(Call::Endpoint { id, out }) => self.set_out(&id, out),
             Ok(Call::Drain) => self.turn(Word::Drain, "clients are sent away"),
             Ok(Call::Resume) => self.turn(Word::Resume, "clients are taken"),
@@ -108,6 +132,12 @@
 }
 
 impl Admin {
+    /// Whether the relay is this process's, now or in a moment.
+    async fn is_open(&self) -> bool {
+        let opened = self.opened.notified();
+        !self.fronts.borrow().is_empty() || timeout(PATIENCE, opened).await.is_ok()
+    }
+
     /// Where two fronts know the id, it is out on both.
     fn set_out(&self, id: &str, out: bool) -> Response<String> {
         let mut answer = said(StatusCode::NOT_FOUND, "nobody has this id");
@@ -115,6 +145,9 @@
             match front.set_out(id, out) {
                 Ok(()) => answer = said(StatusCode::OK, if out { "out by hand" } else { "not out by hand" }),
                 Err(NotOut::Unknown) => {}
+                Err(NotOut::Handed) => {
+                    return said(StatusCode::SERVICE_UNAVAILABLE, "its successor has the relay: ask there");
+                }
                 Err(NotOut::Unkept(Refused::Full)) => {
                     return said(
                         StatusCode::INSUFFICIENT_STORAGE,
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -6,7 +6,8 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::rounds::{ORDERS, Order};
-use super::{Carrier, Core, DEFAULT_BACKOFF, FAR_OFF, Node};
+use super::{Carrier, Core, DEFAULT_BACKOFF, FAR_OFF, Node, Ticket};
+use crate::estate::Home;
 use crate::figures::Ended;
 use crate::job::{Answer, Job, Notice, NoticeEnd, Outcome, nanos};
 use crate::journal::{Key, MayHaveRun, Open};
@@ -32,6 +33,10 @@
 }
 
 impl Course {
+    pub fn set_risk(&mut self, risk: Option<MayHaveRun>) {
+        self.risk = risk;
+    }
+
     pub fn resumed(open: Open) -> (Job, Course) {
         let Open { key, job, tries, risk, ending } = open;
         (job, Course { key, tries, risk, ending, ..Course::default() })
@@ -68,6 +73,8 @@
         }
         let mut seat = self.take_seat(&job, &course);
         let mut order = tokio::select! {
+            biased;
+            () = self.handed.cancelled() => return self.pass_on(job, answer).await,
             order = seat.next() => order,
             // No round will decide on it any more.
             () = self.closed(), if answer.is_some() => Order::Refuse { after: Some(DEFAULT_BACKOFF) },
@@ -120,6 +127,10 @@
                 Order::Refuse { after } => break Some(job.returned(after)),
                 Order::Claim { node, limit } => {
                     let outcome = self.claim(&job, &mut course, &mut seat, &node, limit).await;
+                    if self.is_handed() {
+                        // It came home to who has the job now.
+                        return;
+                    }
                     match outcome {
                         Outcome::Delivered => {
                             self.figures.ended(&job.class, Ended::Delivered);
@@ -150,6 +161,7 @@
             }
             order = tokio::select! {
                 biased;
+                () = self.handed.cancelled() => return,
                 () = sleep_until(cut.into()) => Order::Held,
                 order = seat.next() => order,
             };
@@ -191,7 +203,7 @@
             tracing::error!(id = job.id, error = %e, "journal cannot record a claim; it is not sent");
             Outcome::NotSent
         } else {
-            self.state.borrow_mut().claims_out += 1;
+            self.state.borrow_mut().out.insert(course.key);
             let outcome = tokio::select! {
                 biased;
                 outcome = self.carrier.claim(job, node, limit, &ticket) => outcome,
@@ -199,14 +211,21 @@
                 () = seat.cancelled(attempt) => {
                     if ticket.is_sent() { Outcome::Cancelled } else { Outcome::NotSent }
                 }
+                // What is not out yet is its new owner's to send, or not: a drain may be told there.
+                () = self.handed_unsent(&ticket) => Outcome::NotSent,
+                () = self.ended.cancelled() => Outcome::Cancelled,
             };
-            self.state.borrow_mut().claims_out -= 1;
+            self.state.borrow_mut().out.remove(&course.key);
             // Guards against a time-out or a cancellation between the node's word and the end of its answer.
             if ticket.is_delivered() { Outcome::Delivered } else { outcome }
         };
         let label = job.label.as_deref().unwrap_or("");
         let (took, dest) = (sent.elapsed(), job.dest);
         tracing::debug!(id = job.id, dest, node = &*node.name, attempt, ?outcome, ?took, label, "claim");
+        if let Some(successor) = &*self.successor.borrow() {
+            successor.home(Home { key: course.key, outcome, node: node.name.to_string() });
+            return outcome;
+        }
         if outcome.never_ran() {
             if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
@@ -226,8 +245,27 @@
         outcome
     }
 
+    async fn handed_unsent(&self, ticket: &Ticket) {
+        self.handed.cancelled().await;
+        if ticket.is_sent() {
+            std::future::pending().await
+        }
+    }
+
+    /// Hands a job whose submitter still waits for its answer to who has taken over.
+    async fn pass_on(&self, job: Job, answer: Option<oneshot::Sender<Answer>>) {
+        let successor = self.successor.borrow().clone();
+        if let (Some(successor), Some(answer)) = (successor, answer) {
+            let id = job.id.clone();
+            let told = successor.admit(job).await;
+            self.decided(&id, Some(told));
+            // A submitter that is gone hands the message in again.
+            let _ = answer.send(told);
+        }
+    }
+
     /// Tells the end of a job, if it has one to tell, and forgets it.
-    async fn finish(&self, job: &Job, course: &Course, notice: Option<Notice>) {
+    pub(super) async fn finish(&self, job: &Job, course: &Course, notice: Option<Notice>) {
         if let Some(notice) = notice {
             if let Err(e) = self.journal.borrow_mut().ending(course.key, &notice) {
                 tracing::error!(id = job.id, error = %e, "journal cannot record an end");
@@ -247,11 +285,17 @@
                 if pause == NOTICE_FIRST_PAUSE {
                     tracing::warn!(id = job.id, error = e, "an end could not be told; trying on");
                 }
-                sleep(pause).await;
+                tokio::select! {
+                    () = sleep(pause) => {}
+                    // Whoever has the journal tells it.
+                    () = self.handed.cancelled() => return,
+                }
                 pause = (pause * 2).min(NOTICE_PAUSE);
             }
         }
-        self.forget(job, course, Some(Answer::Taken));
+        if !self.is_handed() {
+            self.forget(job, course, Some(Answer::Taken));
+        }
     }
 
     /// Nothing more is owed for a job; its id may have been `told` an answer that goes on to hold.
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -3,27 +3,30 @@
 mod life;
 mod nodes;
 mod rounds;
+mod succession;
 
 use slatethread::{Courier, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use nodes::Nodes;
 #[cfg(test)]
 pub(crate) use nodes::tests;
 pub use nodes::{Node, NotOut, Ticket};
+pub use succession::Successor;
 
 use crate::config::Rules;
 use crate::figures::{Census, Ended, Figures};
 use crate::hook::Hooks;
 use crate::job::{Answer, Job, Notice, Outcome, nanos};
-use crate::journal::{Journal, Open};
+use crate::journal::{Journal, Key, Open};
 use crate::outs::Outs;
 use life::Course;
 use rounds::Order;
@@ -66,7 +69,8 @@
     recent: Recent,
     /// Open jobs that a later one may replace.
     replaceable: HashMap<String, MsgId>,
-    claims_out: usize,
+    /// Jobs whose claims are out.
+    out: BTreeSet<Key>,
 }
 
 /// Answers given a moment ago, by id.
@@ -92,6 +96,13 @@
         self.answers.get(id).copied()
     }
 
+    /// Those that are still kept, the oldest first.
+    fn all(&mut self) -> Vec<(String, Answer)> {
+        self.drop_old();
+        let of = |(_, id): &(Instant, String)| Some((id.clone(), *self.answers.get(id)?));
+        self.order.iter().filter_map(of).collect()
+    }
+
     fn drop_old(&mut self) {
         while self.order.len() > MOST_RECENT
             || self.order.front().is_some_and(|(at, _)| at.elapsed() > RECENT)
@@ -122,6 +133,15 @@
     tally: Cell<Tally>,
     /// No further rounds: what is out comes home, the rest stays in the journal.
     winding_down: Cell<bool>,
+    /// The version of the list that was last taken in.
+    generation: Cell<Option<u64>>,
+    /// The jobs are another process's.
+    handed: CancellationToken,
+    /// What is out is called off.
+    ended: CancellationToken,
+    successor: RefCell<Option<Rc<dyn Successor>>>,
+    /// Slots that are taken by claims which another process has out.
+    borrowed: Cell<usize>,
 }
 
 /// The module's clock starts at an hour: to it, zero is long ago.
@@ -155,7 +175,7 @@
             ids: HashMap::new(),
             recent: Recent::default(),
             replaceable: HashMap::new(),
-            claims_out: 0,
+            out: BTreeSet::new(),
         };
         Rc::new(Core {
             carrier,
@@ -173,9 +193,19 @@
             decisions: Notify::new(),
             tally: Cell::default(),
             winding_down: Cell::new(false),
+            generation: Cell::new(None),
+            handed: CancellationToken::new(),
+            ended: CancellationToken::new(),
+            successor: RefCell::new(None),
+            borrowed: Cell::new(0),
         })
     }
 
+    /// The version of the list that was last taken in.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation.get()
+    }
+
     pub fn rules(&self) -> Rc<Rules> {
         self.rules.borrow().clone()
     }
@@ -191,14 +221,18 @@
         }
         self.state.borrow_mut().courier.settle(rules.settings.clone());
         *self.rules.borrow_mut() = Rc::new(rules);
-        self.wake.notify_one();
+        self.lend();
     }
 
     /// Takes a job from a submitter. The answer comes as soon as the module has decided and, if it took the
     /// job, the journal holds it.
     pub async fn admit(self: &Rc<Self>, job: Job) -> Answer {
-        let full =
-            self.rules().settings.max_held.is_some_and(|m| self.state.borrow().seats.len() >= m as usize);
+        let successor = self.successor.borrow().clone();
+        if let Some(successor) = successor {
+            return successor.admit(job).await;
+        }
+        let held = self.state.borrow().seats.len() + self.borrowed.get();
+        let full = self.rules().settings.max_held.is_some_and(|m| held >= m as usize);
         if full || self.winding_down.get() || !self.knows(job.dest) {
             self.count(|tally| tally.turned_away += 1);
             self.figures.ended(&job.class, Ended::TurnedBack);
@@ -226,6 +260,10 @@
 
     /// What there is just now, for the figures.
     pub fn census(&self) -> Census {
+        if self.is_handed() {
+            // Its successor tells them.
+            return Census::default();
+        }
         let state = self.state.borrow();
         let in_progress = state.ids.values().filter(|taken| **taken).count();
         let (known, closed) = state.nodes.count();
@@ -294,12 +332,12 @@
         self.winding_down.set(true);
         self.closing.notify_waiters();
         let end = Instant::now() + most;
-        while self.state.borrow().claims_out > 0 && Instant::now() < end {
+        while !self.all_home() && Instant::now() < end {
             sleep(Duration::from_millis(10)).await;
         }
         let state = self.state.borrow();
         tracing::info!(
-            claims = state.claims_out,
+            claims = state.out.len(),
             jobs = state.ids.len(),
             "wound down; open jobs stay journaled"
         );
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -13,6 +13,7 @@
 
 use super::{Carrier, Core, State};
 use crate::config::Rules;
+use crate::estate::ListedNode;
 use crate::job::nanos;
 use crate::list::{Lifecycle, NodeEntry, NodeList};
 use crate::outs::Refused;
@@ -56,6 +57,8 @@
     /// Nobody has that name.
     Unknown,
     Unkept(Refused),
+    /// Another process has the relay.
+    Handed,
 }
 
 fn unix_ms(at: SystemTime) -> u64 {
@@ -108,6 +111,10 @@
         self.by_name.get(name).map(|named| &named.0)
     }
 
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Node>> {
+        self.by_id.values()
+    }
+
     /// How many are listed, and how many of them are closed.
     pub fn count(&self) -> (usize, usize) {
         (self.by_id.len(), self.by_id.values().filter(|node| !node.is_open()).count())
@@ -237,6 +244,7 @@
                 taken.collect()
             });
         }
+        self.generation.set(Some(list.generation));
         // Even if nothing changed: the module hears that the list can be had.
         self.change(|_| Vec::new());
     }
@@ -248,7 +256,7 @@
     }
 
     /// Changes what is listed, and tells the module what it is to hear of that.
-    fn change(&self, change: impl FnOnce(&mut State) -> Vec<Endpoint>) {
+    pub(super) fn change(&self, change: impl FnOnce(&mut State) -> Vec<Endpoint>) {
         let mut state = self.state.borrow_mut();
         let entries = change(&mut state);
         state.inbox.push(Event::List { scope: ListScope::Patch, entries });
@@ -365,7 +373,7 @@
     }
 
     /// A node as the module has it. Its start is put on the module's clock; one in the future is a start just now.
-    fn endpoint(&self, node: &Node, condition: Condition) -> Endpoint {
+    pub(super) fn endpoint(&self, node: &Node, condition: Condition) -> Endpoint {
         let started_ms = node.started_ms.get().max(node.back_ms.get());
         let started = SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(started_ms));
         let ago = started.filter(|_| started_ms > 0);
@@ -385,6 +393,9 @@
     /// Leaves a node out whatever the list says of it, or takes it back. To the module it drains meanwhile, and
     /// returns as one that has just started: operators restart what they take out.
     pub fn set_out(&self, name: &str, out: bool) -> Result<(), NotOut> {
+        if self.is_handed() {
+            return Err(NotOut::Handed);
+        }
         let was = self.outs.borrow().contains(name);
         let node = self.state.borrow().nodes.named(name).cloned();
         if !was && node.is_none() {
@@ -422,10 +433,14 @@
         })
     }
 
+    /// Whether nodes of its kind are routes apart.
+    pub(super) fn is_apart(&self, node: &Node) -> bool {
+        self.rules().settings.kinds.get(node.kind().0).and_then(|k| k.apart).unwrap_or(false)
+    }
+
     /// End of the wait told by a node's destination, or by the node where nodes are routes apart.
     pub(super) fn wait_of(&self, node: &Node) -> Rc<Cell<Instant>> {
-        let apart = self.rules().settings.kinds.get(node.kind().0).and_then(|k| k.apart).unwrap_or(false);
-        let unit = (node.dest, apart.then_some(node.id));
+        let unit = (node.dest, self.is_apart(node).then_some(node.id));
         let mut state = self.state.borrow_mut();
         let State { waits, waits_left, .. } = &mut *state;
         // Guards against a wait kept for each destination that was ever called: one that is over, and that no claim
@@ -446,11 +461,32 @@
     }
 
     /// Whether anything new may go there.
-    fn is_open(&self) -> bool {
+    pub(super) fn is_open(&self) -> bool {
         self.serving.get() && !self.out.get()
     }
 
-    fn condition(&self) -> Condition {
+    pub(super) fn set_back(&self, at_ms: u64) {
+        self.back_ms.set(at_ms);
+    }
+
+    /// As it is listed, without what is out by hand: that is kept beside the list.
+    pub(super) fn listed(&self, rules: &Rules) -> ListedNode {
+        let (zone, kind) = self.places.get();
+        let name = |names: &[String], place: u16| names.get(usize::from(place)).cloned().unwrap_or_default();
+        ListedNode {
+            name: self.name.to_string(),
+            address: self.address.to_string(),
+            zone: name(&rules.names.zones, zone),
+            kind: name(&rules.names.kinds, kind),
+            dest: self.dest,
+            serving: self.serving.get(),
+            weight: self.weight(),
+            started_ms: self.started_ms.get(),
+            back_ms: self.back_ms.get(),
+        }
+    }
+
+    pub(super) fn condition(&self) -> Condition {
         if self.is_open() { Condition::Active } else { Condition::Leaving }
     }
 
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    fn round(&self, now: Instant) {
+    pub(super) fn round(&self, now: Instant) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let mut events = std::mem::take(&mut state.inbox);
--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -80,6 +80,11 @@
         self.leaving.set(from);
     }
 
+    /// No connection is left.
+    pub fn is_empty(&self) -> bool {
+        self.free.available_permits() >= self.number.get()
+    }
+
     /// No more connections are taken; those that there are go on.
     pub fn shut(&self) {
         self.shut.cancel();
--- a/relay/src/job.rs
+++ b/relay/src/job.rs
@@ -24,7 +24,7 @@
 }
 
 /// The answer to a submitter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// From now on the relay owes the job its end.
     Taken,
@@ -36,7 +36,7 @@
 }
 
 /// How one claim ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Delivered,
     /// Answered for good that it cannot be delivered, with the status that said so.
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -99,7 +99,10 @@
 pub struct Journal {
     path: PathBuf,
     spare: PathBuf,
-    file: File,
+    /// None once another process has the journal.
+    file: Option<File>,
+    /// Keeps others from the journal for as long as it is open.
+    lock: Option<File>,
     size: u64,
     limit: u64,
     live: BTreeMap<Key, Live>,
@@ -124,7 +127,8 @@
         let mut journal = Journal {
             path,
             spare,
-            file,
+            file: Some(file),
+            lock: None,
             size: text.len() as u64,
             limit,
             live: BTreeMap::new(),
@@ -146,6 +150,22 @@
         Ok((journal, open))
     }
 
+    /// Holds a lock for as long as it has the journal.
+    pub fn guard(&mut self, lock: Option<File>) {
+        self.lock = lock;
+    }
+
+    /// Lets the journal go: another process may open it. Nothing more is written by this one.
+    pub fn close(&mut self) {
+        self.file = None;
+        self.lock = None;
+    }
+
+    /// The first claim of a job that may have run.
+    pub fn risk(&self, key: Key) -> Option<MayHaveRun> {
+        self.live.get(&key).and_then(|live| live.claims.risk.clone())
+    }
+
     /// What the folder may be filled up to from now on.
     pub fn set_limit(&mut self, limit: u64) {
         self.limit = limit;
@@ -230,18 +250,22 @@
 
     /// Guards against a full folder: the file and its successor must fit into it together.
     fn append(&mut self, frame: &[u8]) -> io::Result<()> {
+        if self.file.is_none() {
+            return Err(io::Error::other("another process has the journal"));
+        }
         let grown = self.size + frame.len() as u64;
         if grown + self.live_size + RESERVE > self.limit {
             self.rewrite()?;
         }
-        match self.file.write_all(frame) {
+        let file = self.file.as_mut().expect("just seen, and a rewriting leaves one");
+        match file.write_all(frame) {
             Ok(()) => {
                 self.size += frame.len() as u64;
                 Ok(())
             }
             Err(e) => {
                 // A part of a record in the middle would hide all that follows it.
-                self.file.set_len(self.size)?;
+                file.set_len(self.size)?;
                 Err(e)
             }
         }
@@ -263,7 +287,7 @@
         file.set_len(0)?;
         file.write_all(&text)?;
         std::fs::rename(&self.spare, &self.path)?;
-        self.file = file;
+        self.file = Some(file);
         self.size = text.len() as u64;
         Ok(())
     }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -335,6 +335,13 @@
     }
 }
 
+impl ToNodes {
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.exits.borrow().values().for_each(|exit| exit.lines.close_idle(Duration::ZERO));
+    }
+}
+
 /// Closes connections that stood idle, now and then.
 pub async fn close_idle(core: Rc<Core<ToNodes>>) {
     let to_nodes = &core.carrier;
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -1,5 +1,6 @@
 //! Wires the fronts that are configured, and takes signals.
 use std::cell::{Cell, RefCell};
+use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -12,8 +13,9 @@
 use crate::core::{Carrier, Core, NotOut};
 use crate::door::Places;
 use crate::figures::{Census, Figures};
+use crate::handover::{self, Elder};
 use crate::hook::Hooks;
-use crate::journal::Journal;
+use crate::journal::{Journal, Open};
 use crate::outs::Outs;
 use crate::presence::{Presence, Word};
 
@@ -23,6 +25,11 @@
 const STILL_SENDING: Duration = Duration::from_millis(2000);
 /// And what is out may come home for so long.
 const COMING_HOME: Duration = Duration::from_millis(800);
+/// A successor takes over at once: what is out may come home until just before SIGKILL, and the last word is told.
+const LAST_HOME: Duration = Duration::from_millis(3350);
+const LAST_WORD: Duration = Duration::from_millis(30);
+/// So long an address to listen on may still be the process's before.
+const STILL_BOUND: Duration = Duration::from_secs(1);
 /// Part of the descriptors that submitters' connections may take; the rest is for nodes and files.
 const SUBMITTERS_PART: f64 = 0.4;
 /// Descriptors kept for files, listeners, discovery and posts of notices.
@@ -56,7 +63,15 @@
         actix_rt::spawn(desk.clone().accept(listener, Rc::new(Places::new(CALLERS))));
     }
     let platform = match platform {
-        Some(platform) => Some(start_platform(platform, &own.idle, hooks()?, &figures, &process).await?),
+        Some(platform) => {
+            let upgrades = admin.is_some();
+            let started = start_platform(platform, &own.idle, hooks()?, &figures, &process, &desk, upgrades);
+            tokio::select! {
+                started = started => Some(started?),
+                // It has taken nothing on yet that is not in the journal.
+                _ = terminate.recv() => return Ok(()),
+            }
+        }
         None => None,
     };
     let push = match own.push {
@@ -83,6 +98,11 @@
     }
     tracing::info!("SIGTERM: winding down");
     process.turn(Word::Terminate);
+    if let Some(platform) = &platform
+        && platform.hand_over(process.presence.get().is_drained()).await
+    {
+        return Ok(());
+    }
     sleep(STILL_SERVING).await;
     if let Some(platform) = &platform {
         platform.places.shut();
@@ -134,6 +154,9 @@
 struct PlatformFront {
     core: Rc<Core<crate::platform::carrier::ToNodes>>,
     places: Rc<Places>,
+    budget: Rc<Budget>,
+    elder: Option<Rc<Elder>>,
+    following: actix_rt::task::JoinHandle<()>,
     listen: std::net::SocketAddr,
 }
 
@@ -155,74 +178,178 @@
     }
 }
 
-/// A core with its journal and what that holds open, playing rounds.
+/// A core with its journal, and what that holds open.
 #[allow(clippy::too_many_arguments)]
-fn start_core<C: Carrier>(
-    front: &'static str,
+fn new_core<C: Carrier>(
     carrier: C,
     rules: Rules,
     hooks: Option<Hooks>,
     seed: u64,
     state: &Path,
     disk: u64,
+    lock: Option<File>,
     figures: &Rc<Figures>,
-) -> Result<Rc<Core<C>>, String> {
-    let (journal, open) =
+) -> Result<(Rc<Core<C>>, Vec<Open>), String> {
+    let (mut journal, open) =
         Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
-    let core = Core::new(carrier, rules, hooks, seed, journal, Outs::open(state), figures.clone());
+    journal.guard(lock);
     tracing::info!(recovered = open.len(), "journal read");
-    open.into_iter().for_each(|open| core.resume(open));
+    let core = Core::new(carrier, rules, hooks, seed, journal, Outs::open(state), figures.clone());
+    Ok((core, open))
+}
+
+/// Plays rounds from now on.
+fn begin<C: Carrier>(core: &Rc<Core<C>>, front: &'static str) {
     let (rounds, tally) = (core.clone(), core.clone());
     actix_rt::spawn(async move { rounds.rounds().await });
     actix_rt::spawn(async move { tally.tell_tally(front).await });
-    Ok(core)
 }
 
 async fn listen(key: &str, address: std::net::SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(address).await.map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
 }
 
+/// Where submitters connect: the socket that the platform passed on, if it says that it did.
+async fn listen_to_submitters(address: std::net::SocketAddr) -> Result<TcpListener, String> {
+    match crate::passed::listener() {
+        Ok(None) => {}
+        Ok(Some(passed)) => {
+            let passed = passed.set_nonblocking(true).and_then(|()| TcpListener::from_std(passed));
+            return passed.map_err(|e| format!("BALANCER_PASSED_SOCKET: {e}"));
+        }
+        Err(fault) => {
+            tracing::error!(fault, "no socket was passed on; listening on BALANCER_LISTEN instead");
+        }
+    }
+    let until = Instant::now() + STILL_BOUND;
+    loop {
+        match listen("BALANCER_LISTEN", address).await {
+            Err(fault) if Instant::now() > until => return Err(fault),
+            // The process before may be about to let it go.
+            Err(_) => sleep(Duration::from_millis(5)).await,
+            bound => return bound,
+        }
+    }
+}
+
 async fn start_platform(
     mut config: config::Platform,
     idle: &Idle,
     hooks: Option<Hooks>,
     figures: &Rc<Figures>,
     process: &Standing,
+    desk: &Admin,
+    upgrades: bool,
 ) -> Result<PlatformFront, String> {
+    let (lock, legacy) = match upgrades {
+        true => {
+            let owned = handover::own(&config.state, || desk.set_ready()).await;
+            let (lock, legacy) = owned.map_err(|e| format!("BALANCER_STATE: its lock: {e}"))?;
+            (Some(lock), legacy)
+        }
+        false => (None, None),
+    };
     idle.apply(&mut config.rules);
+    let Limits { disk, sockets } = config.limits;
+    let budget = Rc::new(Budget { sockets: Cell::new(sockets), shared: Cell::new(legacy.is_some()) });
     let to_nodes = crate::platform::carrier::ToNodes::new(&config.rules, config.discovery, idle.list_limit);
-    to_nodes.set_connections(connections(idle, config.limits.sockets));
+    to_nodes.set_connections(budget.connections(idle));
     let discovery = to_nodes.platform();
-    let Limits { disk, sockets } = config.limits;
-    let core =
-        start_core("platform", to_nodes, config.rules, hooks, config.seed, &config.state, disk, figures)
+    let (core, open) =
+        new_core(to_nodes, config.rules, hooks, config.seed, &config.state, disk, lock, figures)
             .map_err(|e| format!("BALANCER_STATE: {e}"))?;
-    core.take_list(&config.known).await;
-    let held = (!config.known.is_empty()).then_some(config.known.generation);
-    actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held));
+    let places = Rc::new(Places::new(budget.submitters()));
+    *process.places.borrow_mut() = Some(places.clone());
+    let mut held = None;
+    match legacy {
+        Some(legacy) => {
+            if legacy.estate.drained {
+                process.turn(Word::Drain);
+            }
+            let homes = core.inherit(&legacy.estate, open).await;
+            held = legacy.estate.generation;
+            let (core, places, budget, idle) = (core.clone(), places.clone(), budget.clone(), *idle);
+            actix_rt::spawn(legacy.follow(core.clone(), homes, move || {
+                budget.shared.set(false);
+                core.carrier.set_connections(budget.connections(&idle));
+                places.set(budget.submitters());
+            }));
+        }
+        None => {
+            open.into_iter().for_each(|open| core.resume(open));
+            core.take_list(&config.known).await;
+            held = held.or((!config.known.is_empty()).then_some(config.known.generation));
+        }
+    }
+    begin(&core, "platform");
+    let following = actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held));
     actix_rt::spawn(crate::platform::carrier::close_idle(core.clone()));
-    let listener = listen("BALANCER_LISTEN", config.listen).await?;
+    let elder = upgrades.then(|| Elder::listen(&config.state)).transpose();
+    let elder = elder.unwrap_or_else(|fault| {
+        tracing::warn!(%fault, "upgrade: no newcomer can be met; it takes over when this process has ended");
+        None
+    });
+    let listener = listen_to_submitters(config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = crate::platform::server::Server::new(core.clone(), process.presence.clone());
-    let places = Rc::new(Places::new(submitters(sockets)));
-    *process.places.borrow_mut() = Some(places.clone());
     actix_rt::spawn(server.accept(listener, places.clone()));
     process.turn(Word::Started);
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
-    Ok(PlatformFront { core, places, listen: config.listen })
+    Ok(PlatformFront { core, places, budget, elder, following, listen: config.listen })
 }
 
-/// How many descriptors submitters may take.
-fn submitters(sockets: usize) -> usize {
-    ((sockets as f64 * SUBMITTERS_PART) as usize).max(1)
+/// The machine's descriptors, divided in one place. What gives way first is written in `docs/operation.md`.
+struct Budget {
+    sockets: Cell<usize>,
+    /// The process before still has its own; its part shrinks as its connections end.
+    shared: Cell<bool>,
 }
 
-/// How many connections to nodes may be open: what the file says, else what submitters leave.
-fn connections(idle: &Idle, sockets: usize) -> usize {
-    idle.connections.unwrap_or_else(|| sockets.saturating_sub(submitters(sockets) + BESIDE).max(1))
+impl Budget {
+    fn mine(&self) -> usize {
+        if self.shared.get() { self.sockets.get() / 2 } else { self.sockets.get() }
+    }
+
+    /// How many descriptors submitters may take.
+    fn submitters(&self) -> usize {
+        ((self.mine() as f64 * SUBMITTERS_PART) as usize).max(1)
+    }
+
+    /// How many connections to nodes may be open: what the file says, else what submitters leave.
+    fn connections(&self, idle: &Idle) -> usize {
+        let left = self.mine().saturating_sub(self.submitters() + BESIDE).max(1);
+        idle.connections.map_or(left, |said| if self.shared.get() { said.min(left) } else { said })
+    }
 }
 
 impl PlatformFront {
+    /// Hands the relay to a newcomer, if one waits; done once nothing is left to do here.
+    async fn hand_over(&self, drained: bool) -> bool {
+        let Some(elder) = &self.elder else { return false };
+        if !elder.is_linked() {
+            return false;
+        }
+        let end = Instant::now() + LAST_HOME;
+        // Connections that arrive from here on wait for the newcomer, if the platform has passed the socket on; else
+        // it is to be free by the time that the newcomer asks for it.
+        self.places.shut();
+        self.places.leave(Some(Instant::now()));
+        sleep(Duration::from_millis(1)).await;
+        if !elder.terminate(&self.core, drained) {
+            return false;
+        }
+        self.following.abort();
+        while Instant::now() < end && !(self.core.all_home() && self.places.is_empty()) {
+            self.core.carrier.close_all_idle();
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.core.call_off();
+        // What is called off closes its connection and is told of before the process ends.
+        sleep(LAST_WORD).await;
+        tracing::info!("upgrade: nothing is left to do here");
+        true
+    }
+
     /// Reads the configuration anew and takes it up without dropping a job or a connection. False if it is faulty.
     fn reload(&self, file: Option<&Path>) -> bool {
         let own = file.map(config::own).transpose();
@@ -243,9 +370,10 @@
             tracing::warn!(listen = %config.listen, "SIGHUP: another address is listened on with the next start");
         }
         self.core.carrier.settle(&config.rules, config.discovery, idle.list_limit);
-        self.core.carrier.set_connections(connections(&idle, config.limits.sockets));
+        self.budget.sockets.set(config.limits.sockets);
+        self.core.carrier.set_connections(self.budget.connections(&idle));
         self.core.settle(config.rules, config.limits.disk);
-        self.places.set(submitters(config.limits.sockets));
+        self.places.set(self.budget.submitters());
         tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
         true
     }
@@ -260,9 +388,11 @@
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = crate::push::gateways::Gateways::new(config.pool, config.notices);
     gateways.secure(config.trust.clone());
-    let core =
-        start_core("push", gateways, config.rules.clone(), hooks, seed, &config.state, config.disk, figures)
-            .map_err(|e| format!("push.state: {e}"))?;
+    let rules = config.rules.clone();
+    let (core, open) = new_core(gateways, rules, hooks, seed, &config.state, config.disk, None, figures)
+        .map_err(|e| format!("push.state: {e}"))?;
+    open.into_iter().for_each(|open| core.resume(open));
+    begin(&core, "push");
     core.take_list(&config.gateways).await;
     actix_rt::spawn(crate::push::gateways::tend(core.clone()));
     let listener = listen("push.listen", config.listen).await?;
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -245,6 +245,9 @@
             if words[0].0 == "close" || stream.write_all(&request(&words)).await.is_err() {
                 break;
             }
+            if said(&words, "half").is_some() {
+                continue;
+            }
             match read(&mut stream, 1).await {
                 Some(got) => drop(tell.send(got)),
                 None => break,
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -1,14 +1,14 @@
 //! A small language for scenarios, and the stand-ins that play them round the relay's own program.
 //!
 //! A line is a verb, a party and words: `send`, `expect`, `close` or `wait`. Parties:
-//! - `relay`: send start, term, kill, hup (drain=GATEWAY, limit=BYTES: the second front's file says so; the
+//! - `relay` (`relay2` beside it in an upgrade; passed=yes: the platform passes the socket on): send start, term, kill, hup (drain=GATEWAY, limit=BYTES: the second front's file says so; the
 //!   platform's is written anew with the words' settings; own=KEY:VALUE at the start is a file of our own);
 //!   expect log=PART or exit.
 //! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send
 //!   NODE:DEST[:STATE] ...: it is up, and these are all nodes; with a STATE of HANG, no watch is
 //!   answered. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
-//! - `s...`: a submitter's connection over HTTP/1.1; `p...`: over HTTP/2. Send a request, expect a status.
-//! - `a...`: a caller at the second address; send half is a call that it never finishes.
+//! - `s...`: a submitter's connection over HTTP/1.1 (half=yes: more is to follow before an answer); `p...`: over HTTP/2. Send a request, expect a status.
+//! - `a...` to `d...`: a caller at the second address of the process started last; send half is a call that it never finishes.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
 //!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
@@ -22,6 +22,7 @@
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
@@ -72,7 +73,10 @@
 pub struct Stage {
     folder: tempfile::TempDir,
     parties: HashMap<String, Party>,
-    relay: Option<Child>,
+    /// By the parties' names: two of them run in an upgrade.
+    relays: HashMap<String, Child>,
+    /// The listening socket that the platform passes on, where a scenario wants one.
+    socket: Option<std::net::TcpListener>,
     /// Listening addresses by front, as the relay's log told them.
     fronts: HashMap<&'static str, SocketAddr>,
     list: watch::Sender<(u64, String)>,
@@ -86,7 +90,8 @@
         let mut stage = Stage {
             folder: tempfile::tempdir().expect("a folder"),
             parties: HashMap::new(),
-            relay: None,
+            relays: HashMap::new(),
+            socket: None,
             fronts: HashMap::new(),
             list: watch::Sender::new((1, String::new())),
             push: push.map(str::to_owned),
@@ -109,7 +114,7 @@
             .collect();
         match (verb, party) {
             ("wait", ms) => tokio::time::sleep(millis(ms)?).await,
-            ("send", "relay") => self.control(&said).await?,
+            ("send", "relay" | "relay2" | "relay3") => self.control(party, &said).await?,
             ("send", "list" | "list2") => {
                 let list = rest.iter().map(|w| self.entry(w)).collect::<Vec<_>>().join(",");
                 let open = vec![("open".into(), String::new())];
@@ -176,7 +181,7 @@
                 "n" => address = Some(http1::node(tell, words)),
                 "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
                 "g" => address = Some(http2::gateway(tell, words, if name == "g3" { 1 } else { 200 })),
-                "a" => http1::caller(front(self, "admin"), tell, words),
+                "a" | "b" | "c" | "d" => http1::caller(front(self, "admin"), tell, words),
                 "s" => http1::submitter(front(self, "platform"), tell, words),
                 "p" => http2::submitter(front(self, "push"), tell, words),
                 "e" if self.push.is_some() => address = Some(http2::gateway(tell, words, 200)),
@@ -199,9 +204,9 @@
         )
     }
 
-    async fn control(&mut self, said: &Said) -> Result<(), String> {
+    async fn control(&mut self, name: &str, said: &Said) -> Result<(), String> {
         match said[0].0.as_str() {
-            "start" => self.start(said).await,
+            "start" => self.start(name, said).await,
             signal => {
                 if self.push.is_some() {
                     self.write_file(said)?;
@@ -209,7 +214,7 @@
                     let settings = self.settings(said);
                     fs::write(self.folder.path().join("config.json"), settings).map_err(|e| e.to_string())?;
                 }
-                let relay = self.relay.as_mut().ok_or("it does not run")?;
+                let relay = self.relays.get_mut(name).ok_or("it does not run")?;
                 let id = relay.id().ok_or("it has ended")?.to_string();
                 let name = format!("-{}", signal.to_uppercase());
                 let sent = std::process::Command::new("kill").args([&name, &id]).status();
@@ -219,9 +224,15 @@
         }
     }
 
-    async fn start(&mut self, words: &Said) -> Result<(), String> {
+    async fn start(&mut self, name: &str, words: &Said) -> Result<(), String> {
         let (tell, got) = mpsc::unbounded_channel();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
+        let program = env!("CARGO_BIN_EXE_onyxglade");
+        let mut command = Command::new(program);
+        if said(words, "passed").is_some() {
+            // The shell puts what is its standard input where the platform would put it.
+            command = Command::new("/bin/sh");
+            command.args(["-c", "exec \"$0\" \"$@\" 4<&0 </dev/null", program]);
+        }
         command.env_clear().env("ONYXGLADE_LOG", "onyxglade=debug").stdout(Stdio::piped()).kill_on_drop(true);
         if let Some(file) = self.write_file(words)? {
             command.arg("--config").arg(file);
@@ -238,9 +249,17 @@
                 .env("BALANCER_CONFIG", file)
                 .env("BALANCER_STATE", self.folder.path().join("state"));
         }
+        if said(words, "passed").is_some() {
+            let bound = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+            let socket = self.socket.get_or_insert(bound).try_clone().map_err(|e| e.to_string())?;
+            let listen = socket.local_addr().map_err(|e| e.to_string())?;
+            self.fronts.insert("platform", listen);
+            command.stdin(Stdio::from(OwnedFd::from(socket))).env("BALANCER_PASSED_SOCKET", "4");
+            command.env("BALANCER_LISTEN", listen.to_string());
+        }
         let mut relay = command.spawn().map_err(|e| e.to_string())?;
         let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
-        self.relay = Some(relay);
+        self.relays.insert(name.into(), relay);
         let mut ready = false;
         while let Ok(Ok(Some(line))) = timeout(PATIENCE, lines.next_line()).await {
             for (front, told) in
@@ -252,12 +271,13 @@
                     ready |= front != "admin";
                 }
             }
+            ready |= line.contains("upgrade: another process runs the relay");
             let _ = tell.send(Got::new("log", [("log", line.as_str())]));
             if ready {
                 break;
             }
         }
-        let party = self.party("relay");
+        let party = self.party(name);
         (party.got, party.seen) = (got, Vec::new());
         tokio::spawn(async move {
             while let Ok(Some(line)) = lines.next_line().await {
--- /dev/null
+++ b/relay/tests/upgrade.rs
@@ -0,0 +1,204 @@
+//! Upgrades with two real processes: to every rule they are one relay.
+mod scenario;
+
+use scenario::play;
+
+/// Plays a scenario in which one process runs, and `relay2` is started beside it.
+fn upgrade(before: &str, after: &str) {
+    let first = "send list n1:7 n2:8
+         send relay start passed=yes
+         expect relay log=list_of_execute_nodes";
+    let second = "send relay2 start passed=yes
+         send b GET /-/ready
+         expect b 200";
+    play(None, &format!("{first}\n{before}\n{second}\n{after}"));
+}
+
+#[test]
+fn what_waits_goes_on_at_the_newcomer_and_submitters_are_sent_there() {
+    upgrade(
+        "send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST x-request-id=j1
+         send s1 POST /notice id=j2 dest=7 left=9000   # waits for its turn
+         expect s1 202",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         expect s1 closed
+         send s2 GET /ready
+         expect s2 200
+         send s2 POST /notice id=j3 dest=8 left=9000
+         expect s2 202
+         expect n2 POST x-request-id=j3
+         send n2 200
+         send n1 200                                   # j1 comes home to the old process
+         expect relay2 log=came_home
+         expect n1 POST x-request-id=j2
+         send n1 200
+         expect relay exit
+         expect list nothing 300
+         expect n1 nothing 50
+         send c GET /-/metrics
+         expect c 200 edge_balancer_handled_total:notice:passed=3 edge_balancer_in_progress=0",
+    );
+}
+
+#[test]
+fn a_claim_that_is_out_is_not_made_again_while_it_is() {
+    upgrade(
+        "send s1 POST /order id=j1 dest=7 left=20000 key=k
+         expect s1 202
+         expect n1 POST x-request-id=j1",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         expect n1 nothing 800
+         expect n1 givenup                             # the old process waits no longer for it
+         expect n1 POST x-request-id=j1
+         expect relay exit
+         send n1 200
+         expect relay2 log=Delivered",
+    );
+}
+
+#[test]
+fn what_never_ran_is_told_as_that_and_what_failed_is_sent_again() {
+    upgrade(
+        "send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send s1 POST /notice id=j2 dest=8 left=9000
+         expect s1 202
+         expect n2 POST",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send n1 503
+         expect relay2 log=outcome=Full
+         expect n1 POST x-request-id=j1
+         send n1 200
+         send n2 410
+         expect relay2 log=outcome=Over
+         expect n2 nothing 300
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn a_wait_told_to_the_old_process_binds_the_newcomer() {
+    upgrade(
+        "send s1 POST /notice id=j1 dest=7 left=9000
+         expect n1 POST
+         send n1 429 retry-after=2.5
+         expect relay log=Full
+         send s1 POST /notice id=j2 dest=8 left=9000
+         expect n2 POST",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send n2 429 retry-after=1.5                   # and one told to it during the hand-over
+         expect relay2 log=outcome=Full
+         expect n2 nothing 1200
+         expect n1 nothing 100
+         expect n1 POST
+         expect n2 POST",
+    );
+}
+
+#[test]
+fn an_endpoint_out_by_hand_and_a_drain_hold_over_two_upgrades() {
+    upgrade(
+        "send a PUT /-/endpoints/n1/disable
+         expect a 200
+         send a PUT /-/drain
+         expect a 200
+         send s1 POST /notice id=j1 dest=7 left=20000
+         expect s1 202",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         expect relay exit
+         send s2 GET /ready
+         expect s2 503
+         send c GET /-/metrics
+         expect c 200 edge_balancer_skipped_endpoints=1 edge_balancer_in_progress=1
+         send relay3 start passed=yes
+         send relay2 term
+         expect relay3 log=platform_front_is_ready
+         expect relay2 exit
+         send s3 GET /ready
+         expect s3 503
+         expect n1 nothing 200
+         send d PUT /-/resume
+         expect d 200
+         send s4 GET /ready
+         expect s4 200
+         send d PUT /-/endpoints/n1/enable
+         expect d 200
+         expect n1 POST x-request-id=j1
+         send n1 200
+         expect relay3 log=Delivered",
+    );
+}
+
+#[test]
+fn a_newcomer_that_dies_leaves_the_old_process_as_it_was() {
+    upgrade(
+        "",
+        "send relay2 kill
+         expect relay2 exit
+         expect relay log=the_newcomer_is_gone
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send n1 200
+         expect relay log=Delivered
+         send relay3 start passed=yes
+         send relay term
+         expect relay3 log=platform_front_is_ready",
+    );
+}
+
+#[test]
+fn an_old_process_that_dies_leaves_its_journal_to_the_newcomer() {
+    upgrade(
+        "send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST",
+        "send relay kill
+         expect relay2 log=its_journal_is_taken_over
+         expect relay2 log=platform_front_is_ready
+         expect n1 POST x-request-id=j1
+         send n1 200
+         expect relay2 log=Delivered",
+    );
+}
+
+#[test]
+fn an_old_process_killed_after_the_hand_over_leaves_its_claims_as_may_have_run() {
+    upgrade(
+        "send s1 POST /order id=j1 dest=7 left=9000 key=k
+         expect s1 202
+         expect n1 POST",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send relay kill
+         expect relay2 log=outcome=Cancelled
+         expect n1 POST x-request-id=j1
+         send n1 200
+         expect relay2 log=Delivered",
+    );
+}
+
+#[test]
+fn a_request_that_is_half_read_at_the_old_process_is_answered() {
+    upgrade(
+        "send s1 GET /ready
+         expect s1 200
+         send s1 raw=POST_/notice_HTTP/1.1|Host:_r|X-Request-ID:_j1|X-Envelope:_dest=7|X-Timeout-Ms:_9000|Content-Length:_2||a half=yes",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send s1 raw=b
+         expect s1 202 connection=close
+         expect n1 POST x-request-id=j1 body=ab
+         send n1 200
+         expect relay2 log=Delivered
+         expect relay exit",
+    );
+}
--- /dev/null
+++ b/src/heir.rs
@@ -0,0 +1,137 @@
+//! What one courier tells another that takes its place, and the slots that are still its own.
+//!
+//! Owns the way between full records and plain facts, in which times are ages or spans left: the two have clocks of
+//! their own. It decides on no call. What is not told is learned anew: how long connections keep, rests after refusals.
+use crate::choice::Courier;
+use crate::interface::*;
+use crate::state::{Health, SECOND, UnitId, nanos, secs};
+
+/// What was learned of a destination, or of a route where routes are apart.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Learned {
+    /// The destination.
+    pub dest: DestId,
+    /// The route.
+    pub route: Option<EndpointId>,
+    /// How much of a told wait is left.
+    pub wait_left: Nanos,
+    /// Calls that may be out at once.
+    pub window: f64,
+    /// Calls a second; infinite where no limit was felt.
+    pub pace: f64,
+    /// When that was last cut.
+    pub cut_ago: Option<Nanos>,
+    /// The most calls a second that it served without refusing any.
+    pub proven: f64,
+    /// Least completion time in seconds, where there is one.
+    pub least: Option<f64>,
+    /// The latest, and the mean.
+    pub recent: f64,
+    /// The mean.
+    pub mean: f64,
+    /// When it last answered.
+    pub answered_ago: Nanos,
+    /// Messages a second that came for it.
+    pub demand: f64,
+    /// Its endpoints.
+    pub peers: Vec<LearnedPeer>,
+}
+
+/// What was learned of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LearnedPeer {
+    /// Which.
+    pub id: EndpointId,
+    /// It is in outage.
+    pub down: bool,
+    /// It answers again since then.
+    pub returning_ago: Option<Nanos>,
+    /// Since when it is not up.
+    pub since_ago: Nanos,
+    /// Average of its failures.
+    pub bad: f64,
+    /// Time to the next trial.
+    pub trial_left: Nanos,
+    /// When it last served.
+    pub served_ago: Option<Nanos>,
+}
+
+impl Courier {
+    /// What was learned of all that is in use.
+    pub fn learned(&self, now: Nanos) -> Vec<Learned> {
+        let ago = |at: Nanos| now.saturating_sub(at);
+        let units = self.units.iter().map(|(id, unit)| {
+            let (dest, route) = match *id {
+                UnitId::Dest(dest) => (Some(dest), None),
+                UnitId::Route(route) => (self.peers.get(&route).map(|p| p.entry.dest), Some(route)),
+            };
+            let peers = self.peers.values().filter(|peer| peer.unit == *id).map(|peer| LearnedPeer {
+                id: peer.entry.id,
+                down: peer.health == Health::Down,
+                returning_ago: if let Health::Returning(at) = peer.health { Some(ago(at)) } else { None },
+                since_ago: ago(peer.since),
+                bad: peer.bad,
+                trial_left: peer.next_trial.saturating_sub(now),
+                served_ago: (peer.served > 0).then(|| ago(peer.served)),
+            });
+            dest.map(|dest| Learned {
+                dest,
+                route,
+                wait_left: unit.wait_until.saturating_sub(now),
+                window: unit.window,
+                pace: unit.pace,
+                cut_ago: (unit.cut > 0).then(|| ago(unit.cut)),
+                proven: unit.proven,
+                least: unit.predictor.least,
+                recent: unit.predictor.recent,
+                mean: unit.predictor.mean,
+                answered_ago: ago(unit.predictor.answered),
+                demand: unit.arrived / secs(ago(unit.known).max(SECOND)),
+                peers: peers.collect(),
+            })
+        });
+        units.flatten().collect()
+    }
+
+    /// Takes up what another courier learned, of what is listed here.
+    pub fn recall(&mut self, now: Nanos, learned: &Learned) {
+        self.wake(now, learned.dest, &mut Vec::new());
+        let at = |ago: Nanos| now.saturating_sub(ago);
+        let id = learned.route.map_or(UnitId::Dest(learned.dest), UnitId::Route);
+        let Some(unit) = self.units.get_mut(&id) else { return };
+        unit.window = learned.window.max(1.0);
+        (unit.pace, unit.proven) = (learned.pace, learned.proven);
+        unit.cut = learned.cut_ago.map_or(0, at);
+        let predictor = &mut unit.predictor;
+        (predictor.least, predictor.recent, predictor.mean) = (learned.least, learned.recent, learned.mean);
+        predictor.answered = at(learned.answered_ago);
+        // As if it had come for as long as a cold start lasts, so that it weighs against a share of a listed rate.
+        (unit.known, unit.arrived) = (at(self.cold), learned.demand * secs(self.cold));
+        for told in &learned.peers {
+            let Some(peer) = self.peers.get_mut(&told.id) else { continue };
+            peer.health = match told.returning_ago {
+                Some(ago) => Health::Returning(at(ago)),
+                None if told.down => Health::Down,
+                None => Health::Up,
+            };
+            (peer.since, peer.bad) = (at(told.since_ago), told.bad);
+            (peer.next_trial, peer.served) = (now + told.trial_left, told.served_ago.map_or(0, at));
+        }
+        self.told_wait(now, learned.dest, learned.route, learned.wait_left);
+    }
+
+    /// A wait that somebody else was told.
+    pub fn told_wait(&mut self, now: Nanos, dest: DestId, route: Option<EndpointId>, left: Nanos) {
+        self.wake(now, dest, &mut Vec::new());
+        let unit = self.units.get_mut(&route.map_or(UnitId::Dest(dest), UnitId::Route));
+        unit.into_iter()
+            .for_each(|unit| unit.wait_until = unit.wait_until.max(now + left.min(nanos(4000.0))));
+    }
+
+    /// So many of the slots are taken by calls that are not this courier's; all others are its own again. To be said
+    /// anew after settings were taken up.
+    pub fn lend(&mut self, slots: usize) {
+        let all = self.settings.slots.map_or(usize::MAX, |slots| slots as usize);
+        self.slots = all.saturating_sub(slots);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 
 mod asking;
 mod choice;
+mod heir;
 mod hold;
 mod interface;
 mod ramp;
@@ -39,5 +40,6 @@
 mod waiting;
 
 pub use choice::Courier;
+pub use heir::{Learned, LearnedPeer};
 pub use interface::*;
 pub use rest::Kept;
