Connections to endpoints that answer in chunks are used again

Cause: relay/src/platform/carrier.rs took a connection back only where the answer had a Content-Length; a probe in the log showed 623 of 3,278 answers without one, in chunks. Ruled out by the same probe: the 50 ms in which the rest of a head had to come (rests took 0.6 to 10 ms; removing that limit alone changed nothing, 1,889 connections), and bodies that did not come whole (6).

Change: chunks.rs counts where a body in chunks ends, so that a connection with anything behind it is still not used again. The rest of a delivered answer is read beside its claim, for a second at most.

--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
-use super::line::{CLAIM, Lines, Rack, Trace};
+use super::line::{Body, CLAIM, Lines, Rack, Trace};
 use crate::config::Rules;
 use crate::core::{Carrier, Core, Node, Ticket};
 use crate::discovery::Place;
@@ -30,8 +30,6 @@
 const LIFETIME: Duration = Duration::from_secs(365 * 24 * 3600);
 /// How often idle connections are looked at.
 const IDLE_LOOK: Duration = Duration::from_millis(250);
-/// How long the rest of a head is waited for whose first line says that the message is delivered.
-const REST_OF_HEAD: Duration = Duration::from_millis(50);
 /// How long the rest of an answer is read for, so that its connection can be used again.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 /// Most bytes of an answer that are read for that.
@@ -157,7 +155,14 @@
         exit.clone()
     }
 
-    async fn call(&self, job: &Job, node: &Node, limit: Duration, trace: &Rc<Trace>) -> Outcome {
+    /// One call, which has its own hold on all that it needs: the rest of an answer may outlast its claim.
+    fn call(
+        &self,
+        job: &Job,
+        node: &Node,
+        limit: Duration,
+        trace: Rc<Trace>,
+    ) -> impl Future<Output = Outcome> + 'static {
         let exit = self.exit(node);
         let mut request = exit
             .client
@@ -168,30 +173,35 @@
         for (name, value) in &job.fields {
             request = request.insert_header((name.as_str(), value.as_ref()));
         }
-        let mut response = match request.send_body(job.body.clone()).await {
-            Ok(response) => response,
-            Err(e) => return fault(&e, trace),
-        };
-        let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
-        let outcome = outcome(response.status(), header);
-        let keeps = !header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        let length = header("content-length").and_then(|v| v.trim().parse().ok()).filter(|_| keeps);
-        let trace = trace.clone();
-        let rest = async move {
+        let sent = request.send_body(job.body.clone());
+        async move {
+            // Its connections are not another's as long as this is held.
+            let _exit = exit;
+            let mut response = match sent.await {
+                Ok(response) => response,
+                Err(e) => return fault(&e, &trace),
+            };
+            let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+            let outcome = outcome(response.status(), header);
+            let keeps = !header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
+            let chunked =
+                header("transfer-encoding").is_some_and(|v| v.trim().eq_ignore_ascii_case("chunked"));
+            let body = match header("content-length").and_then(|v| v.trim().parse().ok()) {
+                _ if !keeps => Body::Other,
+                Some(size) if !chunked => Body::Sized(size),
+                None if chunked => Body::Chunked,
+                // Both is no sound answer, and without either it ends with its connection.
+                _ => Body::Other,
+            };
             let read = timeout(REST_OF_ANSWER, response.body().limit(LONGEST_ANSWER)).await;
             let whole = matches!(read, Ok(Ok(_)));
             if whole {
-                trace.done(length);
+                trace.done(body);
             }
-            whole
-        };
-        if outcome == Outcome::Delivered {
-            // True by its first line, whatever follows.
-            actix_rt::spawn(rest);
-            return outcome;
+            // True by its first line, whatever follows. Guards against other answers that are spoilt behind their
+            // heads: the call has run, whatever they say.
+            if whole || outcome == Outcome::Delivered { outcome } else { Outcome::Error }
         }
-        // Guards against answers that are spoilt behind their heads: the call has run, whatever they say.
-        if rest.await { outcome } else { Outcome::Error }
     }
 }
 
@@ -289,14 +299,14 @@
             return Outcome::NotSent;
         }
         let trace = Trace::new(ticket.clone());
-        let call = CLAIM.scope(trace.clone(), self.call(job, node, limit, &trace));
-        let mut call = std::pin::pin!(call);
+        let mut call = Box::pin(CLAIM.scope(trace.clone(), self.call(job, node, limit, trace.clone())));
         tokio::select! {
             biased;
             outcome = &mut call => outcome,
             () = trace.confirmed() => {
-                // The rest of its head may be on its way, or never come.
-                let _ = timeout(REST_OF_HEAD, call).await;
+                // The rest may be on its way, in pieces, or never come. What comes in time leaves its connection to
+                // others; the claim does not wait for that, since nothing hangs on it any more.
+                actix_rt::spawn(timeout(REST_OF_ANSWER, call));
                 Outcome::Delivered
             }
         }
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -20,6 +20,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::sync::Notify;
 
+use super::chunks::Chunks;
 use crate::core::Ticket;
 use crate::shelf::{Number, Shelf};
 
@@ -71,9 +72,8 @@
         self.socket.borrow().as_ref().is_some_and(|socket| socket.answer.borrow().seen > 0)
     }
 
-    /// The answer has been read to its end, and its body should have had so many bytes: the connection may be
-    /// used again if nothing but that came.
-    pub fn done(&self, body: Option<u64>) {
+    /// The answer has been read to its end: the connection may be used again if nothing but that came.
+    pub fn done(&self, body: Body) {
         let Some(socket) = self.socket.take() else { return };
         let clean = socket.answer.borrow().was_just(body);
         if let Some(stream) = socket.stream.borrow_mut().take().filter(|stream| clean && silent(stream)) {
@@ -82,6 +82,15 @@
     }
 }
 
+/// How an answer says where its body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    Sized(u64),
+    Chunked,
+    /// With the connection, or not as can be told.
+    Other,
+}
+
 /// Whether nothing waits to be read on a connection, not even its end. Asks the system, not the runtime, which
 /// may not have looked yet.
 fn silent(stream: &TcpStream) -> bool {
@@ -344,6 +353,8 @@
     head: Option<u64>,
     /// How much of a head's end (CR LF CR LF) came last.
     end: usize,
+    /// What came behind the head, read as chunks.
+    chunks: Chunks,
 }
 
 impl Answer {
@@ -380,6 +391,7 @@
     fn passed(&mut self, part: &[u8]) {
         for (i, byte) in part.iter().enumerate() {
             if self.head.is_some() {
+                self.chunks.take(&part[i..]);
                 break;
             }
             self.end = match (byte, self.end) {
@@ -394,12 +406,14 @@
         self.bytes += part.len() as u64;
     }
 
-    /// Whether a head and a body of so many bytes is all that came.
-    fn was_just(&self, body: Option<u64>) -> bool {
-        let whole = self.head.zip(body).and_then(|(head, body)| head.checked_add(body));
-        self.status.is_some_and(|status| status >= 200)
-            && self.prelude.is_empty()
-            && whole == Some(self.bytes)
+    /// Whether a head and its body is all that came.
+    fn was_just(&self, body: Body) -> bool {
+        let whole = match body {
+            Body::Sized(size) => self.head.and_then(|head| head.checked_add(size)) == Some(self.bytes),
+            Body::Chunked => self.chunks == Chunks::End,
+            Body::Other => false,
+        };
+        self.status.is_some_and(|status| status >= 200) && self.prelude.is_empty() && whole
     }
 }
 
@@ -475,8 +489,14 @@
         });
     }
 
+    impl From<u64> for Body {
+        fn from(size: u64) -> Body {
+            Body::Sized(size)
+        }
+    }
+
     /// What is read of an answer that comes in such parts, and whether its connection is used again.
-    async fn read(parts: &[&str], body: u64) -> (String, bool, bool) {
+    async fn read(parts: &[&str], body: impl Into<Body>) -> (String, bool, bool) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let lines = home();
         let address = listener.local_addr().expect("an address");
@@ -494,7 +514,7 @@
             String::from_utf8(text).expect("text")
         });
         let text = text.await;
-        trace.done(Some(body));
+        trace.done(body.into());
         drop(line);
         let warm = !lines.idle.borrow().is_empty();
         (text, trace.ticket().is_delivered(), warm)
@@ -511,6 +531,14 @@
             let early = "HTTP/1.1 103 Early\r\nlink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
             assert_eq!(read(&[&[early, OK].concat()], 2).await, whole);
             assert_eq!(read(&[&early[..25], &[&early[25..], OK].concat()], 2).await, whole);
+            // In chunks, which say themselves where they end.
+            let chunked = "HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+            let whole = (chunked.to_owned(), true, true);
+            assert_eq!(read(&[chunked], Body::Chunked).await, whole);
+            assert_eq!(read(&[&chunked[..50], &chunked[50..]], Body::Chunked).await, whole);
+            assert!(!read(&[&chunked[..chunked.len() - 1]], Body::Chunked).await.2);
+            assert!(!read(&[chunked, "", "noise"], Body::Chunked).await.2);
+            assert!(!read(&[OK], Body::Other).await.2);
             // Surplus bytes, at once or right behind.
             assert!(!read(&[&[OK, OK].concat()], 2).await.2);
             assert!(!read(&[OK, "", "noise"], 2).await.2);
