Messages of one silent call count as one against the slots that silence may hold

Cause: watch_silence in src/choice.rs compared the number of overdue messages with a quarter of the slots; ten messages in one call hold one slot.

Change: overdue messages are counted by their calls.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -358,18 +358,20 @@
                 let Some(message) = self.messages.get(id) else { continue };
                 let Some(out) = message.out.as_ref().filter(|out| out.sent == *sent) else { continue };
                 let Some(peer) = self.peers.get(&out.endpoint) else { continue };
-                overdue.push((out.sent, *id, out.endpoint, out.sent > peer.served, message.class));
+                overdue.push((out.sent, out.call, *id, out.endpoint, out.sent > peer.served, message.class));
             }
         }
         overdue.sort_unstable();
-        let spare = overdue.len().saturating_sub(self.lost_slots);
-        for (i, (_, id, endpoint, silent, class)) in overdue.into_iter().enumerate() {
+        // Messages of one call hold one slot.
+        let calls: BTreeSet<_> = overdue.iter().map(|o| (o.0, o.1)).collect();
+        let kept = calls.iter().nth(calls.len().saturating_sub(self.lost_slots)).copied();
+        for (sent, call, id, endpoint, silent, class) in overdue {
             self.shun(now, endpoint, class);
             if silent {
                 self.mark_down(now, endpoint, "silent", actions);
             }
             let out = self.messages.get_mut(&id).and_then(|m| m.out.as_mut()).filter(|o| !o.called_off);
-            if let Some(out) = out.filter(|_| i < spare) {
+            if let Some(out) = out.filter(|_| kept.is_none_or(|kept| (sent, call) < kept)) {
                 out.called_off = true;
                 actions.push(Action::Cancel { msg: id, attempt: out.number });
             }
@@ -764,9 +766,8 @@
         };
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(out) = message.out.take_if(|out| out.number == attempt) else { return };
-        let may_have_run =
-            matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if may_have_run && message.risk.is_none() {
+        let ran = matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        if ran && message.risk.is_none() {
             let zone = self.peers.get(&out.endpoint).map(|p| p.entry.zone);
             message.risk = Some(Risk { sent: out.sent, endpoint: out.endpoint, zone });
         }
@@ -817,9 +818,8 @@
     /// couriers' few retries using a limit up, above all one that refused calls count against.
     fn learn_rest(&mut self, now: Nanos, id: MsgId, out: &Attempt, outcome: Outcome) {
         let Some(kind) = self.peers.get(&out.endpoint).map(|p| p.entry.kind.0) else { return };
-        let (Some(kind), Some(message)) = (self.by_kind.get_mut(kind), self.messages.get_mut(&id)) else {
-            return;
-        };
+        let Some(kind) = self.by_kind.get_mut(kind) else { return };
+        let Some(message) = self.messages.get_mut(&id) else { return };
         let even = self.units.get(&out.unit).map(|u| u.even).filter(|e| e.is_finite());
         let base = if kind.told > 0.0 { kind.told / REST_START } else { even.map_or(1.0, |e| 1.0 / e) };
         let again = message.full.is_some();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -358,3 +358,15 @@
         );
     }
 }
+
+/// The second deployment: ten messages in one call that stays silent hold one slot, not ten, so the share of the
+/// slots that silent calls may hold is not passed, and none of them is called off with the others.
+#[test]
+fn messages_of_one_silent_call_count_as_one() {
+    let kinds = vec![Kind { bundle: Some(10), ..Kind::default() }];
+    let mut world = World::new(Settings { kinds, ..settings() }, vec![endpoint(1, 5)]);
+    let many: Vec<_> = (1..=10).map(|i| Event::Request(request(i, 5, 2))).collect();
+    assert_eq!(sends(&world.round(0, &many)).len(), 10);
+    let actions = world.round(3 * SECOND, &[]);
+    assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })), "{actions:?}");
+}
