Pushed lists are followed, reports heard, and several messages sent in one call

Causes, by the log and the settings: the module asks to follow the list only where it is asked for, so a list that is pushed was never had (discovery.rs waited for a word that never came); the module counts what goes to one endpoint in a round as one call, and the relay sent ten; X-Server-Load was not read.

Change: discovery.rs follows at once where lists are pushed; core/bundle.rs and platform/batch.rs make one call of several messages, with an end, a time-out and a wait for all; reports go through the ticket to the module.

Now an answer that does not name each message counts for nothing. Ruled out: chunked bodies cut off (a test shows that awc tells), notices that were not heard (no warning in the log).

--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -5,6 +5,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until};
 
+use super::bundle::Share;
 use super::rounds::{ORDERS, Order};
 use super::{Carrier, Core, DEFAULT_BACKOFF, FAR_OFF, Node, Ticket};
 use crate::estate::Home;
@@ -125,8 +126,8 @@
                 Order::Held | Order::Cancel { .. } => {}
                 Order::Fail => break Some(job.failed(None)),
                 Order::Refuse { after } => break Some(job.returned(after)),
-                Order::Claim { node, limit } => {
-                    let outcome = self.claim(&job, &mut course, &mut seat, &node, limit).await;
+                Order::Claim { node, limit, share } => {
+                    let outcome = self.claim(&job, &mut course, &mut seat, &node, limit, share).await;
                     if self.is_handed() {
                         // It came home to who has the job now.
                         return;
@@ -186,10 +187,12 @@
         seat: &mut Seat<'_, C>,
         node: &Rc<Node>,
         limit: Duration,
+        share: Option<Share>,
     ) -> Outcome {
         let sent = Instant::now();
         let attempt = seat.next_attempt;
         seat.next_attempt += 1;
+        let limit = share.as_ref().map_or(limit, Share::limit);
         let limit = course.cut.map_or(limit, |cut| limit.min(cut.saturating_duration_since(sent)));
         let this = MayHaveRun {
             sent: SystemTime::now(),
@@ -206,7 +209,7 @@
             self.state.borrow_mut().out.insert(course.key);
             let outcome = tokio::select! {
                 biased;
-                outcome = self.carrier.claim(job, node, limit, &ticket) => outcome,
+                outcome = self.call(job, node, limit, &ticket, share) => outcome,
                 () = sleep(limit) => if ticket.is_sent() { Outcome::TimedOut } else { Outcome::Unconnected },
                 () = seat.cancelled(attempt) => {
                     if ticket.is_sent() { Outcome::Cancelled } else { Outcome::NotSent }
@@ -221,7 +224,8 @@
         };
         let label = job.label.as_deref().unwrap_or("");
         let (took, dest) = (sent.elapsed(), job.dest);
-        tracing::debug!(id = job.id, dest, node = &*node.name, attempt, ?outcome, ?took, label, "claim");
+        let told = ticket.report().limit;
+        tracing::debug!(id = job.id, dest, node = &*node.name, attempt, ?outcome, ?took, limit = ?told, label, "claim");
         if let Some(successor) = &*self.successor.borrow() {
             successor.home(Home { key: course.key, outcome, node: node.name.to_string() });
             return outcome;
@@ -236,15 +240,33 @@
         if let Outcome::Full { wait: Some(wait) } = outcome {
             let until = self.wait_of(node);
             until.set(until.get().max(Instant::now() + wait));
+        } else if let Some(wait) = ticket.told_wait() {
+            // For others of its call, and so for all that goes there.
+            self.heard_wait(&node.name, wait);
         }
         self.count(|tally| {
             tally.claims += 1;
             tally.delivered += u32::from(outcome == Outcome::Delivered);
         });
-        seat.report_closed(attempt, node, outcome, sent.elapsed());
+        seat.report_closed(attempt, node, outcome, sent.elapsed(), ticket.report());
         outcome
     }
 
+    /// One call, or a share in one.
+    async fn call(
+        &self,
+        job: &Job,
+        node: &Node,
+        limit: Duration,
+        ticket: &Rc<Ticket>,
+        share: Option<Share>,
+    ) -> Outcome {
+        match share {
+            Some(share) => share.claim(&self.carrier, job, node, limit, ticket).await,
+            None => self.carrier.claim(job, node, limit, ticket).await,
+        }
+    }
+
     async fn handed_unsent(&self, ticket: &Ticket) {
         self.handed.cancelled().await;
         if ticket.is_sent() {
@@ -442,7 +464,7 @@
         self.core.wake.notify_one();
     }
 
-    fn report_closed(&self, attempt: u32, node: &Node, outcome: Outcome, took: Duration) {
+    fn report_closed(&self, attempt: u32, node: &Node, outcome: Outcome, took: Duration, report: Report) {
         self.report(Event::Closed {
             msg: self.msg,
             attempt,
@@ -450,7 +472,7 @@
             outcome: outcome.for_module(),
             latency: nanos(took),
             no_more: outcome.ends_job(),
-            report: Report::default(),
+            report,
         });
     }
 
@@ -460,7 +482,13 @@
         let mut order = Some(order);
         while let Some(this) = order.or_else(|| self.kept.take()) {
             if let Order::Claim { node, .. } = this {
-                self.report_closed(self.next_attempt, &node, Outcome::NotSent, Duration::ZERO);
+                self.report_closed(
+                    self.next_attempt,
+                    &node,
+                    Outcome::NotSent,
+                    Duration::ZERO,
+                    Report::default(),
+                );
                 self.next_attempt += 1;
             }
             order = self.orders.try_recv().ok();
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs, claims and outcomes, and the drive of the decision module. No wire is known here: a front hands
 //! jobs in, and a [`Carrier`] takes claims to execute nodes and notices to their readers.
+mod bundle;
 mod life;
 mod nodes;
 mod rounds;
@@ -16,6 +17,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+pub use bundle::Part;
 use nodes::Nodes;
 #[cfg(test)]
 pub(crate) use nodes::tests;
@@ -41,6 +43,17 @@
         limit: Duration,
         ticket: &Rc<Ticket>,
     ) -> impl Future<Output = Outcome>;
+    /// Takes several claims to a node in one call; gives their outcomes in the same order. Dropping the future must
+    /// give all of them up at once.
+    fn claim_together(
+        &self,
+        parts: &[Part],
+        _node: &Node,
+        _limit: Duration,
+    ) -> impl Future<Output = Vec<Outcome>> {
+        // A front whose nodes take one message in a call is not asked.
+        std::future::ready(vec![Outcome::NotSent; parts.len()])
+    }
     /// Tells how a job ended; done once it is certain to have been heard.
     fn notify(&self, notice: &Notice) -> impl Future<Output = Result<(), String>>;
     /// Under what a job that waits is replaced by a later one under the same, if by any.
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -1,7 +1,7 @@
 //! Execute nodes: the list of them, the leave to send one a claim, and the waits they tell.
 use compact_str::CompactString;
 use prometheus::IntCounter;
-use slatethread::{Condition, DestId, Endpoint, EndpointId, Event, KindId, ListScope, ZoneId};
+use slatethread::{Condition, DestId, Endpoint, EndpointId, Event, KindId, ListScope, Report, ZoneId};
 use std::borrow::Borrow;
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
@@ -179,6 +179,9 @@
     not_after: Option<Instant>,
     sent: Cell<bool>,
     delivered: Cell<bool>,
+    /// What the answer tells of the node's limit, and a wait that it tells whatever became of the message.
+    report: Cell<Report>,
+    told: Cell<Option<Duration>>,
     tries: IntCounter,
 }
 
@@ -206,6 +209,22 @@
         self.delivered.set(true);
     }
 
+    pub fn tell_report(&self, report: Report) {
+        self.report.set(report);
+    }
+
+    pub fn tell_wait(&self, wait: Duration) {
+        self.told.set(Some(wait));
+    }
+
+    pub(super) fn told_wait(&self) -> Option<Duration> {
+        self.told.get()
+    }
+
+    pub(super) fn report(&self) -> Report {
+        self.report.get()
+    }
+
     pub fn is_delivered(&self) -> bool {
         self.delivered.get()
     }
@@ -429,6 +448,8 @@
             not_after,
             sent: Cell::new(false),
             delivered: Cell::new(false),
+            report: Cell::default(),
+            told: Cell::default(),
             tries: self.figures.tries(),
         })
     }
@@ -544,6 +565,8 @@
             not_after: memory.map(|left| now + left),
             sent: Cell::new(false),
             delivered: Cell::new(false),
+            report: Cell::default(),
+            told: Cell::default(),
             tries: Figures::new(&[]).tries(),
         })
     }
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -1,10 +1,12 @@
 //! The module's rounds: what has happened goes in, what it orders is carried out.
 use slatethread::{Action, EndpointId, Event, MsgId};
 use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep_until;
 
+use super::bundle::{Bundle, Share};
 use super::{Carrier, Core, FAR_OFF, Node, State};
 
 /// What the module orders for one job.
@@ -14,6 +16,8 @@
     Claim {
         node: Rc<Node>,
         limit: Duration,
+        /// It travels with others.
+        share: Option<Share>,
     },
     Cancel {
         attempt: u32,
@@ -63,8 +67,9 @@
         }
         let mut actions = Vec::new();
         state.courier.on_round(self.module_time(now), &events, &mut actions);
+        let mut bundles = HashMap::new();
         for action in actions {
-            self.act(state, now, action);
+            self.act(state, now, action, &mut bundles);
         }
         for event in &events {
             if let Event::Request(request) = event {
@@ -73,7 +78,13 @@
         }
     }
 
-    fn act(&self, state: &mut State, now: Instant, action: Action) {
+    fn act(
+        &self,
+        state: &mut State,
+        now: Instant,
+        action: Action,
+        bundles: &mut HashMap<EndpointId, Rc<Bundle>>,
+    ) {
         match action {
             Action::Send { msg, endpoint, limit } => {
                 let Some(node) = state.nodes.get(endpoint).cloned() else {
@@ -81,7 +92,16 @@
                     return;
                 };
                 let limit = Duration::from_nanos(limit);
-                order(state, msg, Order::Claim { node, limit });
+                let most = self.rules().settings.kinds.get(node.kind().0).and_then(|k| k.bundle).unwrap_or(1);
+                let share = (most > 1).then(|| {
+                    let bundle = bundles.entry(endpoint).or_insert_with(Bundle::new);
+                    if bundle.size() >= most as usize {
+                        // The module has begun another call.
+                        *bundle = Bundle::new();
+                    }
+                    bundle.share(limit)
+                });
+                order(state, msg, Order::Claim { node, limit, share });
             }
             Action::Refuse { msg, backoff } => {
                 order(state, msg, Order::Refuse { after: backoff.map(Duration::from_nanos) });
--- a/relay/src/core/succession.rs
+++ b/relay/src/core/succession.rs
@@ -234,7 +234,8 @@
         }
     }
 
-    fn heard_wait(&self, node: &str, left: Duration) {
+    /// Takes up a wait that the module does not hear of by an outcome.
+    pub(super) fn heard_wait(&self, node: &str, left: Duration) {
         let Some(node) = self.state.borrow().nodes.named(node).cloned() else { return };
         let until = self.wait_of(&node);
         until.set(until.get().max(Instant::now() + left));
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -31,9 +31,11 @@
 /// Follows the list whenever the module asks for it, for as long as that goes well, and from its first word on
 /// wherever discovery has moved to. `held` is the generation of the list that is known already.
 pub async fn follow<C: Carrier>(core: Rc<Core<C>>, mut place: watch::Receiver<Place>, mut held: Option<u64>) {
+    // Where lists are pushed, who has them is on this machine and keeps nobody waiting: the module does not ask for them.
+    let mut pushed = !core.rules().settings.list_on_request;
     let mut moved = false;
     loop {
-        if !moved {
+        if !moved && !std::mem::take(&mut pushed) {
             tokio::select! {
                 () = core.asked_to_follow() => {}
                 Ok(()) = place.changed() => moved = true,
--- /dev/null
+++ b/relay/src/platform/batch.rs
@@ -0,0 +1,83 @@
+//! The form of a call with several messages, and of its answer. Knows bytes only.
+use crate::core::Part;
+use crate::job::Outcome;
+use bytes::{BufMut, Bytes, BytesMut};
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::carrier::KEY;
+
+/// No body is larger than 64 KiB.
+const LONGEST: usize = 64 * 1024;
+
+/// The body, and how many of the messages are in it: those that fit, from the first on.
+pub fn encode(parts: &[Part]) -> (Bytes, usize) {
+    let mut body = BytesMut::new();
+    for (count, part) in parts.iter().enumerate() {
+        let key = part.fields.iter().find(|(name, _)| name == KEY).map_or(&b"-"[..], |(_, key)| key.as_ref());
+        let size = part.body.len().to_string();
+        let head = [part.id.as_bytes(), b" ", key, b" ", size.as_bytes(), b"\r\n"];
+        let head = head.concat();
+        if body.len() + head.len() + part.body.len() + 2 > LONGEST {
+            return (body.freeze(), count);
+        }
+        body.put_slice(&head);
+        body.put_slice(&part.body);
+        body.put_slice(b"\r\n");
+    }
+    (body.freeze(), parts.len())
+}
+
+/// What became of each message, of an answer that said 200. One that does not name each of them, in a word that is one,
+/// was cut off, and counts for nothing: whatever it says, a message is delivered only by a whole answer.
+pub fn decode(answer: &[u8], parts: &[Part], wait: Option<Duration>) -> Vec<Outcome> {
+    let text = String::from_utf8_lossy(answer);
+    let words = text.lines().filter_map(|line| line.trim_end().split_once(' '));
+    let ends: HashMap<_, _> = words.collect();
+    let of = |part: &Part| {
+        Some(match *ends.get(part.id.as_str())? {
+            "ok" => Outcome::Delivered,
+            "error" => Outcome::Error,
+            "later" => Outcome::Full { wait },
+            "gone" => Outcome::Over,
+            "exhausted" => Outcome::NotSent,
+            _ => return None,
+        })
+    };
+    let all = parts.iter().map(of).collect::<Option<_>>().filter(|_| text.ends_with('\n'));
+    all.unwrap_or_else(|| vec![Outcome::Error; parts.len()])
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::tests::ticket;
+
+    fn part(id: &str, key: Option<&str>, size: usize) -> Part {
+        let fields = key.map(|key| (KEY.to_owned(), Bytes::copy_from_slice(key.as_bytes())));
+        let ticket = ticket(true, Duration::ZERO, None);
+        Part { id: id.into(), fields: fields.into_iter().collect(), body: vec![b'x'; size].into(), ticket }
+    }
+
+    #[test]
+    fn messages_are_framed_by_lines_and_no_more_than_fit() {
+        let (body, count) = encode(&[part("a", None, 2), part("b", Some("k"), 0)]);
+        assert_eq!((&body[..], count), (&b"a - 2\r\nxx\r\nb k 0\r\n\r\n"[..], 2));
+        let (body, count) =
+            encode(&[part("a", None, 40_000), part("b", None, 20_000), part("c", None, 20_000)]);
+        assert_eq!((body.len(), count), (40_000 + 20_000 + 2 * 13, 2));
+    }
+
+    #[test]
+    fn each_message_has_its_own_end_and_an_answer_cut_short_tells_none() {
+        let parts = ["a", "b", "c", "d", "e"].map(|id| part(id, None, 0));
+        let wait = Some(Duration::from_secs(2));
+        let answer = b"e exhausted\r\na ok\r\nc gone\r\nb later\r\nd error\r\n";
+        use Outcome::*;
+        assert_eq!(decode(answer, &parts, wait), [Delivered, Full { wait }, Over, Error, NotSent]);
+        for cut in 0..answer.len() {
+            assert_eq!(decode(&answer[..cut], &parts, wait), [Error; 5], "cut at {cut}");
+        }
+        assert_eq!(decode(b"\xff a fine\r\n", &parts[..1], None), [Error]);
+    }
+}
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -5,7 +5,9 @@
 use awc::error::SendRequestError;
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
-use slatethread::EndpointId;
+use bytes::Bytes;
+use slatethread::{EndpointId, Report};
+use slatethread_wirehost::env::report;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::fmt::Debug;
@@ -20,7 +22,7 @@
 
 use super::line::{Body, CLAIM, Lines, Rack, Trace};
 use crate::config::Rules;
-use crate::core::{Carrier, Core, Node, Ticket};
+use crate::core::{Carrier, Core, Node, Part, Ticket};
 use crate::discovery::Place;
 use crate::job::{Job, Notice, Outcome, told_seconds};
 
@@ -155,38 +157,31 @@
         exit.clone()
     }
 
-    /// One call, which has its own hold on all that it needs: the rest of an answer may outlast its claim.
-    fn call(
-        &self,
-        job: &Job,
-        node: &Node,
-        limit: Duration,
-        trace: Rc<Trace>,
-    ) -> impl Future<Output = Outcome> + 'static {
+    /// One call, which has its own hold on all that it needs: the rest of an answer may outlast its claim. Gives what
+    /// its answer's head means, and the body if that came whole.
+    fn call(&self, node: &Node, call: Call, trace: Rc<Trace>) -> impl Future<Output = Answered> + 'static {
         let exit = self.exit(node);
-        let mut request = exit
-            .client
-            .post(format!("http://{}/v1/messages", node.address))
-            .insert_header(("x-request-id", job.id.as_str()))
-            .insert_header(("x-timeout-ms", limit.as_millis().to_string()))
-            .no_decompress();
-        for (name, value) in &job.fields {
-            request = request.insert_header((name.as_str(), value.as_ref()));
+        let Call { path, headers, body } = call;
+        let mut request = exit.client.post(format!("http://{}{path}", node.address)).no_decompress();
+        for (name, value) in headers {
+            request = request.insert_header((name, value.as_ref()));
         }
-        let sent = request.send_body(job.body.clone());
+        let sent = request.send_body(body);
         async move {
             // Its connections are not another's as long as this is held.
             let _exit = exit;
             let mut response = match sent.await {
                 Ok(response) => response,
-                Err(e) => return fault(&e, &trace),
+                Err(e) => return Answered { outcome: fault(&e, &trace), wait: None, body: None },
             };
             let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
             let outcome = outcome(response.status(), header);
+            let wait = header("retry-after").and_then(told_seconds);
+            header(LOAD).into_iter().for_each(|text| trace.tell_report(load(text)));
             let keeps = !header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
             let chunked =
                 header("transfer-encoding").is_some_and(|v| v.trim().eq_ignore_ascii_case("chunked"));
-            let body = match header("content-length").and_then(|v| v.trim().parse().ok()) {
+            let form = match header("content-length").and_then(|v| v.trim().parse().ok()) {
                 _ if !keeps => Body::Other,
                 Some(size) if !chunked => Body::Sized(size),
                 None if chunked => Body::Chunked,
@@ -194,17 +189,40 @@
                 _ => Body::Other,
             };
             let read = timeout(REST_OF_ANSWER, response.body().limit(LONGEST_ANSWER)).await;
-            let whole = matches!(read, Ok(Ok(_)));
-            if whole {
-                trace.done(body);
+            let body = read.ok().and_then(Result::ok);
+            if body.is_some() {
+                trace.done(form);
             }
-            // True by its first line, whatever follows. Guards against other answers that are spoilt behind their
-            // heads: the call has run, whatever they say.
-            if whole || outcome == Outcome::Delivered { outcome } else { Outcome::Error }
+            Answered { outcome, wait, body }
         }
     }
 }
 
+/// What goes out in one call.
+struct Call {
+    path: &'static str,
+    headers: Vec<(String, Bytes)>,
+    body: Bytes,
+}
+
+/// What came back.
+struct Answered {
+    /// By the head alone.
+    outcome: Outcome,
+    wait: Option<Duration>,
+    /// None if it did not come whole.
+    body: Option<Bytes>,
+}
+
+/// Where answers tell of the node's limit.
+const LOAD: &str = "x-server-load";
+
+/// A load report; what can't be read tells nothing.
+fn load(text: &str) -> Report {
+    let fields = || text.split(',').filter_map(|field| field.split_once('='));
+    report(|name| fields().find(|(n, _)| n.trim() == name).and_then(|(_, value)| value.trim().parse().ok()))
+}
+
 /// Why notices were not heard.
 #[derive(Clone)]
 enum Unheard {
@@ -263,6 +281,11 @@
     }
 }
 
+/// How long the relay will wait.
+fn waits(limit: Duration) -> (String, Bytes) {
+    ("x-timeout-ms".to_owned(), Bytes::from(limit.as_millis().to_string()))
+}
+
 /// The meaning of an answer's status.
 fn outcome<'a>(status: StatusCode, header: impl Fn(&str) -> Option<&'a str>) -> Outcome {
     match status.as_u16() {
@@ -278,10 +301,10 @@
 
 /// What a call without an answer means. Whether it may have run is told by the socket, not by awc.
 fn fault(error: &SendRequestError, trace: &Trace) -> Outcome {
-    if trace.ticket().is_delivered() {
+    if trace.is_delivered() {
         return Outcome::Delivered;
     }
-    if trace.ticket().is_sent() {
+    if trace.is_sent() {
         // What cannot be read is the node's word all the same: it is there, and the connection did not break.
         return if trace.answered() { Outcome::Error } else { Outcome::Reset };
     }
@@ -298,11 +321,21 @@
         if !ticket.may_begin() {
             return Outcome::NotSent;
         }
-        let trace = Trace::new(ticket.clone());
-        let mut call = Box::pin(CLAIM.scope(trace.clone(), self.call(job, node, limit, trace.clone())));
+        let trace = Trace::new(vec![ticket.clone()]);
+        let mut headers = vec![("x-request-id".to_owned(), Bytes::from(job.id.clone())), waits(limit)];
+        headers.extend(job.fields.iter().cloned());
+        let call = Call { path: "/v1/messages", headers, body: job.body.clone() };
+        let mut call = Box::pin(CLAIM.scope(trace.clone(), self.call(node, call, trace.clone())));
         tokio::select! {
             biased;
-            outcome = &mut call => outcome,
+            answered = &mut call => match answered {
+                // True by its first line, whatever follows. Guards against other answers that are spoilt behind their
+                // heads: the call has run, whatever they say.
+                Answered { body: None, outcome, .. } if trace.answered() && outcome != Outcome::Delivered => {
+                    Outcome::Error
+                }
+                Answered { outcome, .. } => outcome,
+            },
             () = trace.confirmed() => {
                 // The rest may be on its way, in pieces, or never come. What comes in time leaves its connection to
                 // others; the claim does not wait for that, since nothing hangs on it any more.
@@ -312,6 +345,32 @@
         }
     }
 
+    async fn claim_together(&self, parts: &[Part], node: &Node, limit: Duration) -> Vec<Outcome> {
+        let (body, count) = super::batch::encode(parts);
+        let (within, beyond) = parts.split_at(count);
+        let tickets: Vec<_> = within.iter().map(|part| part.ticket.clone()).collect();
+        let mut outcomes = if tickets.iter().all(|ticket| ticket.may_begin()) && count > 0 {
+            let trace = Trace::new(tickets);
+            let call = Call { path: "/v1/messages:batch", headers: vec![waits(limit)], body };
+            let answered = CLAIM.scope(trace.clone(), self.call(node, call, trace.clone())).await;
+            match answered {
+                Answered { outcome: Outcome::Delivered, body: Some(body), wait } => {
+                    wait.into_iter()
+                        .for_each(|wait| within.iter().for_each(|part| part.ticket.tell_wait(wait)));
+                    super::batch::decode(&body, within, wait)
+                }
+                // Cut off, it says of none of them what became of it.
+                Answered { body: None, .. } if trace.answered() => vec![Outcome::Error; count],
+                Answered { outcome, .. } => vec![outcome; count],
+            }
+        } else {
+            vec![Outcome::NotSent; count]
+        };
+        // What does not fit goes with the next call.
+        outcomes.extend(beyond.iter().map(|_| Outcome::NotSent));
+        outcomes
+    }
+
     async fn notify(&self, notice: &Notice) -> Result<(), String> {
         let (told, mut hear) = oneshot::channel();
         self.outbox.borrow_mut().push_back((crate::notice::line(notice), told));
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -5,7 +5,7 @@
 //! [`Line`] for one call only. It asks the claim's ticket before the first byte, marks it after the last one,
 //! and watches the answer; the socket goes back to [`Lines`] only if the answer was all that came on it.
 use actix_rt::net::{ActixStream, Ready, TcpStream};
-use slatethread::EndpointId;
+use slatethread::{EndpointId, Report};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -37,24 +37,40 @@
 
 /// What the socket tells of one claim.
 pub struct Trace {
-    ticket: Rc<Ticket>,
+    /// Of all messages of the call.
+    tickets: Vec<Rc<Ticket>>,
     socket: RefCell<Option<Rc<Socket>>>,
     refused: Cell<bool>,
     confirmed: Notify,
 }
 
 impl Trace {
-    pub fn new(ticket: Rc<Ticket>) -> Rc<Self> {
+    pub fn new(tickets: Vec<Rc<Ticket>>) -> Rc<Self> {
         Rc::new(Trace {
-            ticket,
+            tickets,
             socket: RefCell::new(None),
             refused: Cell::new(false),
             confirmed: Notify::new(),
         })
     }
 
-    pub fn ticket(&self) -> &Ticket {
-        &self.ticket
+    /// The call may run from here on.
+    pub fn is_sent(&self) -> bool {
+        self.tickets.iter().any(|ticket| ticket.is_sent())
+    }
+
+    /// Its one message is delivered.
+    pub fn is_delivered(&self) -> bool {
+        self.tickets.iter().any(|ticket| ticket.is_delivered())
+    }
+
+    /// The answer tells of the node's limit.
+    pub fn tell_report(&self, report: Report) {
+        self.tickets.iter().for_each(|ticket| ticket.tell_report(report));
+    }
+
+    fn may_begin(&self) -> bool {
+        self.tickets.iter().all(|ticket| ticket.may_begin())
     }
 
     /// The ticket gave no leave to send.
@@ -284,8 +300,10 @@
             answer.begin(part.filled(), ended);
             if answer.status == Some(200)
                 && let Ok(trace) = CLAIM.try_with(Rc::clone)
+                // Of several, the whole answer says which.
+                && let [ticket] = &trace.tickets[..]
             {
-                trace.ticket.mark_delivered();
+                ticket.mark_delivered();
                 trace.confirmed.notify_one();
             }
             if ended && answer.prelude.is_empty() {
@@ -299,7 +317,7 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let trace = CLAIM.try_with(Rc::clone).ok();
         if let Some(trace) = trace.as_ref().filter(|t| t.socket.borrow().is_none()) {
-            if !trace.ticket.may_begin() {
+            if !trace.may_begin() {
                 trace.refused.set(true);
                 return Poll::Ready(Err(io::Error::other("the claim may no longer be sent")));
             }
@@ -311,7 +329,7 @@
         if let (Some(trace), Poll::Ready(Ok(n))) = (trace, &written)
             && *n == buf.len()
         {
-            trace.ticket.mark_sent();
+            trace.tickets.iter().for_each(|ticket| ticket.mark_sent());
         }
         written
     }
@@ -472,7 +490,7 @@
         socket.set_send_buffer_size(4096).expect("a small buffer");
         let stream = socket.connect(listener.local_addr().expect("an address")).await.expect("connected");
         let mut line = Line::new(stream, home(), home().rack.place());
-        let trace = Trace::new(ticket(open, Duration::ZERO, None));
+        let trace = Trace::new(vec![ticket(open, Duration::ZERO, None)]);
         let written = CLAIM.scope(trace.clone(), line.write(&vec![0; size])).await.unwrap_or(0);
         (trace, written)
     }
@@ -481,11 +499,11 @@
     fn a_claim_is_sent_only_with_leave_and_once_its_last_byte_is_written() {
         actix_rt::System::new().block_on(async {
             let (trace, written) = write(true, 100).await;
-            assert!(trace.ticket().is_sent() && !trace.refused() && written == 100);
+            assert!(trace.is_sent() && !trace.refused() && written == 100);
             let (trace, written) = write(true, 64 * 1024 * 1024).await;
-            assert!(!trace.ticket().is_sent() && written > 0, "a part of it went out: it never ran");
+            assert!(!trace.is_sent() && written > 0, "a part of it went out: it never ran");
             let (trace, written) = write(false, 100).await;
-            assert!(trace.refused() && !trace.ticket().is_sent() && written == 0);
+            assert!(trace.refused() && !trace.is_sent() && written == 0);
         });
     }
 
@@ -502,7 +520,7 @@
         let address = listener.local_addr().expect("an address");
         let mut line = lines.clone().lease(address).await.expect("connected");
         let mut other = listener.accept().await.expect("accepted").0;
-        let trace = Trace::new(ticket(true, Duration::ZERO, None));
+        let trace = Trace::new(vec![ticket(true, Duration::ZERO, None)]);
         let text = CLAIM.scope(trace.clone(), async {
             line.write_all(b"call").await.expect("written");
             let mut text = Vec::new();
@@ -517,7 +535,7 @@
         trace.done(body.into());
         drop(line);
         let warm = !lines.idle.borrow().is_empty();
-        (text, trace.ticket().is_delivered(), warm)
+        (text, trace.is_delivered(), warm)
     }
 
     #[test]
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -316,6 +316,7 @@
         let of = |key: &str, default: &str| said(words, key).unwrap_or(default).to_owned();
         let (slots, held, disk) = (of("slots", "8"), of("held", "40"), of("disk_mb", "3"));
         let sockets = of("sockets", "256");
+        let (bundle, mode) = (of("bundle", "1"), of("mode", "subscribe"));
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
         let discovery = self.party(&of("discovery", "list")).address.expect("it listens");
         let known = said(words, "known").map_or(String::new(), |generation| {
@@ -327,8 +328,8 @@
             "settings":{{"step":5000000,"categories":[
               {{"name":"notice","aim":1000000000,"give_up":6000000000,"effect":"read_like","late_worth":0.0,"credit":1.0}},
               {{"name":"order","aim":4000000000,"give_up":28000000000,"effect":"idempotency_key","group":"all","window":{window}000000,"late_worth":0.3,"credit":2.0}}],
-            "extra":{{"max_calls":{slots},"own_limits":[false],"bundle_max":[1]}},"zone":"z","zones":["z"],"shapes":["k"],"replicas_of_me":1,
-            "membership_mode":"subscribe","weights":"nominal",
+            "extra":{{"max_calls":{slots},"own_limits":[false],"bundle_max":[{bundle}]}},"zone":"z","zones":["z"],"shapes":["k"],"replicas_of_me":1,
+            "membership_mode":"{mode}","report":{{"columns":["x0","x1"]}},"weights":"nominal",
             "policy_limits":{{"most_tries":8,"most_held":{held},"max_retry_after":3000000000,"idle_close":{idle}000000,"dial_timeout":1500000000,"retry_after":true}},
             "rules":{{"cold":14000000000,"cold_share":0.18,"fall":3000000000,"fall_multiple":2.0,"must_ask_in":10000000000}}}}}}"#
         )
--- a/wirehost/src/env.rs
+++ b/wirehost/src/env.rs
@@ -116,6 +116,12 @@
     names.iter().position(|n| n == name).ok_or_else(|| format!("unknown {what} '{name}'"))
 }
 
+/// A load report by meaning, of what its fields say; a field that is no sensible figure tells nothing.
+pub fn report(field: impl Fn(&str) -> Option<f64>) -> Report {
+    let sound = |name| field(name).filter(|value| value.is_finite() && *value >= 0.0);
+    Report { left: sound("x0"), limit: sound("x1") }
+}
+
 /// Translates settings, and keeps their names.
 pub fn settings(env: Env) -> Result<(Settings, Names), String> {
     let extra = env.extra.unwrap_or_default();
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -1,5 +1,5 @@
 //! The wire's words, and their translation to and from the library's types.
-use crate::env::{Env, Names, place, settings};
+use crate::env::{self, Env, Names, place, settings};
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -86,11 +86,7 @@
     else {
         return Report::default();
     };
-    let value = |name: &str| {
-        let value = row.get(columns.iter().position(|c| c == name)?)?.as_f64();
-        value.filter(|v| v.is_finite() && *v >= 0.0)
-    };
-    Report { left: value("x0"), limit: value("x1") }
+    env::report(|name| row.get(columns.iter().position(|c| c == name)?)?.as_f64())
 }
 
 fn outcome(verdict: u32, wait_ms: Option<u64>) -> Result<Outcome, String> {
