--- a/relay/src/platform/batch.rs
+++ b/relay/src/platform/batch.rs
@@ -32,8 +32,12 @@
 /// was cut off, and counts for nothing: whatever it says, a message is delivered only by a whole answer.
 pub fn decode(answer: &[u8], parts: &[Part], wait: Option<Duration>) -> Vec<Outcome> {
     let text = String::from_utf8_lossy(answer);
-    let words = text.lines().filter_map(|line| line.trim_end().split_once(' '));
-    let ends: HashMap<_, _> = words.collect();
+    let mut ends = HashMap::new();
+    for (id, end) in text.lines().filter_map(|line| line.trim_end().split_once(' ')) {
+        // Guards against two ends for one message: then nobody knows. One that was not sent is passed over.
+        let told = ends.entry(id).or_insert(end);
+        *told = if *told == end { end } else { "error" };
+    }
     let of = |part: &Part| {
         Some(match *ends.get(part.id.as_str())? {
             "ok" => Outcome::Delivered,
@@ -79,5 +83,8 @@
             assert_eq!(decode(&answer[..cut], &parts, wait), [Error; 5], "cut at {cut}");
         }
         assert_eq!(decode(b"\xff a fine\r\n", &parts[..1], None), [Error]);
+        // One told twice, and one that nobody sent.
+        let answer = b"a ok\r\nz ok\r\nb later\r\nb ok\r\na ok\r\n";
+        assert_eq!(decode(answer, &parts[..2], None), [Delivered, Error]);
     }
 }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -172,7 +172,9 @@
             let _exit = exit;
             let mut response = match sent.await {
                 Ok(response) => response,
-                Err(e) => return Answered { outcome: fault(&e, &trace), wait: None, body: None },
+                Err(e) => {
+                    return Answered { outcome: fault(&e, &trace), wait: None, body: None, unread: false };
+                }
             };
             let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
             let outcome = outcome(response.status(), header);
@@ -193,7 +195,8 @@
             if body.is_some() {
                 trace.done(form);
             }
-            Answered { outcome, wait, body }
+            let unread = matches!(response.status().as_u16(), 400 | 413);
+            Answered { outcome, wait, body, unread }
         }
     }
 }
@@ -212,6 +215,8 @@
     wait: Option<Duration>,
     /// None if it did not come whole.
     body: Option<Bytes>,
+    /// It cannot be read, or is longer than allowed: none of it has run.
+    unread: bool,
 }
 
 /// Where answers tell of the node's limit.
@@ -354,11 +359,19 @@
             let call = Call { path: "/v1/messages:batch", headers: vec![waits(limit)], body };
             let answered = CLAIM.scope(trace.clone(), self.call(node, call, trace.clone())).await;
             match answered {
-                Answered { outcome: Outcome::Delivered, body: Some(body), wait } => {
+                Answered { outcome: Outcome::Delivered, body: Some(body), wait, .. } => {
                     wait.into_iter()
                         .for_each(|wait| within.iter().for_each(|part| part.ticket.tell_wait(wait)));
                     super::batch::decode(&body, within, wait)
                 }
+                Answered { unread: true, .. } => {
+                    tracing::error!(
+                        node = &*node.name,
+                        count,
+                        "a call with several messages was not accepted"
+                    );
+                    vec![Outcome::NotSent; count]
+                }
                 // Cut off, it says of none of them what became of it.
                 Answered { body: None, .. } if trace.answered() => vec![Outcome::Error; count],
                 Answered { outcome, .. } => vec![outcome; count],
--- a/relay/tests/command_line.rs
+++ b/relay/tests/command_line.rs
@@ -30,7 +30,23 @@
         "{told}"
     );
 
+    std::fs::write(&file, "admin = \"here\"\n").expect("written");
+    let faulty = run(&["check", file.to_str().expect("text")]);
+    assert_eq!(faulty.status.code(), Some(2));
+    assert!(
+        text(&faulty.stderr).contains("admin: 'here' is no address and port"),
+        "{}",
+        text(&faulty.stderr)
+    );
+
     let platform = folder.path().join("config.json");
+    std::fs::write(
+        &platform,
+        r#"{"name":"n","listen":"127.0.0.1:1","admin":"here","limits":{},"settings":{"categories":[]}}"#,
+    )
+    .expect("written");
+    let faulty = run(&["check", platform.to_str().expect("text")]);
+    assert!(text(&faulty.stderr).contains("admin: "), "{}", text(&faulty.stderr));
     std::fs::write(&platform, r#"{"name":"n","listen":"127.0.0.1:1","limits":{},"settings":{"categories":[{"name":"a","aim":"x"}]}}"#)
         .expect("written");
     let faulty = run(&["check", platform.to_str().expect("text")]);
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -652,6 +652,21 @@
     );
 }
 
+#[test]
+fn a_call_with_several_messages_that_is_not_accepted_has_run_for_none() {
+    together(
+        "send n1 413
+         expect relay log=was_not_accepted
+         expect relay log=NotSent
+         expect relay log=NotSent
+         expect relay log=NotSent
+         expect n1 POST path=/v1/messages:batch
+         send n1 raw=HTTP/1.1_200_OK|Content-Length:_21||j4_ok|j2_ok|j3_ok|
+         expect relay log=Delivered
+         expect list nothing 100",
+    );
+}
+
 #[test]
 fn a_call_with_several_messages_that_breaks_may_have_run_for_each() {
     together(
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -207,6 +207,13 @@
     async fn control(&mut self, name: &str, said: &Said) -> Result<(), String> {
         match said[0].0.as_str() {
             "start" => self.start(name, said).await,
+            "stranger" => {
+                // Somebody who does not speak the hand-over's protocol comes to its socket.
+                use std::io::Write;
+                let path = self.folder.path().join("state/handover");
+                let mut socket = std::os::unix::net::UnixStream::connect(path).map_err(|e| e.to_string())?;
+                socket.write_all(raw_bytes(said)).map_err(|e| e.to_string())
+            }
             signal => {
                 if self.push.is_some() {
                     self.write_file(said)?;
@@ -348,6 +355,11 @@
     }
 }
 
+/// What a stranger says: noise, or the beginning of a greeting.
+fn raw_bytes(words: &Said) -> &[u8] {
+    if said(words, "torn").is_some() { b"ogho\x02" } else { b"GET / HTTP/1.1\r\n\r\n" }
+}
+
 fn said_to(words: &Said) -> Option<&str> {
     said(words, "to")
 }
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -202,3 +202,55 @@
          expect relay exit",
     );
 }
+
+#[test]
+fn strangers_at_the_socket_change_nothing() {
+    play(
+        None,
+        "send list n1:7
+         send relay start passed=yes
+         expect relay log=list_of_execute_nodes
+         send relay stranger
+         expect relay log=does_not_speak_this_protocol
+         send relay stranger torn=yes
+         expect relay log=does_not_speak_this_protocol
+         send relay2 start passed=yes
+         send relay term
+         expect relay2 log=platform_front_is_ready
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send n1 200
+         expect relay2 log=Delivered",
+    );
+}
+
+#[test]
+fn with_the_folder_full_the_newcomer_takes_over_and_refuses_what_it_cannot_keep() {
+    let full: String = (0..4)
+        .map(|n| {
+            let status = if n < 3 { 202 } else { 429 };
+            format!("send s{n} POST /notice id=f{n} dest=7 left=20000 size=9000\nexpect s{n} {status}\n")
+        })
+        .collect();
+    let scenario = format!(
+        "send list n1:7
+         send relay start passed=yes disk_mb=0.1
+         expect relay log=list_of_execute_nodes
+         {full}
+         send relay2 start passed=yes disk_mb=0.1
+         send relay term
+         expect relay2 log=platform_front_is_ready
+         expect n1 POST x-request-id=f0
+         send s9 POST /notice id=j9 dest=7 left=20000 size=9000
+         expect s9 429
+         send n1 200
+         expect relay2 log=came_home
+         expect n1 POST
+         send n1 200
+         expect n1 POST
+         send n1 200
+         expect list nothing 200"
+    );
+    play(None, &scenario);
+}
