--- a/relay/src/core/bundle.rs
+++ b/relay/src/core/bundle.rs
@@ -84,6 +84,9 @@
         limit: Duration,
         ticket: &Rc<Ticket>,
     ) -> Outcome {
+        if self.0.size() == 1 {
+            return carrier.claim(job, node, limit, ticket).await;
+        }
         let bundle = self.0.clone();
         let leads = bundle.joined.borrow().is_empty();
         let (tell, told) = oneshot::channel();
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -238,8 +238,7 @@
             course.risk.get_or_insert(this);
         }
         if let Outcome::Full { wait: Some(wait) } = outcome {
-            let until = self.wait_of(node);
-            until.set(until.get().max(Instant::now() + wait));
+            self.begin_wait(node, wait);
         } else if let Some(wait) = ticket.told_wait() {
             // For others of its call, and so for all that goes there.
             self.heard_wait(&node.name, wait);
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -459,6 +459,12 @@
         self.rules().settings.kinds.get(node.kind().0).and_then(|k| k.apart).unwrap_or(false)
     }
 
+    /// A wait was told there: nothing goes out before its end, nor before that of one told earlier.
+    pub(super) fn begin_wait(&self, node: &Node, left: Duration) {
+        let until = self.wait_of(node);
+        until.set(until.get().max(Instant::now() + left));
+    }
+
     /// End of the wait told by a node's destination, or by the node where nodes are routes apart.
     pub(super) fn wait_of(&self, node: &Node) -> Rc<Cell<Instant>> {
         let unit = (node.dest, self.is_apart(node).then_some(node.id));
--- a/relay/src/core/succession.rs
+++ b/relay/src/core/succession.rs
@@ -46,6 +46,7 @@
     fn estate(&self) -> Estate {
         let mut state = self.state.borrow_mut();
         let now = Instant::now();
+        let recent = state.recent.all();
         let name = |id| state.nodes.get(id).map(|node| node.name.to_string());
         let waits = state.waits.iter().filter(|(_, until)| until.get() > now);
         let waits = waits.map(|((dest, node), until)| ToldWait {
@@ -82,16 +83,15 @@
                 })
                 .collect(),
         });
-        let estate = Estate {
+        Estate {
             generation: self.generation.get(),
             nodes: state.nodes.all().map(|node| node.listed(&self.rules())).collect(),
             waits: waits.collect(),
             learned: learned.collect(),
-            recent: Vec::new(),
+            recent,
             out: state.out.iter().copied().collect(),
             drained: false,
-        };
-        Estate { recent: state.recent.all(), ..estate }
+        }
     }
 
     /// The jobs are another process's.
@@ -237,8 +237,7 @@
     /// Takes up a wait that the module does not hear of by an outcome.
     pub(super) fn heard_wait(&self, node: &str, left: Duration) {
         let Some(node) = self.state.borrow().nodes.named(node).cloned() else { return };
-        let until = self.wait_of(&node);
-        until.set(until.get().max(Instant::now() + left));
+        self.begin_wait(&node, left);
         let route = self.is_apart(&node).then_some(node.id);
         let now = self.module_time(Instant::now());
         self.state.borrow_mut().courier.told_wait(now, DestId(node.dest), route, nanos(left));
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -108,12 +108,6 @@
         written.expect("memory takes all that is written");
         String::from_utf8(text).expect("names and labels are text")
     }
-
-    /// How many messages have ended, for tests of who counts them.
-    #[cfg(test)]
-    pub fn all_ended(&self) -> u64 {
-        self.classes.values().flatten().map(IntCounter::get).sum()
-    }
 }
 
 /// Registers what was made; names and labels are constants, so that neither fails.
