Relays without a list ask by turns that widen, and hand back what cannot wait for it

Lines at fault: Asking::start in src/asking.rs spread first asks over must_ask_in whatever the number of relays; PATIENCE in relay/src/discovery.rs left after 2 s what the service came to just then; Fault::torn for silence had each ask again after 50 to 250 ms. Ruled out: the cost of calls thrown away (none, half and whole collapse alike). Change: what a failure says is told apart by what was heard (Broken, Busy, Torn, Silent) and by whether anything was ever listed. Who has a list asks as before. Who has none has its turn by lot among all, 0.1 s for each, waits for its answer as long as the turn, and widens it after each call that was turned away, broke off or stayed silent. Messages are handed back at once where the list is further off than half of the time to their aim.

--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -434,12 +434,16 @@
     }
 
     /// The list could not be had.
-    pub fn list_broken(&self, torn: bool) {
-        let scope = if torn { ListScope::Torn } else { ListScope::Broken };
-        self.state.borrow_mut().inbox.push(Event::List { scope, entries: Vec::new() });
+    pub fn list_broken(&self, how: ListScope) {
+        self.state.borrow_mut().inbox.push(Event::List { scope: how, entries: Vec::new() });
         self.wake.notify_one();
     }
 
+    /// How long an answer is waited for that brings the first list; none where one is known.
+    pub fn list_patience(&self) -> Option<Duration> {
+        self.state.borrow().courier.list_patience().map(Duration::from_nanos)
+    }
+
     /// A claim's leave to be sent to a node, before that time if one is given.
     pub(super) fn ticket(&self, node: &Rc<Node>, not_after: Option<Instant>) -> Rc<Ticket> {
         Rc::new(Ticket {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -3,6 +3,7 @@
 //! When to ask again after a failure is the module's decision.
 use awc::error::SendRequestError;
 use futures_util::StreamExt;
+use slatethread::ListScope;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,11 +51,11 @@
             // Guards against following the old one to its end, or asking the new one only after a pause.
             Ok(()) = place.changed() => moved = true,
             fault = session(&core, &now, &mut held) => {
-                let Fault { text, torn } = fault;
-                // What broke off is had whole, whatever it held.
-                held = held.filter(|_| !torn);
-                tracing::warn!(fault = text, torn, "discovery cannot be followed; the module asks again later");
-                core.list_broken(torn);
+                let Fault { text, how } = fault;
+                // What broke off is had whole, whatever it held; so is what stays silent, which may be watches alone.
+                held = held.filter(|_| !matches!(how, ListScope::Torn | ListScope::Silent));
+                tracing::warn!(fault = text, ?how, "discovery cannot be followed; the module asks again later");
+                core.list_broken(how);
             }
         }
     }
@@ -63,17 +64,17 @@
 /// What went wrong with a call.
 struct Fault {
     text: String,
-    /// Discovery may have told something that did not come through: its answer broke off, or none came in time.
-    torn: bool,
+    /// What was heard: nothing since no call was taken, that it was turned away, an answer that broke off, silence.
+    how: ListScope,
 }
 
 impl Fault {
-    fn torn(text: impl ToString) -> Self {
-        Fault { text: text.to_string(), torn: true }
+    fn new(how: ListScope, text: impl ToString) -> Self {
+        Fault { text: text.to_string(), how }
     }
 
-    fn untold(text: impl ToString) -> Self {
-        Fault { text: text.to_string(), torn: false }
+    fn torn(text: impl ToString) -> Self {
+        Fault::new(ListScope::Torn, text)
     }
 }
 
@@ -91,7 +92,7 @@
                 let watch = format!("{base}?index={held}&wait={}", wait.as_millis());
                 fetch(place, &watch, wait + PATIENCE).await
             }
-            None => fetch(place, &base, PATIENCE).await,
+            None => fetch(place, &base, core.list_patience().unwrap_or(PATIENCE)).await,
         };
         let list = match answer {
             Ok(list) => list,
@@ -119,11 +120,12 @@
 async fn fetch(place: &Place, url: &str, patience: Duration) -> Result<NodeList, Fault> {
     let call = async {
         let mut response = place.client.get(url).no_decompress().send().await.map_err(|e| match e {
-            SendRequestError::Connect(e) => Fault::untold(e),
+            SendRequestError::Connect(e) => Fault::new(ListScope::Broken, e),
             e => Fault::torn(e),
         })?;
         if response.status() != 200 {
-            return Err(Fault::untold(format!("status {}", response.status().as_u16())));
+            let text = format!("status {}", response.status().as_u16());
+            return Err(Fault::new(ListScope::Busy, text));
         }
         let mut text = ListText::default();
         while let Some(part) = response.next().await {
@@ -141,5 +143,5 @@
         let read = spawn_blocking(move || NodeList::read(text)).await;
         read.map_err(Fault::torn)?.map_err(Fault::torn)
     };
-    timeout(patience, call).await.unwrap_or_else(|_| Err(Fault::torn("no answer")))
+    timeout(patience, call).await.unwrap_or_else(|_| Err(Fault::new(ListScope::Silent, "no answer")))
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,5 @@
 //! All decisions of a courier. Its types, events and actions are in `src/interface.rs`.
-use crate::asking::Asking;
+use crate::asking::{ASK_NONCE, Asking};
 use crate::hold::{Hold, Rank, Turn};
 use crate::interface::*;
 use crate::roster::Roster;
@@ -80,7 +80,6 @@
 const SERVICE_FADE: f64 = 0.99;
 
 const LOOK_NONCE: u64 = 1;
-const ASK_NONCE: u64 = 2;
 
 /// Angelin's three-state machine; its records are in `src/state.rs`.
 impl Predictor {
@@ -206,9 +205,8 @@
     look: Nanos,
     sweep_at: Nanos,
     warm: bool,
-    asking: Asking,
-    started: bool,
-    random: Random,
+    pub(crate) asking: Asking,
+    pub(crate) random: Random,
 }
 
 impl Courier {
@@ -232,17 +230,12 @@
         self.by_kind.resize(settings.kinds.len(), learned);
         self.cold = settings.rules.cold.unwrap_or(10 * SECOND).max(1);
         self.fall = settings.rules.fall.unwrap_or(SECOND);
-        self.asking.settle(self.couriers, settings.rules.must_ask_in.unwrap_or(10 * SECOND));
+        self.asking.settle(&settings);
         self.settings = settings;
     }
 
     /// Takes in all events of a round, then decides.
     pub fn on_round(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.started, true) && self.settings.list_on_request {
-            let after = self.asking.start(&mut self.random);
-            let later = Action::SetTimer { nonce: ASK_NONCE, after };
-            actions.push(if after > 0 { later } else { Action::Follow { want: true } });
-        }
         let mut fresh = Vec::new();
         for event in events {
             match event {
@@ -251,10 +244,11 @@
                 Event::Closed { .. } => self.take_outcome(now, event, actions),
                 Event::Expired { msg } => self.end(*msg),
                 Event::Probed { endpoint, outcome, .. } => self.judge(now, *endpoint, *outcome, actions),
-                Event::Timer { nonce: ASK_NONCE } => actions.push(Action::Follow { want: true }),
+                Event::Timer { nonce: ASK_NONCE } => self.ask(now, 0, actions),
                 Event::Timer { .. } | Event::First { .. } | Event::Note { .. } => {}
             }
         }
+        self.ask_first(now, actions);
         let quiet = events.iter().all(|e| matches!(e, Event::Timer { .. }));
         self.look = if quiet { (self.look * 2).min(LOOK_OUT) } else { LOOK };
         self.weights = self.service.weights(self.settings.worst_class);
@@ -554,6 +548,7 @@
     fn dispatch(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         let mut looks = std::mem::take(&mut self.looks);
         looks.extend(self.hold.alarmed(now));
+        looks.extend(self.messages.keys().filter(|_| self.asking.awaited(now) > 0));
         for id in looks {
             let Some(message) = self.messages.get(&id).filter(|m| m.lane.is_some()) else { continue };
             match self.hopeless(now, message) {
@@ -633,7 +628,8 @@
         });
         let rest = secs(message.full.unwrap_or(0).saturating_sub(now));
         let soonest = self.soonest(now, message.dest, self.is_fresh(now, message));
-        (left <= 0.0 || tired || forgotten || soonest + rest > left).then_some(soonest + rest)
+        let lost = left <= 0.0 || tired || forgotten || self.outlasted(now, message);
+        (lost || soonest + rest > left).then_some(soonest + rest)
     }
 
     /// Least time in which a destination would have served a message that is sent now, in seconds.
@@ -642,7 +638,8 @@
             let done = self.units.get(&p.unit)?.predictor.predict(now, self.load).unwrap_or(0.0);
             Some(done + secs(self.trial_wait(now, p, fresh)))
         };
-        self.listed(dest).filter_map(time).min_by(f64::total_cmp).unwrap_or(0.0)
+        let soonest = self.listed(dest).filter_map(time).min_by(f64::total_cmp);
+        soonest.unwrap_or_else(|| secs(self.asking.awaited(now)))
     }
 
     /// Whether a message has only just come.
@@ -976,13 +973,13 @@
     }
 
     fn take_list(&mut self, now: Nanos, scope: ListScope, entries: &[Endpoint], actions: &mut Vec<Action>) {
-        if matches!(scope, ListScope::Broken | ListScope::Torn) {
-            let after = self.asking.failed(now, scope == ListScope::Torn, &mut self.random);
-            actions.push(Action::SetTimer { nonce: ASK_NONCE, after });
+        if scope.is_failure() {
+            let after = self.asking.failed(now, scope, &mut self.random);
+            self.ask(now, after, actions);
             actions.push(Action::Log { line: "list unavailable, asking again".into() });
             return;
         }
-        self.asking.told();
+        self.asking.told(!entries.is_empty());
         if scope != ListScope::Patch {
             for id in self.roster.keep_only(entries) {
                 let Some(peer) = self.peers.get_mut(&id) else { continue };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -227,10 +227,21 @@
     Whole,
     /// The whole list as it was last had, maybe old.
     Stale,
-    /// A request for the list failed, or the subscription broke; no entries.
+    /// A request for the list was not taken, or the subscription broke; no entries.
     Broken,
-    /// The same, but the answer broke off or did not come in time: what it held may count as told.
+    /// The same, but it was turned away after it had been taken.
+    Busy,
+    /// The same, but the answer broke off: what it held may count as told.
     Torn,
+    /// The same, but nothing was heard in time: what was to be told may count as told.
+    Silent,
+}
+
+impl ListScope {
+    /// Whether it brings no list.
+    pub fn is_failure(self) -> bool {
+        matches!(self, ListScope::Broken | ListScope::Busy | ListScope::Torn | ListScope::Silent)
+    }
 }
 
 /// A new message.
