--- a/src/asking.rs
+++ b/src/asking.rs
@@ -65,7 +65,7 @@
     pub fn start(&mut self, now: Nanos, random: &mut Random) -> Nanos {
         let spread =
             if self.listed { (self.first() - FIRST) * MOST } else { self.whole_turn() - self.own_turn() };
-        let after = nanos(secs(spread) * random.unit());
+        let after = if spread > 0 { nanos(secs(spread) * random.unit()) } else { 0 };
         self.next_at = now + after;
         after
     }
