The rig: many processes of the relay, faults between them, a checker of the whole fleet

Need: the operators want tests that start several processes and inject faults between them; the laboratory starts relays and leaves links and processes alone. The laboratory's list service takes one call at a time where costs are set, and knows its callers by listeners of their own; connections opened at endpoints are counted; the checker can excuse what a lost folder held. src/unlisted.rs takes what asking.rs needed of choice.rs, so that imports run one way. Seen while building: awc's pool goes round several connections, so a stand-in that knows watches by connection counts one that goes on as a new one; it now knows them by relay. Ruled out: network namespaces (privileges), LD_PRELOAD, fail points in the program (docs/rig.md).

--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -1,4 +1,5 @@
 //! Discovery's stand-in, in the platform's protocol: the whole list, watches, notices, lateness and outages.
+use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -10,11 +11,56 @@
 use tokio::time::timeout;
 
 use crate::emulator::{Emulator, Got, Reader};
+use crate::model::At;
+use crate::service::{Costs, Service};
 use crate::world::{Entry, State, World};
 
 /// Longest that a watch may wait.
 const LONGEST_WAIT: u64 = 60_000;
 
+/// A call that discovery got, and what became of it.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq)]
+pub struct ListCall {
+    /// Whose listener it came to.
+    pub who: usize,
+    pub at: At,
+    pub kind: CallKind,
+    /// When its turn was over.
+    pub done: At,
+    pub fate: CallFate,
+}
+
+/// What was asked for. Watches that go on are no calls.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallKind {
+    Whole,
+    Watch,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallFate {
+    Answered,
+    /// It had waited too long.
+    Thrown,
+    /// Discovery was down.
+    Down,
+}
+
+/// Who calls: a listener of its own tells, else a connection of its own.
+#[derive(Clone)]
+struct Caller {
+    who: usize,
+    /// When it was last answered: its watch goes on from there.
+    last: Rc<Cell<Option<At>>>,
+    /// The port at which lists name endpoints to this caller, if not their own.
+    port: Option<u16>,
+}
+
+/// A whole list's text: its generation, the port that it names endpoints at, and the text.
+type Written = (u64, Option<u16>, Rc<Vec<u8>>);
+
 /// What discovery says.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -28,12 +74,16 @@
     changes: RefCell<Vec<(u64, Entry)>>,
     /// Generations at which the whole list was told again.
     whole: Cell<u64>,
-    text: RefCell<Option<(u64, Rc<Vec<u8>>)>>,
-    down: Vec<(f64, f64)>,
+    text: RefCell<Option<Written>>,
+    down: RefCell<Vec<(f64, f64)>>,
+    costs: Costs,
+    service: RefCell<Service>,
+    /// All calls, in the order in which they came.
+    pub calls: RefCell<Vec<ListCall>>,
     /// Weights are told times this.
     scale: Cell<f64>,
-    /// Calls are handled one after another.
-    turn: Mutex<()>,
+    /// Texts are written one after another.
+    writing: Mutex<()>,
     /// Whole lists that were asked for or told.
     pub lists: Cell<u32>,
 }
@@ -44,6 +94,7 @@
         emulator: Rc<Emulator>,
         start: Instant,
         down: Vec<(f64, f64)>,
+        costs: Costs,
     ) -> io::Result<Rc<Self>> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let discovery = Rc::new(Discovery {
@@ -56,23 +107,62 @@
             changes: RefCell::default(),
             whole: Cell::new(1),
             text: RefCell::default(),
-            down,
+            down: RefCell::new(down),
+            costs,
+            service: RefCell::default(),
+            calls: RefCell::default(),
             scale: Cell::new(1.0),
-            turn: Mutex::new(()),
+            writing: Mutex::new(()),
             lists: Cell::new(0),
         });
-        let accepting = discovery.clone();
-        spawn_local(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => drop(spawn_local(accepting.clone().connection(stream))),
-                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
-                }
-            }
-        });
+        spawn_local(discovery.clone().accept(listener, || Caller {
+            who: 0,
+            last: Rc::default(),
+            port: None,
+        }));
         Ok(discovery)
     }
 
+    /// A listener of a caller's own, whose lists name all endpoints at one port, if one is given.
+    pub async fn listen(self: &Rc<Self>, who: usize, port: Option<u16>) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let caller = Caller { who, last: Rc::default(), port };
+        spawn_local(self.clone().accept(listener, move || caller.clone()));
+        Ok(address)
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener, caller: impl Fn() -> Caller) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(spawn_local(self.clone().connection(stream, caller()))),
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    /// When its clock began.
+    pub fn begun(&self) -> Instant {
+        self.start
+    }
+
+    /// The whole list as it stands, for a caller that held it before; no call.
+    pub async fn known(&self, port: Option<u16>) -> Vec<u8> {
+        self.whole_list(port).await.to_vec()
+    }
+
+    /// It is down from now on for so long.
+    pub fn go_down(&self, time: Duration) {
+        let now = self.start.elapsed().as_secs_f64();
+        self.down.borrow_mut().push((now, now + time.as_secs_f64()));
+    }
+
+    /// The time that the service gave to calls it answered, and to those it threw away.
+    pub fn used(&self) -> (Duration, Duration) {
+        let service = self.service.borrow();
+        (service.answering, service.throwing)
+    }
+
     /// Tells a change from now on.
     pub fn tell(&self, entry: Entry) {
         let now = self.start.elapsed();
@@ -102,38 +192,72 @@
 
     fn is_down(&self) -> bool {
         let now = self.start.elapsed().as_secs_f64();
-        self.down.iter().any(|(from, to)| now >= *from && now < *to)
+        self.down.borrow().iter().any(|(from, to)| now >= *from && now < *to)
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, caller: Caller) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(Some(got)) = reader.next().await {
-            let (status, body) = self.answer(&got).await;
+            let (status, body) = self.answer(&got, &caller).await;
             if reader.answer(status, &[], &body).await.is_err() {
                 return;
             }
+            if got.path != "/reports" {
+                caller.last.set((status == 200).then(|| self.start.elapsed()));
+            }
         }
     }
 
-    async fn answer(&self, got: &Got) -> (u16, Rc<Vec<u8>>) {
+    /// Waits for a call's turn; false if nothing is to come of it.
+    async fn turn(&self, caller: &Caller, kind: CallKind) -> bool {
+        let at = self.start.elapsed();
+        let cost = match kind {
+            CallKind::Whole => self.costs.whole_ms,
+            CallKind::Watch => self.costs.watch_ms,
+        };
+        let down = self.is_down();
+        let turn = (!down)
+            .then(|| self.service.borrow_mut().call(&self.costs, at, Duration::from_secs_f64(cost / 1000.0)));
+        let fate = match turn {
+            None => CallFate::Down,
+            Some(turn) if turn.thrown => CallFate::Thrown,
+            Some(_) => CallFate::Answered,
+        };
+        let done = turn.map_or(at, |turn| turn.done);
+        self.calls.borrow_mut().push(ListCall { who: caller.who, at, kind, done, fate });
+        if done > at {
+            tokio::time::sleep_until((self.start + done).into()).await;
+        }
+        fate == CallFate::Answered
+    }
+
+    async fn answer(&self, got: &Got, caller: &Caller) -> (u16, Rc<Vec<u8>>) {
         let nothing = Rc::new(Vec::new());
         if got.method == "POST" && got.path == "/reports" {
             let read = self.world.borrow_mut().report(&got.body, self.start.elapsed());
             return (if read { 204 } else { 400 }, nothing);
         }
         let Some(query) = got.path.strip_prefix("/v1/endpoints") else { return (404, nothing) };
-        if self.is_down() {
-            return (503, nothing);
-        }
         let value = |name: &str| -> Option<u64> {
             let pairs = query.trim_start_matches('?').split('&').filter_map(|pair| pair.split_once('='));
             pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.parse().ok())
         };
         let Some(index) = value("index") else {
-            let _turn = self.turn.lock().await;
-            return (200, self.whole_list().await);
+            if !self.turn(caller, CallKind::Whole).await {
+                return (503, nothing);
+            }
+            let _writing = self.writing.lock().await;
+            return (200, self.whole_list(caller.port).await);
         };
+        let renewed = caller
+            .last
+            .get()
+            .is_some_and(|at| self.start.elapsed() <= at + Duration::from_millis(self.costs.renew_ms));
+        let goes_on = if renewed { !self.is_down() } else { self.turn(caller, CallKind::Watch).await };
+        if !goes_on {
+            return (503, nothing);
+        }
         let wait = Duration::from_millis(value("wait").unwrap_or(0).min(LONGEST_WAIT));
         let mut generation = self.generation.subscribe();
         let newer = async { generation.wait_for(|g| *g > index).await.is_ok() };
@@ -146,16 +270,19 @@
             _ = timeout(wait, newer) => {}
             () = ended => return (503, nothing),
         }
-        let _turn = self.turn.lock().await;
+        let _writing = self.writing.lock().await;
         let whole = self.whole.get() > index;
-        (200, if whole { self.whole_list().await } else { self.changes_since(index) })
+        let port = caller.port;
+        (200, if whole { self.whole_list(port).await } else { self.changes_since(index, port) })
     }
 
     /// The whole list's text, written out by parts: those who hand messages in share the thread.
-    async fn whole_list(&self) -> Rc<Vec<u8>> {
+    async fn whole_list(&self, port: Option<u16>) -> Rc<Vec<u8>> {
         self.lists.set(self.lists.get() + 1);
         let generation = *self.generation.borrow();
-        if let Some((_, text)) = self.text.borrow().as_ref().filter(|(g, _)| *g == generation) {
+        if let Some((.., text)) =
+            self.text.borrow().as_ref().filter(|(g, p, _)| (*g, *p) == (generation, port))
+        {
             return text.clone();
         }
         // As it was told, which may be older than it is.
@@ -174,27 +301,30 @@
                 let entry = told.get(&place).cloned().unwrap_or(first);
                 if entry.state != State::Gone {
                     text.push_str(if text.len() > head { "," } else { "" });
-                    text.push_str(&self.line(&entry));
+                    text.push_str(&self.line(&entry, port));
                 }
             }
         }
         text.push_str("]}");
         let text = Rc::new(text.into_bytes());
-        *self.text.borrow_mut() = Some((generation, text.clone()));
+        *self.text.borrow_mut() = Some((generation, port, text.clone()));
         text
     }
 
-    fn changes_since(&self, index: u64) -> Rc<Vec<u8>> {
+    fn changes_since(&self, index: u64, port: Option<u16>) -> Rc<Vec<u8>> {
         let generation = *self.generation.borrow();
         let changes = self.changes.borrow();
-        let lines: Vec<_> = changes.iter().filter(|(g, _)| *g > index).map(|(_, e)| self.line(e)).collect();
+        let lines: Vec<_> =
+            changes.iter().filter(|(g, _)| *g > index).map(|(_, e)| self.line(e, port)).collect();
         Rc::new(
             format!(r#"{{"generation":{generation},"reset":false,"instances":[{}]}}"#, lines.join(","))
                 .into_bytes(),
         )
     }
 
-    fn line(&self, entry: &Entry) -> String {
+    fn line(&self, entry: &Entry, port: Option<u16>) -> String {
+        let mut address = self.emulator.address(entry.place, entry.moved);
+        address.set_port(port.unwrap_or(address.port()));
         let state = match entry.state {
             State::Serving => "SERVING",
             State::Draining => "DRAINING",
@@ -205,7 +335,7 @@
         format!(
             r#"{{"instanceId":"{}","hostPort":"{}","zone":"a","machineType":"m","cell":{},"lifecycle":"{state}","weight":{},"startedAtMs":{}}}"#,
             entry.name(),
-            self.emulator.address(entry.place, entry.moved),
+            address,
             entry.dest,
             entry.weight.unwrap_or(1.0) * self.scale.get(),
             started.map_or(0, |at| at.as_millis()),
--- a/lab/src/emulator.rs
+++ b/lab/src/emulator.rs
@@ -240,7 +240,11 @@
             if partner.is_gone(now) {
                 return reader.reset();
             }
-            partner.nature.connections
+            let (most, opens) = (partner.nature.connections, partner.nature.opens);
+            if !world.record.opened(now, place, opens) {
+                return reader.reset();
+            }
+            most
         };
         let open = self.open.borrow_mut().entry(place).or_default().clone();
         if most > 0 && open.get() >= most {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -4,6 +4,7 @@
 
 use crate::arrivals::Load;
 use crate::model::{Nature, Trouble};
+use crate::service::Costs;
 
 /// An experiment.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -43,7 +44,7 @@
 }
 
 /// The relays and the settings that they are told.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct RelayTable {
     pub front: Front,
@@ -92,7 +93,7 @@
 }
 
 /// Partners that are alike.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Partners {
     pub count: usize,
@@ -117,6 +118,8 @@
     pub told_at: Vec<f64>,
     /// The time of each start is told.
     pub starts: bool,
+    /// What calls cost it.
+    pub service: Costs,
 }
 
 /// Something that is wrong for a while.
@@ -151,7 +154,7 @@
 }
 
 /// A figure of the result and its bounds.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Expectation {
     pub figure: String,
@@ -189,7 +192,8 @@
         Ok(experiment)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// The first fault, with its key.
+    pub fn check(&self) -> Result<(), String> {
         let positive = |key: &str, value: f64| {
             if value > 0.0 && value.is_finite() {
                 return Ok(());
@@ -223,6 +227,9 @@
                 return Err(format!("partners[{i}].nature.limit: calls and span_ms must be above 0"));
             }
         }
+        if let Some((key, why)) = self.list.service.fault() {
+            return Err(format!("list.service.{key}: {why}"));
+        }
         let (dests, endpoints) = (self.dests(), self.endpoints());
         let most = self.sizes.iter().copied().max().unwrap_or(0).max(endpoints);
         if most > MOST_ENDPOINTS {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,4 +1,4 @@
-//! The relay's laboratory. Plain values and models below ([`model`], [`arrivals`], [`rules`], [`record`],
+//! The relay's laboratory. Plain values and models below ([`model`], [`arrivals`], [`rules`], [`service`], [`record`],
 //! [`experiment`], [`world`]), free of sockets; above them what plays them: [`virtual_time`] against the decision
 //! module itself, or the stand-ins ([`emulator`], [`discovery`], [`load`], [`push`], [`relay`]) that [`play`] puts together;
 //! [`report`] last. `docs/lab.md` tells how to run and read an experiment.
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod report;
 pub mod rules;
+pub mod service;
 pub mod virtual_time;
 pub mod world;
 
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -27,8 +27,9 @@
     pub spread: f64,
     /// A limit on top of that, if any.
     pub limit: Option<Limit>,
-    /// Connections that it holds; 0 is any number.
+    /// Connections that it holds, and those that it takes in a second; 0 is any number.
     pub connections: usize,
+    pub opens: u32,
     /// Share of its rate right after a start, and how long it takes to warm.
     pub cold_share: f64,
     pub warm_s: f64,
@@ -74,6 +75,7 @@
             spread: 0.3,
             limit: None,
             connections: 0,
+            opens: 0,
             cold_share: 0.18,
             warm_s: 14.0,
             fall_multiple: 2.0,
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -141,7 +141,8 @@
         }
     }
     let down = experiment.list.down.clone();
-    let discovery = Discovery::start(world.clone(), emulator.clone(), began, down);
+    let costs = experiment.list.service.clone();
+    let discovery = Discovery::start(world.clone(), emulator.clone(), began, down, costs);
     let discovery = discovery.await.map_err(|e| fault("discovery's listener", e))?;
     let notices = push::notices(world.clone(), began).await.map_err(|e| fault("the notices' listener", e))?;
     let told = if push { notices } else { discovery.address };
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -61,6 +61,9 @@
     latencies: Vec<Histogram<u64>>,
     all: Histogram<u64>,
     answers: Histogram<u64>,
+    /// Connections opened at each endpoint: the second, how many in it, and the most in any.
+    opens: BTreeMap<u32, (u64, u32, u32)>,
+    opens_refused: u32,
     /// By destination and second.
     dests: BTreeMap<usize, BTreeMap<usize, Taken>>,
 }
@@ -84,6 +87,8 @@
             latencies: Vec::new(),
             all: histogram(),
             answers: histogram(),
+            opens: BTreeMap::new(),
+            opens_refused: 0,
             dests: BTreeMap::new(),
         }
     }
@@ -107,6 +112,24 @@
         self.all.saturating_record(micros);
     }
 
+    /// A connection is opened at an endpoint that takes so many in a second (0 is any number); false if it is refused.
+    pub fn opened(&mut self, at: At, place: u32, most: u32) -> bool {
+        let (second, count, peak) = self.opens.entry(place).or_default();
+        if std::mem::replace(second, at.as_secs()) != at.as_secs() {
+            *count = 0;
+        }
+        *count += 1;
+        *peak = (*peak).max(*count);
+        let taken = most == 0 || *count <= most;
+        self.opens_refused += u32::from(!taken);
+        taken
+    }
+
+    /// Connections opened at one endpoint in its worst second, and those refused at all of them.
+    pub fn opens(&self) -> (u32, u32) {
+        (self.opens.values().map(|(.., peak)| *peak).max().unwrap_or(0), self.opens_refused)
+    }
+
     /// A message had its answer so long after it should have been handed in.
     pub fn answered(&mut self, took: Duration) {
         self.answers.saturating_record(took.as_micros().clamp(1, 120_000_000) as u64);
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Nothing is owed for a message any more, whatever becomes of it: who held it has lost its memory.
+    pub fn excuse(&mut self, msg: u64) {
+        self.messages.remove(&msg);
+    }
+
     /// A call has come in whole at a node of a destination; its first byte came at `first`.
     pub fn called(&mut self, msg: u64, node: u32, dest: u64, first: At, now: At) {
         if let Some((from, until)) = self.waits.get(&dest).copied()
@@ -277,6 +282,19 @@
         assert_eq!(twice, [vec![Rule::EndedTwice], vec![]]);
     }
 
+    #[test]
+    fn what_is_excused_is_neither_lost_nor_repeated() {
+        let mut checker = Checker::default();
+        checker.handed_in(1, 7, at(1000), true);
+        checker.taken(1);
+        checker.called(1, 1, 7, at(10), at(10));
+        checker.call_over(1, true);
+        checker.excuse(1);
+        checker.called(1, 1, 7, at(20), at(20));
+        checker.look(at(20_000));
+        assert_eq!((checker.total(), checker.open()), (0, 0));
+    }
+
     #[test]
     fn what_is_over_is_forgotten() {
         let mut checker = Checker::default();
--- /dev/null
+++ b/rig/src/check.rs
@@ -0,0 +1,166 @@
+//! What is promised of a fleet, each as a check of what was seen from outside. A check that fails says by which events.
+use onyxglade_lab::discovery::CallFate;
+
+use crate::history::{History, What};
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// The relay's rules hold over all processes together.
+    Rules,
+    /// No process ends by itself.
+    NoneCrashes,
+    /// Each relay that runs at the end holds the list.
+    AllHoldTheList,
+    /// In one process's life, no list is replaced by an older one.
+    NoOlderList,
+    /// The list service's time goes into answers, at least two thirds of it.
+    ServiceTimeIsUseful,
+    /// No endpoint has to open more connections in a second than it takes.
+    EndpointsSpared,
+}
+
+/// Relays that a check names, at most.
+const TOLD: usize = 10;
+
+pub const ALL: [(Promise, &str); 6] = [
+    (Promise::Rules, "rules"),
+    (Promise::NoneCrashes, "none-crashes"),
+    (Promise::AllHoldTheList, "all-hold-the-list"),
+    (Promise::NoOlderList, "no-older-list"),
+    (Promise::ServiceTimeIsUseful, "service-time-is-useful"),
+    (Promise::EndpointsSpared, "endpoints-spared"),
+];
+
+/// Why a promise is not kept.
+pub fn broken(history: &History, promise: Promise) -> Option<String> {
+    match promise {
+        Promise::Rules => {
+            let first =
+                history.breaches.first().map(|b| format!("{:?} at {:.2} s: {}", b.rule, b.at_s, b.what));
+            (history.rules_broken > 0).then(|| format!("{} times, first {first:?}", history.rules_broken))
+        }
+        Promise::NoneCrashes => history.events.iter().find_map(|e| match e.what {
+            What::Crashed(code) => Some(format!("r{} at {:.2} s with {code:?}", e.relay, e.at.as_secs_f64())),
+            _ => None,
+        }),
+        Promise::AllHoldTheList => {
+            let runs = |relay| {
+                let mut life = history.events.iter().rev().filter(|e| e.relay == relay);
+                life.find_map(|e| match e.what {
+                    What::Started => Some(true),
+                    What::Ended | What::Crashed(_) => Some(false),
+                    _ => None,
+                })
+            };
+            let listed = history.listed();
+            let without: Vec<_> =
+                (0..history.relays).filter(|r| runs(*r) == Some(true) && listed[*r].is_none()).collect();
+            let first = &without[..without.len().min(TOLD)];
+            (!without.is_empty()).then(|| format!("{} have none, the first: {first:?}", without.len()))
+        }
+        Promise::NoOlderList => {
+            let mut held = vec![(0, 0.0); history.relays];
+            history.events.iter().find_map(|e| {
+                let at = e.at.as_secs_f64();
+                let (had, since) = held[e.relay];
+                match e.what {
+                    What::Started => held[e.relay] = (0, at),
+                    What::Listed(generation) if generation < had => {
+                        let relay = e.relay;
+                        return Some(format!(
+                            "r{relay} held {had} from {since:.2} s, {generation} from {at:.2} s"
+                        ));
+                    }
+                    What::Listed(generation) => held[e.relay] = (generation, at),
+                    _ => {}
+                }
+                None
+            })
+        }
+        Promise::ServiceTimeIsUseful => {
+            let (useful, useless) = (history.answering.as_secs_f64(), history.throwing.as_secs_f64());
+            let thrown = history.list_calls.iter().filter(|c| c.fate == CallFate::Thrown).count();
+            (useful < 2.0 * useless)
+                .then(|| format!("{useful:.1} s answering, {useless:.1} s on {thrown} thrown away"))
+        }
+        Promise::EndpointsSpared => {
+            let (most, taken, refused) = (history.opens_most, history.opens_taken, history.opens_refused);
+            (taken > 0 && (most > taken || refused > 0))
+                .then(|| format!("{most} in a second where {taken} are taken, {refused} refused"))
+        }
+    }
+}
+
+/// The promises that are not kept, by name, and why.
+pub fn all(history: &History) -> Vec<(&'static str, String)> {
+    ALL.iter().filter_map(|(promise, name)| Some((*name, broken(history, *promise)?))).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::history::Event;
+    use onyxglade_lab::rules::{Breach, Rule};
+    use std::time::Duration;
+
+    fn sound() -> History {
+        let event = |at, relay, what| Event { at: Duration::from_secs(at), relay, what };
+        History {
+            relays: 2,
+            events: vec![
+                event(0, 0, What::Started),
+                event(0, 1, What::Started),
+                event(1, 0, What::Ready),
+                event(1, 1, What::Ready),
+                event(2, 0, What::Listed(7)),
+                event(3, 1, What::Listed(9)),
+                event(4, 1, What::Ended),
+                event(5, 1, What::Started),
+                event(6, 1, What::Listed(8)),
+            ],
+            answering: Duration::from_secs(2),
+            throwing: Duration::from_secs(1),
+            opens_most: 5,
+            opens_taken: 5,
+            ..History::default()
+        }
+    }
+
+    fn only(name: &str, spoil: impl Fn(&mut History)) {
+        assert_eq!(all(&sound()), []);
+        let mut history = sound();
+        spoil(&mut history);
+        let broken: Vec<_> = all(&history).into_iter().map(|(name, _)| name).collect();
+        assert_eq!(broken, [name]);
+    }
+
+    #[test]
+    fn each_promise_is_seen_to_be_broken_by_a_history_that_breaks_it() {
+        only("rules", |h| {
+            h.rules_broken = 1;
+            h.breaches = vec![Breach { rule: Rule::Lost, at_s: 1.0, what: "m1".into() }];
+        });
+        let event = |relay, what| Event { at: Duration::from_secs(9), relay, what };
+        only("none-crashes", |h| h.events.push(event(0, What::Crashed(Some(1)))));
+        only("all-hold-the-list", |h| h.events.push(event(0, What::Started)));
+        only("all-hold-the-list", |h| h.events.retain(|e| e.what != What::Listed(7)));
+        only("no-older-list", |h| h.events.push(event(0, What::Listed(6))));
+        only("service-time-is-useful", |h| h.throwing = Duration::from_millis(1001));
+        only("endpoints-spared", |h| h.opens_most = 6);
+        only("endpoints-spared", |h| h.opens_refused = 1);
+    }
+
+    #[test]
+    fn what_does_not_run_owes_no_list_and_what_knew_one_has_it() {
+        let mut history = sound();
+        history.events.push(Event { at: Duration::from_secs(9), relay: 0, what: What::Started });
+        history.events.push(Event { at: Duration::from_secs(9), relay: 0, what: What::Ended });
+        assert_eq!(all(&history), []);
+        history.events.push(Event { at: Duration::from_secs(9), relay: 0, what: What::Started });
+        assert_eq!(all(&history).len(), 1);
+        history.known = true;
+        assert_eq!(all(&history), []);
+        assert_eq!(history.up(), Some(Duration::from_secs(1)));
+    }
+}
--- /dev/null
+++ b/rig/src/report.rs
@@ -0,0 +1,137 @@
+//! The result of a play: figures, promises that were not kept, expectations, and the files that hold them.
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use onyxglade_lab::discovery::{CallFate, CallKind};
+use onyxglade_lab::experiment::Expectation;
+use onyxglade_lab::record::{Second, write_csv};
+
+use crate::check;
+use crate::history::{History, What};
+use crate::schedule::Schedule;
+
+/// What came of a play.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    pub name: String,
+    pub seed: u64,
+    #[serde(flatten)]
+    pub figures: BTreeMap<String, f64>,
+    /// Promises not kept, and why.
+    pub promises_broken: BTreeMap<String, String>,
+    pub expectations_not_held: Vec<String>,
+    #[serde(skip)]
+    pub seconds: Vec<Second>,
+}
+
+/// The figures that the last line tells.
+const TOLD: [&str; 11] = [
+    "relays",
+    "up_s",
+    "list_calls",
+    "list_calls_failed",
+    "lists",
+    "all_listed_s",
+    "without_list",
+    "connections_peak_share",
+    "delivered_in_time_share",
+    "handed_in",
+    "rules_broken",
+];
+
+impl Outcome {
+    pub fn new(schedule: &Schedule, history: &History, seconds: Vec<Second>) -> Outcome {
+        let figures = figures(history);
+        let not_held = |e: &Expectation| {
+            let value = figures.get(&e.figure).copied();
+            let held = value.is_some_and(|v| e.least.is_none_or(|l| v >= l) && e.most.is_none_or(|m| v <= m));
+            let value = value.map_or("missing".into(), |v| format!("{v:.3}"));
+            (!held).then(|| format!("{} is {value}, least {:?}, most {:?}", e.figure, e.least, e.most))
+        };
+        let expectations_not_held = schedule.expectations.iter().filter_map(not_held).collect();
+        let broken = check::all(history).into_iter().map(|(name, why)| (name.to_owned(), why));
+        let (name, seed) = (schedule.name.clone(), schedule.seed);
+        Outcome { name, seed, figures, promises_broken: broken.collect(), expectations_not_held, seconds }
+    }
+
+    pub fn held(&self) -> bool {
+        self.promises_broken.is_empty() && self.expectations_not_held.is_empty()
+    }
+
+    /// All that a reader needs first, in a line.
+    pub fn line(&self) -> String {
+        let told = TOLD.iter().filter_map(|name| {
+            let value = self.figures.get(*name)?;
+            Some(if value.fract() == 0.0 { format!("{name}={value}") } else { format!("{name}={value:.3}") })
+        });
+        let told: Vec<_> = told.collect();
+        format!("{} seed={} {}", self.name, self.seed, told.join(" "))
+    }
+
+    /// Writes result.json, schedule.toml, seconds.csv and the history.
+    pub fn write(&self, schedule: &Schedule, history: &History, folder: &Path) -> Result<(), String> {
+        let fault = |e: std::io::Error| format!("{}: {e}", folder.display());
+        std::fs::create_dir_all(folder).map_err(fault)?;
+        let json = |value: Result<String, serde_json::Error>| value.map_err(|e| e.to_string());
+        std::fs::write(folder.join("result.json"), json(serde_json::to_string_pretty(self))?)
+            .map_err(fault)?;
+        std::fs::write(folder.join("history.json"), json(serde_json::to_string(history))?).map_err(fault)?;
+        std::fs::write(folder.join("schedule.toml"), schedule.text()).map_err(fault)?;
+        write_csv(&folder.join("seconds.csv"), &self.seconds)
+    }
+}
+
+fn figures(history: &History) -> BTreeMap<String, f64> {
+    let listed = history.listed();
+    let up = history.up();
+    let last = listed.iter().copied().collect::<Option<Vec<_>>>().and_then(|all| all.into_iter().max());
+    let calls = &history.list_calls;
+    let mut by_second = BTreeMap::<u64, u32>::new();
+    calls.iter().for_each(|call| *by_second.entry(call.at.as_secs()).or_default() += 1);
+    let count = |fits: &dyn Fn(&onyxglade_lab::discovery::ListCall) -> bool| {
+        calls.iter().filter(|c| fits(c)).count() as f64
+    };
+    let (useful, useless) = (history.answering.as_secs_f64(), history.throwing.as_secs_f64());
+    let share = |part: f64, of: f64| if of > 0.0 { part / of } else { 0.0 };
+    let mut figures = vec![
+        ("relays", history.relays as f64),
+        ("list_calls", calls.len() as f64),
+        ("list_calls_failed", count(&|c| c.fate != CallFate::Answered)),
+        ("list_calls_most_in_a_second", f64::from(by_second.values().copied().max().unwrap_or(0))),
+        ("lists", count(&|c| c.fate == CallFate::Answered && c.kind == CallKind::Whole)),
+        ("service_useful_share", if useful + useless > 0.0 { useful / (useful + useless) } else { 1.0 }),
+        ("without_list", listed.iter().filter(|l| l.is_none()).count() as f64),
+        ("connections_peak_share", share(f64::from(history.opens_most), f64::from(history.opens_taken))),
+        ("connections_most", f64::from(history.opens_most)),
+        ("connections_refused", f64::from(history.opens_refused)),
+        ("handed_in", f64::from(history.handed_in)),
+        ("delivered_in_time_share", share(f64::from(history.delivered), f64::from(history.handed_in))),
+        ("rules_broken", history.rules_broken as f64),
+        ("crashed", history.events.iter().filter(|e| matches!(e.what, What::Crashed(_))).count() as f64),
+    ];
+    figures.extend(up.map(|up| ("up_s", up.as_secs_f64())));
+    // From when the last process was up; where lists were known before, at once.
+    figures.extend(last.zip(up).map(|(last, up)| ("all_listed_s", last.saturating_sub(up).as_secs_f64())));
+    figures.into_iter().map(|(name, value)| (name.to_owned(), value)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn expectations_are_held_against_figures_and_what_is_missing_is_not_held() {
+        let text = "name = \"e\"\nseconds = 5.0\n[relay]\ncount = 1\n[[partners]]\ncount = 1\n[load]\nrate = 5.0\n\
+                    [[expect]]\nfigure = \"relays\"\nleast = 1\nmost = 1\n[[expect]]\nfigure = \"all_listed_s\"\nmost = 9\n";
+        let schedule = Schedule::parse(text).expect("sound");
+        let mut history = History { relays: 1, known: false, ..History::default() };
+        let outcome = Outcome::new(&schedule, &history, Vec::new());
+        assert_eq!(outcome.expectations_not_held.len(), 1, "{outcome:?}");
+        let event = |what| crate::history::Event { at: std::time::Duration::from_secs(1), relay: 0, what };
+        history.events = vec![event(What::Started), event(What::Ready), event(What::Listed(1))];
+        let outcome = Outcome::new(&schedule, &history, Vec::new());
+        assert!(outcome.held(), "{outcome:?}");
+        assert!(outcome.line().contains("relays=1") && outcome.line().contains("all_listed_s=0"));
+    }
+}
--- /dev/null
+++ b/rig/src/schedule.rs
@@ -0,0 +1,389 @@
+//! The file that says which processes run, what happens to them and between them, and what is expected; read and checked here.
+//! Every fault names its key.
+use onyxglade_lab::arrivals::Load;
+use onyxglade_lab::experiment::{Event, Expectation, Experiment, Front, ListTable, Partners, RelayTable};
+use onyxglade_lab::model::Trouble;
+use onyxglade_lab::service::Costs;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A schedule.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    pub name: String,
+    /// What it is to show, for the report.
+    #[serde(default)]
+    pub about: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long messages come, in seconds. They begin once the first processes are ready.
+    pub seconds: f64,
+    #[serde(default)]
+    pub start: Start,
+    #[serde(default)]
+    pub relay: RelayTable,
+    pub partners: Vec<Partners>,
+    pub load: Load,
+    /// What calls cost the list service.
+    #[serde(default)]
+    pub service: Costs,
+    /// Names for relays: `half = "r0-r149"`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub groups: BTreeMap<String, String>,
+    #[serde(rename = "fault", default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<Fault>,
+    #[serde(rename = "expect", default, skip_serializing_if = "Vec::is_empty")]
+    pub expectations: Vec<Expectation>,
+}
+
+/// How the processes come up.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Start {
+    /// They are started within so many seconds.
+    pub over_s: f64,
+    /// What they know of the list when they first start.
+    pub known: Known,
+    /// Messages begin only once every relay holds the list: the same fleet warm, to compare with.
+    pub warm: bool,
+    /// Of a hundred relays, so many run the program of the version before, if one is named on the command line.
+    pub before_in_100: u32,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Start { over_s: 0.5, known: Known::Nothing, warm: false, before_in_100: 0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Known {
+    Nothing,
+    /// The list as it stands.
+    List,
+    /// A list of a week ago in which every address is another's now.
+    Old,
+}
+
+/// Something that goes wrong, and when it is over.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// Seconds from the first process's start.
+    pub at_s: f64,
+    /// For so long; to the end if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub for_s: Option<f64>,
+    pub kind: Kind,
+    /// Which relays: `all`, `r7`, `r0-r9`, `70%` (the first of them), a group's name, several with commas.
+    #[serde(default = "all")]
+    pub relays: String,
+    /// Which link of theirs, where it is one that goes wrong.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkTo>,
+    /// Delay and its jitter of a slow link, in milliseconds, and what passes, in bytes a second (0 is any number).
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub delay_ms: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub jitter_ms: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub bytes_per_s: u64,
+    /// A torn connection breaks after so many bytes from the far side.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub after_bytes: u64,
+    /// What a process that was ended finds in its folder when it comes back, after `for_s`.
+    #[serde(default)]
+    pub folder: Folder,
+    /// Processes come back one after another, all within so many seconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub back_over_s: Option<f64>,
+    /// The destination, where a partner is in trouble, and its trouble.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dest: Option<usize>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trouble: Option<Event>,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// A link falls silent, both ways, or one way only: towards the relays' peer, or towards the relays.
+    Cut,
+    CutTo,
+    CutFrom,
+    /// A link refuses connections and breaks those it has.
+    Refuse,
+    /// A link breaks the connections it has.
+    Reset,
+    /// Connections of a link break after so many bytes.
+    Tear,
+    /// The far side of a link's connections vanishes without a word; the near one stays open.
+    Stuck,
+    /// A link is slow.
+    Slow,
+    /// SIGKILL.
+    Kill,
+    /// SIGTERM; SIGKILL after 3.7 s for what has not ended.
+    Term,
+    /// SIGSTOP, and SIGCONT at the end.
+    Stop,
+    /// SIGHUP.
+    Hup,
+    /// The list service is down.
+    ListDown,
+    /// A partner is in trouble.
+    Partner,
+}
+
+impl Kind {
+    pub fn is_link(self) -> bool {
+        use Kind::*;
+        matches!(self, Cut | CutTo | CutFrom | Refuse | Reset | Tear | Stuck | Slow)
+    }
+
+    pub fn is_end(self) -> bool {
+        matches!(self, Kind::Kill | Kind::Term)
+    }
+}
+
+/// A relay's links.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[serde(rename_all = "kebab-case")]
+pub enum LinkTo {
+    List,
+    Endpoints,
+    Submitters,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Folder {
+    #[default]
+    Kept,
+    Emptied,
+    /// As it was when the process was last started.
+    Earlier,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn all() -> String {
+    "all".into()
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl Schedule {
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Schedule, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
+        Schedule::parse(&text).map_err(|e| format!("{name}: {e}"))
+    }
+
+    /// The same from the file's text.
+    pub fn parse(text: &str) -> Result<Schedule, String> {
+        let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
+        let schedule: Schedule = serde_path_to_error::deserialize(reader)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        schedule.check()?;
+        Ok(schedule)
+    }
+
+    /// The file's text.
+    pub fn text(&self) -> String {
+        toml::to_string(self).expect("plain values")
+    }
+
+    /// The first fault, with its key.
+    pub fn check(&self) -> Result<(), String> {
+        if let Some((key, why)) = self.service.fault() {
+            return Err(format!("service.{key}: {why}"));
+        }
+        self.experiment().check()?;
+        if self.relay.front != Front::Platform {
+            return Err("relay.front: the rig plays the platform's front".into());
+        }
+        if !(0.0..=60.0).contains(&self.start.over_s) {
+            return Err(format!("start.over_s: {} must be from 0 to 60", self.start.over_s));
+        }
+        if self.start.before_in_100 > 100 {
+            return Err(format!("start.before_in_100: {} must be at most 100", self.start.before_in_100));
+        }
+        for (name, relays) in &self.groups {
+            self.plain(relays).map_err(|e| format!("groups.{name}: {e}"))?;
+        }
+        for (i, fault) in self.faults.iter().enumerate() {
+            self.check_fault(fault).map_err(|e| format!("fault[{i}].{e}"))?;
+        }
+        Ok(())
+    }
+
+    fn check_fault(&self, f: &Fault) -> Result<(), String> {
+        if !(f.at_s >= 0.0 && f.at_s.is_finite()) {
+            return Err(format!("at_s: {} must not be negative", f.at_s));
+        }
+        if f.for_s.is_some_and(|s| !(s > 0.0 && s.is_finite())) {
+            return Err("for_s: must be above 0".into());
+        }
+        self.relays(&f.relays).map_err(|e| format!("relays: {e}"))?;
+        if f.kind.is_link() != f.link.is_some() {
+            let why =
+                if f.kind.is_link() { "must be told which link" } else { "is for faults of links only" };
+            return Err(format!("link: {why}"));
+        }
+        if f.kind == Kind::Slow && f.delay_ms + f.jitter_ms + f.bytes_per_s == 0 {
+            return Err("delay_ms: a slow link needs a delay, a jitter or bytes_per_s".into());
+        }
+        if f.kind == Kind::Tear && f.after_bytes == 0 {
+            return Err("after_bytes: must be above 0".into());
+        }
+        if matches!(f.kind, Kind::Stop | Kind::ListDown) && f.for_s.is_none() {
+            return Err("for_s: must be told".into());
+        }
+        if f.back_over_s.is_some() && !(f.kind.is_end() && f.for_s.is_some()) {
+            return Err("back_over_s: is for processes that come back".into());
+        }
+        if (f.kind == Kind::Partner) != f.trouble.is_some() || f.trouble.is_some() != f.dest.is_some() {
+            return Err("trouble: a partner needs dest and trouble, and nothing else has them".into());
+        }
+        let dests = self.experiment().dests();
+        if f.dest.is_some_and(|dest| dest >= dests) {
+            return Err(format!("dest: there are {dests}"));
+        }
+        if f.trouble.is_some_and(|t| !matches!(t, Event::Drain | Event::Trouble(_)))
+            || matches!(f.trouble, Some(Event::Trouble(Trouble::Refuse | Trouble::Down)))
+        {
+            return Err("trouble: drain, or one that leaves the endpoints' listeners alone".into());
+        }
+        Ok(())
+    }
+
+    /// The relays that a fault names.
+    pub fn relays(&self, named: &str) -> Result<Vec<usize>, String> {
+        let mut all = Vec::new();
+        for name in named.split(',').map(str::trim) {
+            match self.groups.get(name) {
+                Some(group) => all.extend(self.plain(group)?),
+                None => all.extend(self.plain(name)?),
+            }
+        }
+        all.sort_unstable();
+        all.dedup();
+        Ok(all)
+    }
+
+    /// The same, without groups' names.
+    fn plain(&self, named: &str) -> Result<Vec<usize>, String> {
+        let count = self.relay.count;
+        let number = |name: &str| name.strip_prefix('r').and_then(|n| n.parse::<usize>().ok());
+        let mut all = Vec::new();
+        for name in named.split(',').map(str::trim) {
+            let (first, last) = match name.split_once('-') {
+                None if name == "all" => (0, count - 1),
+                None => match name.strip_suffix('%').and_then(|n| n.parse::<f64>().ok()) {
+                    Some(share) if share > 0.0 && share <= 100.0 => {
+                        (0, (((count as f64) * share / 100.0).round() as usize).max(1) - 1)
+                    }
+                    _ => number(name).map(|n| (n, n)).ok_or(format!("`{name}` names no relays"))?,
+                },
+                Some((first, last)) => {
+                    number(first).zip(number(last)).ok_or(format!("`{name}` names no relays"))?
+                }
+            };
+            if first > last || last >= count {
+                return Err(format!("`{name}`: there are r0 to r{}", count - 1));
+            }
+            all.extend(first..=last);
+        }
+        Ok(all)
+    }
+
+    /// What the laboratory's parts are told.
+    pub fn experiment(&self) -> Experiment {
+        Experiment {
+            name: self.name.clone(),
+            about: self.about.clone(),
+            seed: self.seed,
+            seconds: self.seconds,
+            relay: self.relay.clone(),
+            partners: self.partners.clone(),
+            load: self.load.clone(),
+            list: ListTable { service: self.service.clone(), ..ListTable::default() },
+            troubles: Vec::new(),
+            sizes: Vec::new(),
+            repeats: 1,
+            virtual_time: false,
+            return_s: None,
+            expectations: Vec::new(),
+        }
+    }
+
+    /// The links that some fault is about: only they are carried by forwarders.
+    pub fn carried(&self) -> Vec<LinkTo> {
+        let mut all: Vec<_> = self.faults.iter().filter_map(|f| f.link).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub const PLAIN: &str = "name = \"p\"\nseconds = 5.0\n[relay]\ncount = 10\n[[partners]]\ncount = 2\n[load]\nrate = 5.0\n\
+                             [groups]\nodd = \"r1, r3,r5-r6\"\n";
+
+    #[test]
+    fn relays_are_named_in_several_ways() {
+        let schedule = Schedule::parse(PLAIN).expect("sound");
+        assert_eq!(schedule.relays("70%").expect("named"), (0..7).collect::<Vec<_>>());
+        assert_eq!(schedule.relays("odd,r5").expect("named"), [1, 3, 5, 6]);
+        assert_eq!(schedule.relays("all").expect("named").len(), 10);
+        for wrong in ["r10", "r4-r2", "even", "", "0%", "101%"] {
+            assert!(schedule.relays(wrong).is_err(), "{wrong}");
+        }
+    }
+
+    #[test]
+    fn a_schedule_is_the_same_once_written_and_read() {
+        let fault = "[[fault]]\nat_s = 1.0\nfor_s = 2.0\nkind = \"slow\"\nlink = \"list\"\ndelay_ms = 9\n\
+                     [[fault]]\nat_s = 1\nkind = \"partner\"\ndest = 1\ntrouble = \"drain\"\n";
+        let schedule = Schedule::parse(&format!("{PLAIN}{fault}")).expect("sound");
+        assert_eq!(Schedule::parse(&schedule.text()).expect("sound"), schedule);
+        assert_eq!(schedule.carried(), [LinkTo::List]);
+    }
+
+    #[test]
+    fn faults_name_their_key() {
+        let faulty = |more: &str| Schedule::parse(&format!("{PLAIN}{more}")).expect_err("faulty");
+        for (more, key) in [
+            ("[[fault]]\nat_s = 1\nkind = \"cut\"\n", "fault[0].link"),
+            ("[[fault]]\nat_s = 1\nkind = \"kill\"\nlink = \"list\"\n", "fault[0].link"),
+            ("[[fault]]\nat_s = -1\nkind = \"kill\"\n", "fault[0].at_s"),
+            ("[[fault]]\nat_s = 1\nkind = \"stop\"\n", "fault[0].for_s"),
+            ("[[fault]]\nat_s = 1\nkind = \"kill\"\nrelays = \"r77\"\n", "fault[0].relays"),
+            ("[[fault]]\nat_s = 1\nkind = \"slow\"\nlink = \"list\"\n", "fault[0].delay_ms"),
+            ("[[fault]]\nat_s = 1\nkind = \"tear\"\nlink = \"list\"\n", "fault[0].after_bytes"),
+            ("[[fault]]\nat_s = 1\nkind = \"kill\"\nback_over_s = 2.0\n", "fault[0].back_over_s"),
+            ("[[fault]]\nat_s = 1\nkind = \"partner\"\n", "fault[0].trouble"),
+            ("[[fault]]\nat_s = 1\nkind = \"partner\"\ndest = 2\ntrouble = \"hang\"\n", "fault[0].dest"),
+            ("[[fault]]\nat_s = 1\nkind = \"melt\"\n", "fault[0].kind"),
+            ("[start]\nover_s = 99.0\n", "start.over_s"),
+            ("[service]\nthrown_part = 2.0\n", "service.thrown_part"),
+            ("[service]\nwhole = 2.0\n", "service.whole"),
+        ] {
+            let why = faulty(more);
+            assert!(why.starts_with(key), "{why}, not {key}");
+        }
+    }
+}
--- /dev/null
+++ b/rig/tests/short.rs
@@ -0,0 +1,68 @@
+//! Short schedules against processes of the real program. Verdicts are the promises and what the schedule itself expects.
+use onyxglade_lab::relay::program;
+use onyxglade_rig::history::{History, What};
+use onyxglade_rig::play::{Programs, play};
+use onyxglade_rig::report::Outcome;
+use onyxglade_rig::schedule::Schedule;
+use std::path::Path;
+use tokio::task::LocalSet;
+
+fn played(schedule: &Schedule) -> (Outcome, History) {
+    let programs = Programs { present: program().expect("the relay"), before: None };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let folder = tempfile::tempdir().expect("a folder");
+    LocalSet::new().block_on(&runtime, play(schedule, &programs, folder.path(), false)).expect("played")
+}
+
+fn read(name: &str) -> Schedule {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("schedules").join(name);
+    Schedule::read(&file).expect("sound")
+}
+
+fn holds(name: &str) -> History {
+    let (outcome, history) = played(&read(name));
+    assert!(outcome.held(), "{outcome:?}");
+    assert!(history.delivered > 0, "{outcome:?}");
+    history
+}
+
+#[test]
+fn a_cold_start_before_a_slow_list_service_ends_with_lists_for_all() {
+    let history = holds("short-cold-start.toml");
+    assert!(history.events.iter().any(|e| e.relay == 5 && e.what == What::Stopped));
+}
+
+#[test]
+fn a_power_loss_repeats_no_order_and_loses_no_message() {
+    let history = holds("short-power-loss.toml");
+    let started = history.events.iter().filter(|e| e.what == What::Started).count();
+    assert_eq!(started, 5 + 5 + 3);
+}
+
+#[test]
+fn links_that_go_wrong_in_every_way_break_no_rule() {
+    holds("short-links.toml");
+}
+
+/// What the rig says is not kept when it is not: a relay that never reaches the list service.
+#[test]
+fn a_relay_that_cannot_have_a_list_is_told_of() {
+    let mut schedule = read("short-cold-start.toml");
+    (schedule.faults[0].for_s, schedule.seconds) = (None, 2.0);
+    let (outcome, _) = played(&schedule);
+    assert!(outcome.promises_broken.contains_key("all-hold-the-list"), "{outcome:?}");
+    assert_eq!(outcome.figures["without_list"], 1.0);
+}
+
+#[test]
+fn every_schedule_that_is_shipped_can_be_read() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("schedules");
+    let mut files = 0;
+    for entry in std::fs::read_dir(folder).expect("schedules") {
+        let path = entry.expect("an entry").path();
+        let schedule = Schedule::read(&path).expect("sound");
+        assert_eq!(path.file_stem().and_then(|s| s.to_str()), Some(schedule.name.as_str()));
+        files += 1;
+    }
+    assert!(files >= 4);
+}
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -7,9 +7,8 @@
 //! What a failure says is told apart by what was heard, and by whether anything was ever listed. Who has a list may have
 //! missed the word of a drain, and asks again soon. Who has none sends nothing that a drain could stop: it has its turn
 //! among all couriers, and after each call that was thrown away, or waited in vain, a turn twice as wide.
-use crate::choice::Courier;
-use crate::interface::{Action, ListScope, Nanos, Settings};
-use crate::state::{Message, Random, SECOND, nanos, secs};
+use crate::interface::{ListScope, Nanos, Settings};
+use crate::state::{Random, SECOND, nanos, secs};
 
 /// The timer that ends a pause.
 pub const ASK_NONCE: u64 = 2;
@@ -44,7 +43,8 @@
     listed: bool,
     /// The time in which all couriers without a list have their turn, as far as this one knows.
     turn: Nanos,
-    started: bool,
+    /// The first ask has been decided on.
+    pub started: bool,
     /// When the call was begun that is out.
     asked_at: Option<Nanos>,
     /// When the next one begins.
@@ -133,36 +133,3 @@
         if self.torn { FIRST } else { spaced.max(FIRST) }
     }
 }
-
-impl Courier {
-    /// How long an answer is waited for that brings the first list, in nanoseconds; none where one is known.
-    pub fn list_patience(&self) -> Option<Nanos> {
-        self.asking.patience()
-    }
-
-    /// Asks for the first time, where the list is to be asked for. In a first round, what is listed has come in.
-    pub(crate) fn ask_first(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.asking.started, true) && self.settings.list_on_request {
-            let after = self.asking.start(now, &mut self.random);
-            self.ask(now, after, actions);
-        }
-    }
-
-    /// Asks for the list, now or after a pause.
-    pub(crate) fn ask(&mut self, now: Nanos, after: Nanos, actions: &mut Vec<Action>) {
-        if after > 0 {
-            actions.push(Action::SetTimer { nonce: ASK_NONCE, after });
-        } else {
-            self.asking.asked(now);
-            actions.push(Action::Follow { want: true });
-        }
-    }
-
-    /// Whether nothing is listed, and will not be before half of the time is over in which a message meets its aim (its
-    /// end, once that is past). Given back now, it may be served by another courier yet.
-    pub(crate) fn outlasted(&self, now: Nanos, message: &Message) -> bool {
-        let awaited = self.asking.awaited(now);
-        let end = if now < message.aim_at { message.aim_at } else { message.deadline };
-        awaited > 0 && now + 2 * awaited > end
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod rest;
 mod roster;
 mod state;
+mod unlisted;
 mod waiting;
 
 pub use choice::Courier;
