--- /dev/null
+++ b/instances/src/lib.rs
@@ -0,0 +1,21 @@
+//! Which instances of the relay are there.
+//!
+//! Owns who is thought to be there and what is said about it: [`Member`] is what an instance tells of itself, [`Swim`] the protocol
+//! of suspicion and refutation as a state machine, [`Sealed`] the frames that carry it, tagged with a shared key. It may know
+//! neither sockets nor clocks nor files: time and datagrams go in, datagrams and changes come out. The relay and the
+//! simulation of the tests drive the very same code.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod member;
+mod seal;
+mod swim;
+
+pub use member::{LONGEST, Member};
+pub use seal::{Key, KeyFault, Sealed, Unsealed};
+pub use swim::{Change, Config, Counts, Input, Output, Seen, Swim};
+
+use std::time::Duration;
+
+/// Time on one machine's monotonic clock, since any moment before all else.
+pub type At = Duration;
--- /dev/null
+++ b/instances/src/seal.rs
@@ -0,0 +1,231 @@
+//! Frames with a keyed tag and a counter, so that a stranger and a replay change nothing.
+//!
+//! A frame is: version (1 byte), the sender's number (8, drawn anew with each process), the time of sending (8, Unix milliseconds), a
+//! counter (8), the payload, and the first 16 bytes of HMAC-SHA256 over all that. Numbers are big-endian. One shared key, no
+//! sign-in, no secrecy: whoever has the key is believed, and whoever listens can read.
+use ring::hmac;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::At;
+
+const VERSION: u8 = 1;
+const HEAD: usize = 1 + 8 + 8 + 8;
+const TAG: usize = 16;
+/// Shortest key, in bytes.
+const SHORTEST_KEY: usize = 32;
+/// Clocks may differ by so much. Guards against frames of processes that are long gone, which nobody remembers.
+const SKEW: Duration = Duration::from_secs(120);
+/// Senders that are remembered. Only who has the key can add to them; one more is refused, not another forgotten.
+const SENDERS: usize = 4096;
+/// Frames that may overtake each other.
+const WINDOW: u64 = 64;
+
+/// The shared key.
+#[derive(Clone)]
+pub struct Key(hmac::Key);
+
+/// Why a key is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyFault {
+    /// It has fewer than 32 bytes.
+    TooShort(usize),
+}
+
+impl std::fmt::Display for KeyFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let KeyFault::TooShort(had) = self;
+        write!(f, "a key needs at least {SHORTEST_KEY} bytes, this one has {had}")
+    }
+}
+
+impl Key {
+    /// The key that a file holds; white space round it does not count.
+    pub fn read(text: &[u8]) -> Result<Key, KeyFault> {
+        let text = text.trim_ascii();
+        match text.len() {
+            0..SHORTEST_KEY => Err(KeyFault::TooShort(text.len())),
+            _ => Ok(Key(hmac::Key::new(hmac::HMAC_SHA256, text))),
+        }
+    }
+}
+
+/// Why a frame is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsealed {
+    /// It is no frame of ours, or of another version.
+    Form,
+    /// Its tag is not the key's.
+    Tag,
+    /// It was sent too long ago, or in the future, by this machine's clock.
+    Time,
+    /// It came before.
+    Replay,
+    /// There are too many senders already.
+    Crowded,
+}
+
+/// Frames of one process, and what it remembers of others'.
+pub struct Sealed {
+    key: Key,
+    sender: u64,
+    counter: u64,
+    senders: HashMap<u64, Heard>,
+}
+
+/// What came of one sender.
+struct Heard {
+    /// The highest counter, and which of those before it came.
+    highest: u64,
+    before: u64,
+    last: At,
+}
+
+impl Sealed {
+    /// Frames under a key, by a sender whose number nobody else has.
+    pub fn new(key: Key, sender: u64) -> Self {
+        Sealed { key, sender, counter: 0, senders: HashMap::new() }
+    }
+
+    /// A frame with a payload, sent at a time of the wall clock.
+    pub fn seal(&mut self, payload: &[u8], unix: Duration) -> Vec<u8> {
+        self.counter += 1;
+        let mut frame = Vec::with_capacity(HEAD + payload.len() + TAG);
+        frame.push(VERSION);
+        frame.extend_from_slice(&self.sender.to_be_bytes());
+        frame.extend_from_slice(&(unix.as_millis() as u64).to_be_bytes());
+        frame.extend_from_slice(&self.counter.to_be_bytes());
+        frame.extend_from_slice(payload);
+        let tag = hmac::sign(&self.key.0, &frame);
+        frame.extend_from_slice(&tag.as_ref()[..TAG]);
+        frame
+    }
+
+    /// The payload of a frame that came at a time of this machine's clocks.
+    pub fn open<'a>(&mut self, frame: &'a [u8], now: At, unix: Duration) -> Result<&'a [u8], Unsealed> {
+        if frame.len() < HEAD + TAG || frame[0] != VERSION {
+            return Err(Unsealed::Form);
+        }
+        let (body, tag) = frame.split_at(frame.len() - TAG);
+        let whole = hmac::sign(&self.key.0, body);
+        // Whoever times this learns nothing: comparing is over all bytes, whatever they are.
+        let differs = whole.as_ref()[..TAG].iter().zip(tag).fold(0, |differs, (a, b)| differs | (a ^ b));
+        if differs != 0 {
+            return Err(Unsealed::Tag);
+        }
+        let number = |at: usize| u64::from_be_bytes(body[at..at + 8].try_into().expect("eight bytes"));
+        let (sender, sent, counter) = (number(1), Duration::from_millis(number(9)), number(17));
+        if sent.abs_diff(unix) > SKEW {
+            return Err(Unsealed::Time);
+        }
+        self.heard(sender, counter, now)?;
+        Ok(&body[HEAD..])
+    }
+
+    /// Books a frame; each is taken once, as long as its time would let it pass.
+    fn heard(&mut self, sender: u64, counter: u64, now: At) -> Result<(), Unsealed> {
+        if !self.senders.contains_key(&sender) && self.senders.len() >= SENDERS {
+            self.senders.retain(|_, heard| now < heard.last + 2 * SKEW);
+            if self.senders.len() >= SENDERS {
+                return Err(Unsealed::Crowded);
+            }
+        }
+        let heard = self.senders.entry(sender).or_insert(Heard { highest: 0, before: 0, last: now });
+        if counter > heard.highest {
+            let on = counter - heard.highest;
+            // The highest so far is one of those before, from here on.
+            heard.before = if on >= WINDOW { 0 } else { (heard.before << on) | (1 << (on - 1)) };
+            heard.highest = counter;
+        } else {
+            let back = heard.highest - counter;
+            if back == 0 || back > WINDOW || heard.before & (1 << (back - 1)) != 0 {
+                return Err(Unsealed::Replay);
+            }
+            heard.before |= 1 << (back - 1);
+        }
+        heard.last = now;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::HashSet;
+
+    const UNIX: Duration = Duration::from_secs(1_800_000_000);
+
+    fn key(byte: u8) -> Key {
+        Key::read(&[byte; 32]).expect("long enough")
+    }
+
+    fn pair() -> (Sealed, Sealed) {
+        (Sealed::new(key(7), 1), Sealed::new(key(7), 2))
+    }
+
+    #[test]
+    fn what_is_sealed_is_opened_once_and_by_the_key_only() {
+        let (mut a, mut b) = pair();
+        let frame = a.seal(b"hello", UNIX);
+        assert_eq!(b.open(&frame, At::ZERO, UNIX), Ok(&b"hello"[..]));
+        assert_eq!(b.open(&frame, At::ZERO, UNIX), Err(Unsealed::Replay));
+        let other = Sealed::new(key(8), 3).seal(b"hello", UNIX);
+        assert_eq!(b.open(&other, At::ZERO, UNIX), Err(Unsealed::Tag));
+        assert_eq!(b.open(b"", At::ZERO, UNIX), Err(Unsealed::Form));
+        for place in 1..frame.len() {
+            let mut spoilt = a.seal(b"hello", UNIX);
+            spoilt[place] ^= 1;
+            assert_eq!(b.open(&spoilt, At::ZERO, UNIX), Err(Unsealed::Tag), "byte {place}");
+        }
+    }
+
+    #[test]
+    fn clocks_may_differ_by_half_a_minute_and_old_frames_are_none() {
+        let (mut a, mut b) = pair();
+        for (seconds, taken) in [(30, true), (119, true), (121, false), (3600, false)] {
+            for sent in [UNIX - Duration::from_secs(seconds), UNIX + Duration::from_secs(seconds)] {
+                let frame = a.seal(b"x", sent);
+                assert_eq!(b.open(&frame, At::ZERO, UNIX).is_ok(), taken, "{seconds} s");
+            }
+        }
+    }
+
+    #[test]
+    fn senders_are_bounded_and_forgotten_once_their_frames_are_too_old() {
+        let mut b = Sealed::new(key(7), 0);
+        for sender in 1..=SENDERS as u64 {
+            assert!(b.open(&Sealed::new(key(7), sender).seal(b"x", UNIX), At::ZERO, UNIX).is_ok());
+        }
+        let one_more = Sealed::new(key(7), 1 << 40).seal(b"x", UNIX);
+        assert_eq!(b.open(&one_more, At::ZERO, UNIX), Err(Unsealed::Crowded));
+        assert!(b.open(&one_more, 2 * SKEW, UNIX).is_ok());
+        assert_eq!(b.senders.len(), 1);
+    }
+
+    #[test]
+    fn a_short_key_is_none() {
+        assert_eq!(Key::read(b"  short\n").err(), Some(KeyFault::TooShort(5)));
+        assert!(Key::read(format!(" {}\n", "k".repeat(32)).as_bytes()).is_ok());
+    }
+
+    proptest! {
+        /// In whatever order frames come, each is taken at most once; those within the window are taken.
+        #[test]
+        fn each_frame_is_taken_at_most_once(order in prop::collection::vec(1u64..400, 1..400)) {
+            let mut b = Sealed::new(key(7), 0);
+            let (mut taken, mut highest) = (HashSet::new(), 0);
+            for counter in order {
+                let fresh = b.heard(1, counter, At::ZERO).is_ok();
+                prop_assert!(!fresh || !taken.contains(&counter));
+                if !taken.contains(&counter) && counter + WINDOW >= highest {
+                    prop_assert!(fresh, "{counter} of {highest}");
+                }
+                if fresh {
+                    taken.insert(counter);
+                }
+                highest = highest.max(counter);
+            }
+        }
+    }
+}
--- a/relay/src/admin/call.rs
+++ b/relay/src/admin/call.rs
@@ -8,6 +8,8 @@
 pub enum Call {
     Ready,
     Figures,
+    /// The other instances, as this one sees them.
+    Instances,
     /// Leave an endpoint out, or take it back.
     Endpoint {
         id: String,
@@ -31,6 +33,7 @@
         let (wanted, call) = match path.strip_prefix("/-/") {
             Some("ready") => (Method::GET, Call::Ready),
             Some("metrics") => (Method::GET, Call::Figures),
+            Some("instances") => (Method::GET, Call::Instances),
             Some("drain") => (Method::PUT, Call::Drain),
             Some("resume") => (Method::PUT, Call::Resume),
             rest => {
@@ -87,6 +90,7 @@
         let cases = [
             ("GET", "/-/ready", Ok(Call::Ready)),
             ("GET", "/-/metrics", Ok(Call::Figures)),
+            ("GET", "/-/instances", Ok(Call::Instances)),
             ("PUT", "/-/drain", Ok(Call::Drain)),
             ("PUT", "/-/resume", Ok(Call::Resume)),
             ("PUT", "/-/endpoints/s-5be2a07c/disable", endpoint("s-5be2a07c", true)),
--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -18,6 +18,7 @@
 use crate::core::NotOut;
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::figures::{Census, Figures};
+use crate::instances::Instances;
 use crate::outs::Refused;
 use crate::presence::Word;
 use call::{Call, Unfit};
@@ -55,6 +56,8 @@
     opened: Notify,
     /// It can serve, be it only once another process has let go.
     ready: Cell<bool>,
+    /// None where this instance talks to no others.
+    instances: RefCell<Option<Rc<Instances>>>,
     process: Rc<dyn Process>,
 }
 
@@ -65,6 +68,7 @@
             fronts: RefCell::default(),
             opened: Notify::new(),
             ready: Cell::new(false),
+            instances: RefCell::default(),
             process,
         })
     }
@@ -74,6 +78,10 @@
         self.ready.set(true);
     }
 
+    pub fn set_instances(&self, instances: Option<Rc<Instances>>) {
+        *self.instances.borrow_mut() = instances;
+    }
+
     /// The fronts can serve.
     pub fn open(&self, fronts: Vec<Rc<dyn Front>>) {
         self.set_ready();
@@ -114,6 +122,15 @@
                 let text = Response::with_body(StatusCode::OK, self.figures.text(census));
                 of_type(text, prometheus::TEXT_FORMAT)
             }
+            Ok(Call::Instances) => match &*self.instances.borrow() {
+                Some(instances) => {
+                    let view = Response::with_body(StatusCode::OK, instances.view().to_string());
+                    of_type(view, "application/json")
+                }
+                None => {
+                    said(StatusCode::NOT_FOUND, "this relay talks to no others: its file has no [instances]")
+                }
+            },
             Ok(_) if !self.is_open().await => {
                 said(StatusCode::SERVICE_UNAVAILABLE, "another process still runs the relay: ask there")
             }
--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -1,4 +1,5 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
+use onyxglade_instances::{Key, LONGEST};
 use rustls::pki_types::ServerName;
 use serde::de::IntoDeserializer;
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use crate::job::nanos;
+use crate::json::decode;
 use crate::list::{Lifecycle, ListText, NodeEntry, NodeList};
 use crate::tls;
 
@@ -151,14 +153,6 @@
     Ok(Rules { settings, names })
 }
 
-/// Decodes JSON; a fault names the path of the key.
-pub fn decode<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, String> {
-    serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(text)).map_err(|e| {
-        let path = e.path().to_string();
-        if path == "." { e.inner().to_string() } else { format!("{path}: {}", e.inner()) }
-    })
-}
-
 fn variable(name: &str) -> Result<Option<String>, String> {
     match std::env::var(name) {
         Ok(value) if value.is_empty() => Ok(None),
@@ -188,6 +182,27 @@
     pub idle: Idle,
     /// Where those who run the relay call.
     pub admin: Option<SocketAddr>,
+    /// The other instances, if this one talks to any.
+    pub instances: Option<Instances>,
+}
+
+/// How an instance talks to the others.
+#[derive(Clone)]
+pub struct Instances {
+    /// Where it listens for datagrams.
+    pub listen: SocketAddr,
+    /// Where others reach it; where it listens, if nothing is said.
+    pub advertise: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub key: Key,
+    /// Its name; the platform's name for it, if nothing is said.
+    pub name: Option<String>,
+    pub zone: String,
+    pub region: String,
+    /// Messages a second that it bears; 0 is untold.
+    pub capacity: u32,
+    /// About how many instances there are.
+    pub expected: u32,
 }
 
 /// How destinations are kept that are seldom used, on the fronts that are on.
@@ -320,6 +335,8 @@
     pub hook: Option<HookTable>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idle: Option<IdleTable>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instances: Option<InstancesTable>,
     #[serde(default)]
     pub limits: LimitsTable,
     #[serde(default)]
@@ -332,6 +349,27 @@
     pub locations: Vec<LocationTable>,
 }
 
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstancesTable {
+    pub listen: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<String>,
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    pub key_file: PathBuf,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub name: Option<String>,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub region: String,
+    #[serde(default)]
+    pub capacity: u32,
+    #[serde(default = "default_expected")]
+    pub expected: u32,
+}
+
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PushTable {
@@ -504,6 +542,10 @@
     256
 }
 
+fn default_expected() -> u32 {
+    3
+}
+
 fn default_worth() -> f64 {
     1.0
 }
@@ -536,7 +578,49 @@
         address.map_err(|_| faults.push(format!("admin: '{text}' is no address and port"))).ok()
     });
     let push = file.push.take().and_then(|table| push(table, &file, &idle, &mut faults));
-    if faults.is_empty() { Ok(Own { push, hook, idle, admin }) } else { Err(faults) }
+    let instances = file.instances.take().and_then(|table| instances(table, &mut faults));
+    if faults.is_empty() { Ok(Own { push, hook, idle, admin, instances }) } else { Err(faults) }
+}
+
+/// Most instances, which is what the traffic among them is measured for.
+const MOST_INSTANCES: u32 = 1000;
+
+fn instances(table: InstancesTable, faults: &mut Vec<String>) -> Option<Instances> {
+    let found = faults.len();
+    let mut address = |key: &str, text: &str| {
+        let address = text.parse::<SocketAddr>().ok();
+        if address.is_none() {
+            faults.push(format!("instances.{key}: '{text}' is no address and port"));
+        }
+        address
+    };
+    let listen = address("listen", &table.listen);
+    let advertise = table.advertise.as_deref().and_then(|text| address("advertise", text));
+    let seeds = table.seeds.iter().enumerate();
+    let seeds = seeds.filter_map(|(n, text)| address(&format!("seeds[{n}]"), text)).collect();
+    // Others are told it, so it has to lead to this instance.
+    if let Some(told) = advertise.or(listen)
+        && (told.ip().is_unspecified() || advertise.is_some_and(|a| a.port() == 0))
+    {
+        faults.push(format!("instances.advertise: others cannot reach {told}"));
+    }
+    for (key, text) in
+        [("name", table.name.as_deref()), ("zone", Some(&*table.zone)), ("region", Some(&*table.region))]
+    {
+        if text.is_some_and(|t| t.len() > LONGEST || t.chars().any(char::is_control)) {
+            faults.push(format!("instances.{key}: at most {LONGEST} bytes, without control characters"));
+        }
+    }
+    if !(1..=MOST_INSTANCES).contains(&table.expected) {
+        faults.push(format!("instances.expected: must be from 1 to {MOST_INSTANCES}"));
+    }
+    let path = table.key_file.display();
+    let read = std::fs::read(&table.key_file).map_err(|e| format!("cannot read {path}: {e}"));
+    let key = read.and_then(|text| Key::read(&text).map_err(|e| format!("{path}: {e}")));
+    let key = key.map_err(|e| faults.push(format!("instances.key_file: {e}"))).ok()?;
+    let InstancesTable { name, zone, region, capacity, expected, .. } = table;
+    let listen = listen.filter(|_| faults.len() == found)?;
+    Some(Instances { listen, advertise, seeds, key, name, zone, region, capacity, expected })
 }
 
 fn idle(table: IdleTable, faults: &mut Vec<String>) -> Idle {
@@ -574,7 +658,11 @@
         let (locations, gateways) = (push.locations.len(), push.gateways.len());
         format!("a second front on {}, {locations} locations, {gateways} gateways", push.listen)
     });
-    Ok(format!("{push}, {}", if own.hook.is_some() { "a plug-in" } else { "no plug-in" }))
+    let hook = if own.hook.is_some() { "a plug-in" } else { "no plug-in" };
+    let instances = own.instances.map_or(String::new(), |told| {
+        format!(", talks to other instances on {} ({} seeds)", told.listen, told.seeds.len())
+    });
+    Ok(format!("{push}, {hook}{instances}"))
 }
 
 /// A table's second front; faults are added to `faults`, and nothing is given where there are any of its own.
@@ -836,6 +924,41 @@
         }
     }
 
+    #[test]
+    fn the_instances_table_is_checked_key_by_key() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (key, short) = (folder.path().join("key"), folder.path().join("short"));
+        std::fs::write(&key, "k".repeat(32)).expect("written");
+        std::fs::write(&short, "k").expect("written");
+        let file =
+            |more: &str| format!("[instances]\nlisten = \"127.0.0.1:7946\"\nkey_file = {key:?}\n{more}");
+        let told = own_text(&file("seeds = [\"127.0.0.1:7947\"]\nzone = \"a\"\n")).expect("sound");
+        let told = told.instances.expect("it talks to others");
+        assert_eq!((told.seeds.len(), &*told.zone, told.expected, told.advertise), (1, "a", 3, None));
+        assert!(own_text("").expect("sound").instances.is_none(), "off unless the file says otherwise");
+        let long = format!("zone = \"{}\"", "z".repeat(LONGEST + 1));
+        for (more, fault) in [
+            ("seeds = [\"here\"]", "instances.seeds[0]"),
+            ("advertise = \"0.0.0.0:7946\"", "instances.advertise"),
+            ("advertise = \"127.0.0.1\"", "instances.advertise"),
+            ("expected = 0", "instances.expected"),
+            ("tls = true", "instances"),
+            (&*long, "instances.zone"),
+        ] {
+            let told = own_text(&file(more)).err().expect("faulty");
+            assert!(told.contains(fault), "{more}: {told}");
+        }
+        for (from, to, fault) in [
+            (&*format!("{key:?}"), &*format!("{short:?}"), "instances.key_file"),
+            (&*format!("{key:?}"), "\"/none\"", "instances.key_file"),
+            ("127.0.0.1:7946", "localhost", "instances.listen"),
+            ("127.0.0.1:7946", "0.0.0.0:7946", "instances.advertise"),
+        ] {
+            let told = own_text(&file("").replace(from, to)).err().expect("faulty");
+            assert!(told.contains(fault), "{to}: {told}");
+        }
+    }
+
     #[test]
     fn every_fault_is_told_and_the_idle_table_has_bounds() {
         let text = FILE.replacen("slots = 64", "slots = 0", 1).replacen("127.0.0.1:8480", "here", 1);
--- /dev/null
+++ b/relay/src/instances/mod.rs
@@ -0,0 +1,208 @@
+//! The other instances: the sockets round [`onyxglade_instances::Swim`], and what those who run the relay see of its view. Decides
+//! nothing. Without `[instances]` in the relay's own file there is no socket and nothing here runs.
+use onyxglade_instances::{Change, Config, Input, Member, Output, Swim};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::config;
+
+/// Largest datagram that is read; a longer one is none of ours.
+const LARGEST: usize = 2048;
+/// How often it is tried to listen, where the process before still does or the network is not there yet.
+const LISTEN_AGAIN: Duration = Duration::from_millis(200);
+/// How long a question at the second address may take.
+const ASK: Duration = Duration::from_secs(2);
+
+/// The others, as this instance sees them.
+pub struct Instances {
+    told: config::Instances,
+    begun: Instant,
+    swim: RefCell<Option<Swim>>,
+    leaving: Cell<bool>,
+    left: Notify,
+    leave: Notify,
+}
+
+impl Instances {
+    /// Talks to the others from now on. The relay does not wait for it.
+    pub fn start(told: config::Instances, name: Option<String>) -> Rc<Self> {
+        let instances = Rc::new(Instances {
+            told,
+            begun: Instant::now(),
+            swim: RefCell::default(),
+            leaving: Cell::new(false),
+            left: Notify::new(),
+            leave: Notify::new(),
+        });
+        actix_rt::spawn(instances.clone().run(name));
+        instances
+    }
+
+    async fn listen(&self) -> UdpSocket {
+        let mut told = false;
+        loop {
+            match UdpSocket::bind(self.told.listen).await {
+                Ok(socket) => return socket,
+                Err(fault) => {
+                    if !std::mem::replace(&mut told, true) {
+                        let listen = self.told.listen;
+                        tracing::warn!(%fault, %listen, "instances: cannot listen yet; trying on");
+                    }
+                    sleep(LISTEN_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn run(self: Rc<Self>, name: Option<String>) {
+        let socket = self.listen().await;
+        let told = &self.told;
+        let address = told.advertise.or(socket.local_addr().ok()).unwrap_or(told.listen);
+        let unix = unix();
+        let me = Member {
+            life: unix.as_millis() as u64,
+            name: told.name.clone().or(name).unwrap_or_else(|| address.to_string()),
+            zone: told.zone.clone(),
+            region: told.region.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            capacity: told.capacity,
+            ..Member::at(address)
+        };
+        tracing::info!(name = me.name, listen = %address, seeds = told.seeds.len(), "instances: listening");
+        let config = Config { seeds: told.seeds.clone(), size: told.expected };
+        // Another for each process, also for those that start in the same moment.
+        let seed =
+            (unix.as_nanos() as u64) ^ (u64::from(std::process::id()) << 32) ^ u64::from(address.port());
+        *self.swim.borrow_mut() = Some(Swim::new(me, config, told.key.clone(), seed, self.begun.elapsed()));
+        let mut buffer = [0; LARGEST];
+        let mut leaving = std::pin::pin!(self.leave.notified());
+        loop {
+            let due = self.swim.borrow().as_ref().and_then(Swim::due);
+            let due = self.begun + due.unwrap_or(Duration::from_secs(3600));
+            let outputs = tokio::select! {
+                biased;
+                () = &mut leaving => {
+                    let outputs = self.handle(Input::Leave);
+                    self.carry_out(&socket, outputs).await;
+                    return self.left.notify_one();
+                }
+                // What has come is heard before it is judged what has not.
+                got = socket.recv_from(&mut buffer) => match got {
+                    Ok((length, _)) => self.handle(Input::Datagram(&buffer[..length])),
+                    // A datagram of ours met nobody, as the system tells; that nobody answers shows by itself.
+                    Err(_) => Vec::new(),
+                },
+                () = sleep_until(due.into()) => self.handle(Input::Time),
+            };
+            self.carry_out(&socket, outputs).await;
+        }
+    }
+
+    fn handle(&self, input: Input) -> Vec<Output> {
+        let now = self.begun.elapsed();
+        self.swim.borrow_mut().as_mut().map_or(Vec::new(), |swim| swim.handle(now, unix(), input))
+    }
+
+    async fn carry_out(&self, socket: &UdpSocket, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                // Datagrams may be lost anyway: what the system refuses is not sent again.
+                Output::Send { to, bytes } => drop(socket.send_to(&bytes, to).await),
+                Output::Changed(Change::Up(m)) => {
+                    tracing::info!(name = m.name, address = %m.address, zone = m.zone, "instances: one is there");
+                }
+                Output::Changed(Change::Down(m)) => {
+                    tracing::info!(name = m.name, address = %m.address, zone = m.zone, "instances: one is gone");
+                }
+                Output::Changed(Change::Again(m)) => {
+                    tracing::info!(name = m.name, address = %m.address, zone = m.zone, "instances: one is there anew");
+                }
+                Output::Changed(Change::Refuted(life)) => {
+                    tracing::warn!(
+                        life,
+                        "instances: others took this one for gone; it says that it is there"
+                    );
+                }
+            }
+        }
+    }
+
+    /// Tells the others that this instance goes, so that nobody has to find out.
+    pub async fn leave(&self) {
+        if self.swim.borrow().is_some() && !self.leaving.replace(true) {
+            self.leave.notify_one();
+            // One turn of the task that talks to them.
+            let _ = timeout(Duration::from_millis(50), self.left.notified()).await;
+        }
+    }
+
+    /// The view, for those who run the relay.
+    pub fn view(&self) -> Value {
+        let swim = self.swim.borrow();
+        let Some(swim) = &*swim else {
+            return json!({"listening": false, "instances": []});
+        };
+        let member = |m: &Member| {
+            json!({"name": m.name, "address": m.address.to_string(), "life": m.life, "zone": m.zone, "region": m.region,
+                "version": m.version, "capacity": m.capacity})
+        };
+        let others = swim.members().into_iter().map(|seen| {
+            let mut other = member(&seen.member);
+            other["state"] = if seen.suspected { "suspected" } else { "there" }.into();
+            other
+        });
+        let counts = swim.counts();
+        json!({
+            "listening": true,
+            "me": member(swim.me()),
+            "instances": others.collect::<Vec<_>>(),
+            "counts": {"sent": counts.sent, "sent_bytes": counts.sent_bytes, "taken": counts.taken,
+                "strange": counts.strange, "unfit": counts.unfit, "slept": counts.slept},
+        })
+    }
+}
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Asks a running relay for its view.
+pub async fn ask(address: SocketAddr) -> Result<Value, String> {
+    let call = async {
+        let client = awc::Client::builder().disable_redirects().finish();
+        let mut answer =
+            client.get(format!("http://{address}/-/instances")).send().await.map_err(|e| e.to_string())?;
+        let body = answer.body().await.map_err(|e| e.to_string())?;
+        if answer.status() != 200 {
+            return Err(String::from_utf8_lossy(&body).trim().to_owned());
+        }
+        serde_json::from_slice(&body).map_err(|e| format!("its answer cannot be read: {e}"))
+    };
+    timeout(ASK, call).await.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).to_string()))
+}
+
+/// The view as a table.
+pub fn table(view: &Value) -> String {
+    let text = |v: &Value| v.as_str().map_or(v.to_string(), str::to_owned);
+    let others = view["instances"].as_array().map_or(&[][..], Vec::as_slice);
+    let mut table =
+        format!("{:<20} {:<22} {:<10} {:<10} {:<8} state\n", "name", "address", "zone", "region", "version");
+    let mut row = |m: &Value, state: &str| {
+        let [name, address, zone, region, version] =
+            ["name", "address", "zone", "region", "version"].map(|key| text(&m[key]));
+        table.push_str(&format!("{name:<20} {address:<22} {zone:<10} {region:<10} {version:<8} {state}\n"));
+    };
+    match view["me"].is_object() {
+        true => row(&view["me"], "asked"),
+        false => return "it does not listen yet\n".to_owned(),
+    }
+    others.iter().for_each(|m| row(m, &text(&m["state"])));
+    table
+}
--- a/relay/src/list.rs
+++ b/relay/src/list.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 use std::io;
 
-use crate::config::decode;
+use crate::json::decode;
 
 /// Entries of a list that are decoded and taken in together: well under a millisecond's work, since a job on its way
 /// gives way to several parts.
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
@@ -29,6 +30,14 @@
     /// Read and check a configuration: our own file (TOML) or the platform's (JSON). Each fault is told with its key;
     /// the exit code is 0 where there is none, else 2
     Check { file: PathBuf },
+    /// Show the other instances as a running relay sees them
+    Instances {
+        /// The relay's second address
+        address: SocketAddr,
+        /// As the JSON that it told
+        #[arg(long)]
+        json: bool,
+    },
     /// Make an authority and certificates for trying out TLS: authority.pem, server.pem and client.pem with their keys
     MakeCertificates {
         folder: PathBuf,
@@ -67,6 +76,7 @@
         None => start(line.run),
         Some(Command::Run(run)) => start(run),
         Some(Command::Check { file }) => check(&file),
+        Some(Command::Instances { address, json }) => instances(address, json),
         Some(Command::MakeCertificates { folder, names }) => make_certificates(&folder, &names),
         Some(Command::ImportNginx { file }) => import_nginx(&file),
     }
@@ -95,6 +105,19 @@
     }
 }
 
+fn instances(address: SocketAddr, json: bool) -> ExitCode {
+    match actix_rt::System::new().block_on(onyxglade::instances::ask(address)) {
+        Ok(view) => {
+            print!("{}", if json { format!("{view}\n") } else { onyxglade::instances::table(&view) });
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{address}: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn make_certificates(folder: &Path, names: &[String]) -> ExitCode {
     match tls::make(folder, names) {
         Ok(written) => {
--- a/relay/src/platform/batch.rs
+++ b/relay/src/platform/batch.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::carrier::KEY;
+use super::KEY;
 
 /// No body is larger than 64 KiB.
 const LONGEST: usize = 64 * 1024;
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -20,14 +20,13 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
+use super::KEY;
 use super::line::{Body, CLAIM, Lines, Rack, Trace};
 use crate::config::Rules;
 use crate::core::{Carrier, Core, Node, Part, Ticket};
 use crate::discovery::Place;
 use crate::job::{Job, Notice, Outcome, told_seconds};
 
-/// The header that passes a job's key through.
-pub const KEY: &str = "idempotency-key";
 /// How long a connection may be used; a machine that serves for a year must not tire of them.
 const LIFETIME: Duration = Duration::from_secs(365 * 24 * 3600);
 /// How often idle connections are looked at.
--- a/relay/src/platform/mod.rs
+++ b/relay/src/platform/mod.rs
@@ -5,3 +5,6 @@
 mod chunks;
 mod line;
 pub mod server;
+
+/// The header that passes a job's key through.
+const KEY: &str = "idempotency-key";
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 
-use super::carrier::KEY;
+use super::KEY;
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::job::{Answer, Job};
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -15,6 +15,7 @@
 use crate::figures::{Census, Figures};
 use crate::handover::{self, Elder};
 use crate::hook::Hooks;
+use crate::instances::Instances;
 use crate::journal::{Journal, Open};
 use crate::outs::Outs;
 use crate::presence::{Presence, Word};
@@ -43,7 +44,8 @@
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let platform = config::platform()?;
     let own = file.as_deref().map(config::own).transpose()?;
-    let own = own.unwrap_or(Own { push: None, hook: None, idle: Idle::default(), admin: None });
+    let own =
+        own.unwrap_or(Own { push: None, hook: None, idle: Idle::default(), admin: None, instances: None });
     if platform.is_none() && own.push.is_none() {
         return Err(
             "no front is configured: set BALANCER_CONFIG or name a file with [push] (--config FILE)".into()
@@ -62,6 +64,9 @@
         tracing::info!(listen = %listener.local_addr().unwrap_or(address), "second address is ready");
         actix_rt::spawn(desk.clone().accept(listener, Rc::new(Places::new(CALLERS))));
     }
+    let name = platform.as_ref().map(|platform| platform.name.clone());
+    let instances = own.instances.map(|told| Instances::start(told, name));
+    desk.set_instances(instances.clone());
     let platform = match platform {
         Some(platform) => {
             let upgrades = admin.is_some();
@@ -98,6 +103,9 @@
     }
     tracing::info!("SIGTERM: winding down");
     process.turn(Word::Terminate);
+    if let Some(instances) = &instances {
+        instances.leave().await;
+    }
     if let Some(platform) = &platform
         && platform.hand_over(process.presence.get().is_drained()).await
     {
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -12,6 +12,8 @@
     NoneCrashes,
     /// Each relay that runs at the end holds the list.
     AllHoldTheList,
+    /// Relays that talk to one another end up seeing all who run, and nobody else.
+    AllSeeAll,
     /// In one process's life, no list is replaced by an older one.
     NoOlderList,
     /// The list service's time goes into answers, at least two thirds of it.
@@ -23,10 +25,11 @@
 /// Relays that a check names, at most.
 const TOLD: usize = 10;
 
-pub const ALL: [(Promise, &str); 6] = [
+pub const ALL: [(Promise, &str); 7] = [
     (Promise::Rules, "rules"),
     (Promise::NoneCrashes, "none-crashes"),
     (Promise::AllHoldTheList, "all-hold-the-list"),
+    (Promise::AllSeeAll, "all-see-all"),
     (Promise::NoOlderList, "no-older-list"),
     (Promise::ServiceTimeIsUseful, "service-time-is-useful"),
     (Promise::EndpointsSpared, "endpoints-spared"),
@@ -45,20 +48,24 @@
             _ => None,
         }),
         Promise::AllHoldTheList => {
-            let runs = |relay| {
-                let mut life = history.events.iter().rev().filter(|e| e.relay == relay);
-                life.find_map(|e| match e.what {
-                    What::Started => Some(true),
-                    What::Ended | What::Crashed(_) => Some(false),
-                    _ => None,
-                })
-            };
             let listed = history.listed();
-            let without: Vec<_> =
-                (0..history.relays).filter(|r| runs(*r) == Some(true) && listed[*r].is_none()).collect();
+            let runs = history.running();
+            let without: Vec<_> = (0..history.relays).filter(|r| runs[*r] && listed[*r].is_none()).collect();
             let first = &without[..without.len().min(TOLD)];
             (!without.is_empty()).then(|| format!("{} have none, the first: {first:?}", without.len()))
         }
+        Promise::AllSeeAll if !history.instances => None,
+        Promise::AllSeeAll => {
+            let (runs, views) = (history.running(), history.views());
+            let wrong = (0..history.relays).filter(|r| runs[*r]).find_map(|r| {
+                let other = (0..history.relays).find(|o| *o != r && runs[*o] != views[r].contains(o))?;
+                Some((r, other))
+            });
+            wrong.map(|(r, other)| match runs[other] {
+                true => format!("r{r} does not see r{other}, which runs"),
+                false => format!("r{r} sees r{other}, which does not run"),
+            })
+        }
         Promise::NoOlderList => {
             let mut held = vec![(0, 0.0); history.relays];
             history.events.iter().find_map(|e| {
@@ -145,6 +152,11 @@
         only("none-crashes", |h| h.events.push(event(0, What::Crashed(Some(1)))));
         only("all-hold-the-list", |h| h.events.push(event(0, What::Started)));
         only("all-hold-the-list", |h| h.events.retain(|e| e.what != What::Listed(7)));
+        only("all-see-all", |h| h.instances = true);
+        only("all-see-all", |h| {
+            h.instances = true;
+            h.events.extend([event(0, What::Sees(1)), event(1, What::Sees(0)), event(0, What::Misses(1))]);
+        });
         only("no-older-list", |h| h.events.push(event(0, What::Listed(6))));
         only("service-time-is-useful", |h| h.throwing = Duration::from_millis(1001));
         only("endpoints-spared", |h| h.opens_most = 6);
@@ -161,6 +173,10 @@
         assert_eq!(all(&history).len(), 1);
         history.known = true;
         assert_eq!(all(&history), []);
+        history.instances = true;
+        let sees = |relay, other| Event { at: Duration::from_secs(9), relay, what: What::Sees(other) };
+        history.events.extend([sees(0, 1), sees(1, 0)]);
+        assert_eq!(all(&history), []);
         assert_eq!(history.up(), Some(Duration::from_secs(1)));
     }
 }
--- /dev/null
+++ b/rig/src/datagrams.rs
@@ -0,0 +1,128 @@
+//! Datagrams between relays: each relay is reached through a socket of the rig's, which knows who sends by the address that it sends from,
+//! and what is wrong on the way between those two just now.
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Addresses at which relays are reached, in their order.
+const FIRST: u32 = 0x7f30_0001;
+const LARGEST: usize = 65_536;
+
+/// How the way from one relay to another is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// Partitions that part them.
+    pub cuts: u32,
+    /// Share of datagrams that are lost.
+    pub lose: f64,
+    /// Delay, and what a lot adds to it: datagrams overtake each other by that.
+    pub delay: Duration,
+    pub jitter: Duration,
+}
+
+/// All ways between relays.
+pub struct Datagrams {
+    /// Those that differ from a sound one.
+    ways: RefCell<HashMap<(usize, usize), Way>>,
+    random: RefCell<StdRng>,
+    /// The addresses that relays send from.
+    first: u32,
+}
+
+impl Datagrams {
+    /// Ways between relays that send from addresses in their order.
+    pub fn new(first: u32, seed: u64) -> Rc<Self> {
+        let random = RefCell::new(StdRng::seed_from_u64(seed));
+        Rc::new(Datagrams { ways: RefCell::default(), random, first })
+    }
+
+    /// A way in to a relay; gives its address.
+    pub async fn lead_to(self: &Rc<Self>, relay: usize, at: SocketAddr) -> io::Result<SocketAddr> {
+        let socket = Rc::new(UdpSocket::bind((Ipv4Addr::from(FIRST + relay as u32), 0)).await?);
+        let address = socket.local_addr()?;
+        spawn_local(self.clone().carry(relay, at, socket));
+        Ok(address)
+    }
+
+    async fn carry(self: Rc<Self>, to: usize, at: SocketAddr, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; LARGEST];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+            let IpAddr::V4(ip) = from.ip() else { continue };
+            let Some(from) = u32::from(ip).checked_sub(self.first) else { continue };
+            let way = self.ways.borrow().get(&(from as usize, to)).copied().unwrap_or_default();
+            let (lost, lot) = {
+                let mut random = self.random.borrow_mut();
+                (random.random::<f64>() < way.lose, random.random::<f64>())
+            };
+            if way.cuts > 0 || lost {
+                continue;
+            }
+            let (bytes, socket) = (buffer[..length].to_vec(), socket.clone());
+            let delay = way.delay + way.jitter.mul_f64(lot);
+            spawn_local(async move {
+                sleep(delay).await;
+                let _ = socket.send_to(&bytes, at).await;
+            });
+        }
+    }
+
+    /// Changes the way from one relay to another.
+    pub fn change(&self, from: usize, to: usize, change: impl FnOnce(&mut Way)) {
+        let mut ways = self.ways.borrow_mut();
+        let way = ways.entry((from, to)).or_default();
+        change(way);
+        if *way == Way::default() {
+            ways.remove(&(from, to));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+    use tokio::time::timeout;
+
+    #[test]
+    fn a_way_is_known_by_who_sends_and_overlapping_cuts_heal_with_the_last() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let first = 0x7f40_0001;
+            let socket = |n: u32| UdpSocket::bind((Ipv4Addr::from(first + n), 0));
+            let (a, b, c) =
+                (socket(0).await.expect("a"), socket(1).await.expect("b"), socket(2).await.expect("c"));
+            let datagrams = Datagrams::new(first, 1);
+            let to_c = datagrams.lead_to(2, c.local_addr().expect("c")).await.expect("a way");
+            let mut buffer = [0; 8];
+            let mut heard = async |bytes: &[u8]| {
+                let got = timeout(Duration::from_secs(10), c.recv(&mut buffer)).await.expect("in time");
+                assert_eq!(&buffer[..got.expect("received")], bytes);
+            };
+            datagrams.change(0, 2, |way| way.cuts += 1);
+            datagrams.change(0, 2, |way| way.cuts += 1);
+            a.send_to(b"lost", to_c).await.expect("sent");
+            b.send_to(b"b", to_c).await.expect("sent");
+            heard(b"b").await;
+            datagrams.change(0, 2, |way| way.cuts -= 1);
+            a.send_to(b"lost", to_c).await.expect("sent");
+            b.send_to(b"b2", to_c).await.expect("sent");
+            heard(b"b2").await;
+            datagrams.change(0, 2, |way| way.cuts -= 1);
+            a.send_to(b"a", to_c).await.expect("sent");
+            heard(b"a").await;
+            datagrams.change(1, 2, |way| way.lose = 1.0);
+            b.send_to(b"lost", to_c).await.expect("sent");
+            a.send_to(b"a2", to_c).await.expect("sent");
+            heard(b"a2").await;
+        });
+    }
+}
--- a/rig/src/draw.rs
+++ b/rig/src/draw.rs
@@ -39,6 +39,8 @@
         kind,
         relays: if first == last { format!("r{first}") } else { format!("r{first}-r{last}") },
         link: kind.is_link().then(|| links[random.random_range(0..links.len())]),
+        peers: None,
+        lose: 0.0,
         delay_ms: if kind == Slow { random.random_range(20..500) } else { 0 },
         jitter_ms: if kind == Slow { random.random_range(0..200) } else { 0 },
         bytes_per_s: 0,
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -23,7 +23,7 @@
 /// After SIGTERM a process has so long.
 const WIND_DOWN: Duration = Duration::from_millis(3700);
 /// Relays have addresses of their own, so that no connection's own port can be in their way.
-const FIRST: u32 = 0x7f20_0001;
+pub const FIRST: u32 = 0x7f20_0001;
 
 /// One relay: its folder and address, and its process while one runs.
 pub struct Relay {
@@ -70,15 +70,20 @@
         if told["known"].is_null() {
             told.as_object_mut().map(|told| told.remove("known"));
         }
-        let own = toml::to_string(&table.own).map_err(|e| format!("relay.own: {e}"))?;
-        let files = [("config.json", told.to_string()), ("own.toml", own), ("log", String::new())];
-        for (name, text) in files {
+        for (name, text) in [("config.json", told.to_string()), ("log", String::new())] {
             fs::write(folder.join(name), text).map_err(|e| fault(name, e))?;
         }
         let program = program.to_owned();
         Ok(Rc::new(Relay { number, address, program, folder, life: RefCell::default(), events, start }))
     }
 
+    /// Writes its own file.
+    pub fn write_own(&self, own: &toml::Table) -> Result<(), String> {
+        let text = toml::to_string(own).map_err(|e| format!("relay.own: {e}"))?;
+        fs::write(self.folder.join("own.toml"), text)
+            .map_err(|e| format!("r{}: its own file: {e}", self.number))
+    }
+
     fn tell(&self, what: What) {
         self.events.borrow_mut().push(Event { at: self.start.elapsed(), relay: self.number, what });
     }
@@ -137,6 +142,10 @@
     fn heard(&self, line: &str) {
         if line.contains("platform front is ready") {
             self.tell(What::Ready);
+        } else if let Some(word) = line.split("instances: one is ").nth(1) {
+            let name = word.split("name=\"n").nth(1).and_then(|name| name.split('"').next());
+            let Some(other) = name.and_then(|name| name.parse().ok()) else { return };
+            self.tell(if word.starts_with("gone") { What::Misses(other) } else { What::Sees(other) });
         } else if line.contains("list of execute nodes") {
             let generation = line.split("generation=").nth(1).and_then(|g| g.split_whitespace().next());
             self.tell(What::Listed(generation.and_then(|g| g.parse().ok()).unwrap_or(0)));
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -3,6 +3,7 @@
 use onyxglade_lab::discovery::ListCall;
 use onyxglade_lab::rules::Breach;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Time since the first process was started.
@@ -24,6 +25,9 @@
     Ready,
     /// It says that it holds a list, of such a generation.
     Listed(u64),
+    /// It says that it sees another relay, or no longer.
+    Sees(usize),
+    Misses(usize),
     /// It was ended, stopped or set going by the schedule.
     Ended,
     Stopped,
@@ -38,6 +42,8 @@
     pub relays: usize,
     /// What they knew of the list when they first started.
     pub known: bool,
+    /// They talk to one another.
+    pub instances: bool,
     pub events: Vec<Event>,
     pub list_calls: Vec<ListCall>,
     /// What the list service's time went into.
@@ -62,6 +68,42 @@
         (0..self.relays).map(first).collect::<Option<Vec<_>>>()?.into_iter().max()
     }
 
+    /// Which relays run at the end.
+    pub fn running(&self) -> Vec<bool> {
+        let mut running = vec![false; self.relays];
+        for event in &self.events {
+            match event.what {
+                What::Started => running[event.relay] = true,
+                What::Ended | What::Crashed(_) => running[event.relay] = false,
+                _ => {}
+            }
+        }
+        running
+    }
+
+    /// Whom each relay sees at the end.
+    pub fn views(&self) -> Vec<BTreeSet<usize>> {
+        let mut views = vec![BTreeSet::new(); self.relays];
+        for event in &self.events {
+            let view = &mut views[event.relay];
+            match event.what {
+                What::Started => view.clear(),
+                What::Sees(other) => drop(view.insert(other)),
+                What::Misses(other) => drop(view.remove(&other)),
+                _ => {}
+            }
+        }
+        views
+    }
+
+    /// From the last thing that was done to a process until the last view changed.
+    pub fn views_agree(&self) -> At {
+        let last = |of: fn(&What) -> bool| self.events.iter().filter(|e| of(&e.what)).map(|e| e.at).max();
+        let done = last(|w| matches!(w, What::Started | What::Ended | What::GoesOn)).unwrap_or_default();
+        let changed = last(|w| matches!(w, What::Sees(_) | What::Misses(_))).unwrap_or_default();
+        changed.saturating_sub(done)
+    }
+
     /// When each relay that runs at the end came to hold a list in its present life; none if it does not.
     pub fn listed(&self) -> Vec<Option<At>> {
         let mut listed = vec![None; self.relays];
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,11 +1,12 @@
 //! The rig: many processes of the real relay, with faults between them. Plain values below, free of sockets
 //! ([`schedule`], [`draw`], [`shrink`], [`history`], [`check`]); above them what carries traffic ([`links`],
-//! [`clients`]) and processes ([`fleet`]); [`play`] puts them together round the laboratory's partners, list service
+//! [`datagrams`], [`clients`]) and processes ([`fleet`]); [`play`] puts them together round the laboratory's partners, list service
 //! and rules; [`report`] last. `docs/rig.md` tells how to write and play a schedule.
 #![forbid(unsafe_code)]
 
 pub mod check;
 pub mod clients;
+pub mod datagrams;
 pub mod draw;
 pub mod fleet;
 pub mod history;
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -15,8 +15,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
 
+use crate::check::{self, Promise};
 use crate::clients::{Clients, Holders};
-use crate::fleet::Relay;
+use crate::datagrams::Datagrams;
+use crate::fleet::{self, Relay};
 use crate::history::History;
 use crate::links::Link;
 use crate::report::Outcome;
@@ -24,6 +26,10 @@
 
 /// After the last message, what is open has so long to end.
 const AFTER: Duration = Duration::from_secs(13);
+/// ... and views so long to agree, where relays talk to one another.
+const AGREE: Duration = Duration::from_secs(60);
+/// The key that relays share.
+const KEY: &str = "a key for relays that a rig has started";
 /// Messages begin at the latest so long after the first process's start.
 const READY: Duration = Duration::from_secs(60);
 /// How often it is looked whether a time has come.
@@ -45,6 +51,7 @@
     world: Rc<RefCell<World>>,
     discovery: Rc<Discovery>,
     holders: Holders,
+    datagrams: Rc<Datagrams>,
     start: Instant,
     /// What could not be done: the play is void.
     void: RefCell<Option<String>>,
@@ -110,6 +117,32 @@
         submitters.push(Submitters::new(address, schedule.load.body));
         relays.push(relay);
     }
+    let datagrams = Datagrams::new(fleet::FIRST, schedule.seed);
+    let mut owns = vec![schedule.relay.own.clone(); relays.len()];
+    if let Some(instances) = &schedule.instances {
+        let key = folder.join("key");
+        std::fs::write(&key, KEY).map_err(|e| fault("the key", e))?;
+        let mut reached = Vec::new();
+        for relay in &relays {
+            let way = datagrams.lead_to(relay.number, relay.address).await;
+            reached.push(way.map_err(|e| fault("a way between relays", e))?.to_string());
+        }
+        for (number, own) in owns.iter_mut().enumerate() {
+            let zone =
+                instances.zones.get(number % instances.zones.len().max(1)).cloned().unwrap_or_default();
+            let mut table = toml::Table::new();
+            table.insert("zone".into(), zone.into());
+            table.insert("listen".into(), relays[number].address.to_string().into());
+            table.insert("advertise".into(), reached[number].clone().into());
+            table.insert("seeds".into(), reached[..instances.seeds].to_vec().into());
+            table.insert("key_file".into(), key.display().to_string().into());
+            table.insert("expected".into(), (relays.len() as i64).into());
+            own.insert("instances".into(), table.into());
+        }
+    }
+    for (relay, own) in relays.iter().zip(&owns) {
+        relay.write_own(own)?;
+    }
     // The clock of the schedule begins here; the stand-ins' own began a moment before.
     let stage = Rc::new(Stage {
         schedule: schedule.clone(),
@@ -118,6 +151,7 @@
         world: world.clone(),
         discovery: discovery.clone(),
         holders: Rc::default(),
+        datagrams,
         start: Instant::now(),
         void: RefCell::default(),
         faults_left: Cell::new(schedule.faults.len()),
@@ -143,6 +177,7 @@
     let seen = || History {
         relays: stage.relays.len(),
         known: schedule.start.known != Known::Nothing,
+        instances: schedule.instances.is_some(),
         events: events.borrow().clone(),
         ..History::default()
     };
@@ -179,7 +214,8 @@
         let end = begin + Duration::from_secs_f64(schedule.seconds);
         let over = Instant::now() > end && stage.faults_left.get() == 0;
         let open = world.borrow().checker.open();
-        if over && (open == 0 || Instant::now() > end + AFTER) {
+        let agree = !over || check::broken(&seen(), Promise::AllSeeAll).is_none();
+        if over && (open == 0 && agree || Instant::now() > end + if agree { AFTER } else { AGREE }) {
             break;
         }
     }
@@ -261,6 +297,15 @@
                     sleep(Duration::from_secs_f64(step)).await;
                 }
             }
+            _ if fault.link == Some(LinkTo::Instances) => {
+                let others = (0..self.relays.len()).filter(|n| !numbers.contains(n)).collect();
+                let peers = fault.peers.as_ref().map_or(Ok(others), |named| self.schedule.relays(named))?;
+                self.part(fault, &numbers, &peers, true);
+                if let Some(lasts) = lasts {
+                    sleep(lasts).await;
+                    self.part(fault, &numbers, &peers, false);
+                }
+            }
             _ => {
                 let link = fault.link.expect("checked");
                 let links: Vec<_> = numbers.iter().map(|n| self.links[&(*n, link)].clone()).collect();
@@ -278,6 +323,31 @@
         Ok(())
     }
 
+    /// Begins or ends a fault of the ways between some relays and others.
+    fn part(&self, fault: &Fault, relays: &[usize], peers: &[usize], begins: bool) {
+        let change = |from, to| {
+            self.datagrams.change(from, to, |way| match fault.kind {
+                Kind::Lossy => way.lose = if begins { fault.lose } else { 0.0 },
+                Kind::Slow => {
+                    let part = |ms| Duration::from_millis(if begins { ms } else { 0 });
+                    (way.delay, way.jitter) = (part(fault.delay_ms), part(fault.jitter_ms));
+                }
+                _ if begins => way.cuts += 1,
+                _ => way.cuts -= 1,
+            });
+        };
+        for (relay, peer) in
+            relays.iter().flat_map(|r| peers.iter().map(move |p| (*r, *p))).filter(|(r, p)| r != p)
+        {
+            if fault.kind != Kind::CutFrom {
+                change(relay, peer);
+            }
+            if fault.kind != Kind::CutTo {
+                change(peer, relay);
+            }
+        }
+    }
+
     /// A partner is in trouble, and the list tells of it.
     fn partner(self: &Rc<Self>, fault: &Fault) {
         let (Some(dest), Some(trouble)) = (fault.dest, fault.trouble) else { return };
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -26,7 +26,7 @@
 }
 
 /// The figures that the last line tells.
-const TOLD: [&str; 11] = [
+const TOLD: [&str; 12] = [
     "relays",
     "up_s",
     "list_calls",
@@ -34,6 +34,7 @@
     "lists",
     "all_listed_s",
     "without_list",
+    "views_agree_s",
     "connections_peak_share",
     "delivered_in_time_share",
     "handed_in",
@@ -110,6 +111,9 @@
         ("rules_broken", history.rules_broken as f64),
         ("crashed", history.events.iter().filter(|e| matches!(e.what, What::Crashed(_))).count() as f64),
     ];
+    if history.instances {
+        figures.push(("views_agree_s", history.views_agree().as_secs_f64()));
+    }
     figures.extend(up.map(|up| ("up_s", up.as_secs_f64())));
     // From when the last process was up; where lists were known before, at once.
     figures.extend(last.zip(up).map(|(last, up)| ("all_listed_s", last.saturating_sub(up).as_secs_f64())));
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -29,6 +29,9 @@
     /// What calls cost the list service.
     #[serde(default)]
     pub service: Costs,
+    /// Relays talk to one another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instances: Option<Instances>,
     /// Names for relays: `half = "r0-r149"`.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub groups: BTreeMap<String, String>,
@@ -68,6 +71,22 @@
     Old,
 }
 
+/// How relays talk to one another.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Instances {
+    /// The first so many are the seeds of all.
+    pub seeds: usize,
+    /// Relays are of these zones in turn.
+    pub zones: Vec<String>,
+}
+
+impl Default for Instances {
+    fn default() -> Self {
+        Instances { seeds: 3, zones: Vec::new() }
+    }
+}
+
 /// Something that goes wrong, and when it is over.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -84,6 +103,12 @@
     /// Which link of theirs, where it is one that goes wrong.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub link: Option<LinkTo>,
+    /// The relays at the link's other end, where it is one between relays: all others if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<String>,
+    /// Share of datagrams that a lossy link loses.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub lose: f64,
     /// Delay and its jitter of a slow link, in milliseconds, and what passes, in bytes a second (0 is any number).
     #[serde(default, skip_serializing_if = "is_zero")]
     pub delay_ms: u64,
@@ -123,8 +148,10 @@
     Tear,
     /// The far side of a link's connections vanishes without a word; the near one stays open.
     Stuck,
-    /// A link is slow.
+    /// A link is slow; datagrams overtake each other by its jitter.
     Slow,
+    /// A link between relays loses datagrams.
+    Lossy,
     /// SIGKILL.
     Kill,
     /// SIGTERM; SIGKILL after 3.7 s for what has not ended.
@@ -142,7 +169,7 @@
 impl Kind {
     pub fn is_link(self) -> bool {
         use Kind::*;
-        matches!(self, Cut | CutTo | CutFrom | Refuse | Reset | Tear | Stuck | Slow)
+        matches!(self, Cut | CutTo | CutFrom | Refuse | Reset | Tear | Stuck | Slow | Lossy)
     }
 
     pub fn is_end(self) -> bool {
@@ -157,6 +184,8 @@
     List,
     Endpoints,
     Submitters,
+    /// Datagrams between relays.
+    Instances,
 }
 
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
@@ -177,6 +206,10 @@
     "all".into()
 }
 
+fn is_none(share: &f64) -> bool {
+    *share == 0.0
+}
+
 fn is_zero(n: &u64) -> bool {
     *n == 0
 }
@@ -218,6 +251,9 @@
         if self.start.before_in_100 > 100 {
             return Err(format!("start.before_in_100: {} must be at most 100", self.start.before_in_100));
         }
+        if self.instances.as_ref().is_some_and(|i| i.seeds == 0 || i.seeds > self.relay.count) {
+            return Err(format!("instances.seeds: must be from 1 to relay.count ({})", self.relay.count));
+        }
         for (name, relays) in &self.groups {
             self.plain(relays).map_err(|e| format!("groups.{name}: {e}"))?;
         }
@@ -240,6 +276,22 @@
                 if f.kind.is_link() { "must be told which link" } else { "is for faults of links only" };
             return Err(format!("link: {why}"));
         }
+        if f.link == Some(LinkTo::Instances) {
+            if self.instances.is_none() {
+                return Err("link: relays talk to one another only where [instances] is".into());
+            }
+            if !matches!(f.kind, Kind::Cut | Kind::CutTo | Kind::CutFrom | Kind::Slow | Kind::Lossy) {
+                return Err("kind: datagrams are cut, slow or lost".into());
+            }
+        } else if f.peers.is_some() || f.kind == Kind::Lossy {
+            return Err("link: only links between relays have peers or lose datagrams".into());
+        }
+        if let Some(peers) = &f.peers {
+            self.relays(peers).map_err(|e| format!("peers: {e}"))?;
+        }
+        if (f.kind == Kind::Lossy) != (f.lose > 0.0) || !(0.0..=1.0).contains(&f.lose) {
+            return Err("lose: a lossy link loses a share above 0, up to 1".into());
+        }
         if f.kind == Kind::Slow && f.delay_ms + f.jitter_ms + f.bytes_per_s == 0 {
             return Err("delay_ms: a slow link needs a delay, a jitter or bytes_per_s".into());
         }
@@ -378,6 +430,14 @@
             ("[[fault]]\nat_s = 1\nkind = \"partner\"\n", "fault[0].trouble"),
             ("[[fault]]\nat_s = 1\nkind = \"partner\"\ndest = 2\ntrouble = \"hang\"\n", "fault[0].dest"),
             ("[[fault]]\nat_s = 1\nkind = \"melt\"\n", "fault[0].kind"),
+            ("[[fault]]\nat_s = 1\nkind = \"cut\"\nlink = \"instances\"\n", "fault[0].link"),
+            ("[instances]\n[[fault]]\nat_s = 1\nkind = \"tear\"\nlink = \"instances\"\n", "fault[0].kind"),
+            ("[instances]\n[[fault]]\nat_s = 1\nkind = \"lossy\"\nlink = \"instances\"\n", "fault[0].lose"),
+            (
+                "[instances]\n[[fault]]\nat_s = 1\nkind = \"cut\"\nlink = \"instances\"\npeers = \"x\"\n",
+                "fault[0].peers",
+            ),
+            ("[instances]\nseeds = 11\n", "instances.seeds"),
             ("[start]\nover_s = 99.0\n", "start.over_s"),
             ("[service]\nthrown_part = 2.0\n", "service.thrown_part"),
             ("[service]\nwhole = 2.0\n", "service.whole"),
--- a/rig/tests/short.rs
+++ b/rig/tests/short.rs
@@ -44,6 +44,14 @@
     holds("short-links.toml");
 }
 
+#[test]
+fn relays_that_were_parted_stopped_and_killed_see_each_other_again() {
+    let history = holds("short-instances.toml");
+    let missed = |who: usize| history.events.iter().any(|e| e.what == What::Misses(who));
+    assert!(missed(4) && missed(5) && missed(1), "nothing was wrong between them");
+    assert!(history.views()[0].contains(&4) && !history.views()[0].contains(&5));
+}
+
 /// What the rig says is not kept when it is not: a relay that never reaches the list service.
 #[test]
 fn a_relay_that_cannot_have_a_list_is_told_of() {
--- a/src/hold.rs
+++ b/src/hold.rs
@@ -5,8 +5,8 @@
 //! whether it is still in time. A round visits the destinations that something happened to, those whose time has come,
 //! those that a free slot is for, and a few of all others in turn. Where no more than [`TURNS`] destinations hold
 //! messages, each round visits them all. It decides nothing.
+use crate::base::UnitId;
 use crate::interface::*;
-use crate::state::UnitId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Destinations that a round visits although nothing is known to have happened to them: predictions move by themselves.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 #![warn(missing_docs)]
 
 mod asking;
+mod base;
 mod choice;
 mod heir;
 mod hold;
--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -6,8 +6,8 @@
 //! partner that warms evenly from a fifth of its capacity in fourteen seconds outgrows that. Each refusal, time-out
 //! or broken connection cuts the rate and stops its growth for a while. Nothing is saved up but a moment's worth:
 //! what has waited does not go out at once.
+use crate::base::{SECOND, nanos, secs};
 use crate::interface::Nanos;
-use crate::state::{SECOND, nanos, secs};
 
 /// Gained by each answer, in calls a second: e^0.25 = 1.28 a second, less than a cold partner warms at first.
 const GAIN: f64 = 0.25;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,26 +1,10 @@
 //! Plain records and bookkeeping that `src/choice.rs` works on. No decision and no tuned value is here.
+pub use crate::base::{SECOND, UnitId, nanos, secs};
 use crate::hold::{Lane, Turn, Waiting};
 use crate::interface::*;
 use crate::ramp::Ramp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-pub const SECOND: Nanos = 1_000_000_000;
-
-/// What is predicted, limited and judged as one: a destination, or a route where routes are apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum UnitId {
-    Dest(DestId),
-    Route(EndpointId),
-}
-
-pub fn secs(t: Nanos) -> f64 {
-    t as f64 / SECOND as f64
-}
-
-pub fn nanos(s: f64) -> Nanos {
-    (s.clamp(0.0, 4000.0) * SECOND as f64) as Nanos
-}
-
 /// A decaying count of events, read as a rate a second; `tau` is its time constant in seconds.
 #[derive(Default)]
 pub struct Rate {
