--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -20,7 +20,6 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
-use super::KEY;
 use super::line::{Body, CLAIM, Lines, Rack, Trace};
 use crate::config::Rules;
 use crate::core::{Carrier, Core, Node, Part, Ticket};
