Instances ask each other for whole views over a link, so that newcomers soon see all

Cause: a newcomer hears of members that have not changed only by feeds, which name some 15 of 300, one each ten seconds. Ruled out: lost datagrams (both ran and were probed) and the disk (one play in memory). Change: instances ask another for its whole view over a TCP link (framed, keyed, 1 MiB and three seconds at most, sixteen at once), each half second until the first has come and each ten seconds later on. The rig carries links by pair as it does datagrams. Not taken: more feeds while they bring news (the last member is found by a likelihood of 5% each), larger datagrams (fragments). A test with the links' answers left out of the simulated network has newcomers among hundreds miss members after 20 s.

--- a/instances/src/lib.rs
+++ b/instances/src/lib.rs
@@ -1,7 +1,8 @@
 //! Which instances of the relay are there.
 //!
 //! Owns who is thought to be there and what is said about it: [`Member`] is what an instance tells of itself, [`Swim`] the protocol
-//! of suspicion and refutation as a state machine, [`Sealed`] the frames that carry it, tagged with a shared key. It may know
+//! of suspicion and refutation as a state machine, [`Sealed`] the frames that carry it, tagged with a shared key,
+//! [`Word`] what links carry. It may know
 //! neither sockets nor clocks nor files: time and datagrams go in, datagrams and changes come out. The relay and the
 //! simulation of the tests drive the very same code.
 #![forbid(unsafe_code)]
@@ -10,10 +11,12 @@
 mod member;
 mod seal;
 mod swim;
+mod view;
 
 pub use member::{LONGEST, Member};
 pub use seal::{Key, KeyFault, Sealed, Unsealed};
 pub use swim::{Change, Config, Counts, Input, Output, Seen, Swim};
+pub use view::{LONGEST_FRAME, View, Word};
 
 use std::time::Duration;
 
--- a/instances/src/swim.rs
+++ b/instances/src/swim.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use crate::seal::{Key, Sealed};
+use crate::view::{View, Word};
 use crate::{At, Member};
 
 /// Largest payload of a datagram: with its frame it fits where 1,400 bytes do.
@@ -30,8 +31,11 @@
 const REMIND: Duration = Duration::from_secs(10);
 /// Then they are forgotten.
 const FORGET: Duration = Duration::from_secs(600);
-/// A member is asked for whom it knows so often: what gossip did not reach is found out by this.
+/// A member is asked for its whole view so often: what gossip did not reach is found out by this. A datagram names some 15 members, and
+/// nothing tells a newcomer of those who have not changed.
 const COMPARE: Duration = Duration::from_secs(10);
+/// The same where nobody has answered that yet in this process's life.
+const COMPARE_FIRST: Duration = Duration::from_millis(500);
 /// Each instance passes a change on so many times. Guards against what a start of all at once shows: passed on t times by each, a change
 /// misses an instance with a likelihood of e to the -t, and n instances that start together have n times n chances for that.
 const PASSED_ON: u8 = 15;
@@ -54,6 +58,8 @@
 pub enum Input<'a> {
     /// A datagram came.
     Datagram(&'a [u8]),
+    /// The whole view of another has come over a link.
+    View(&'a View),
     /// It is time: see [`Swim::due`].
     Time,
     /// This instance leaves; nothing else is to follow.
@@ -70,6 +76,8 @@
         /// The whole frame.
         bytes: Vec<u8>,
     },
+    /// The whole view of this instance is to be had over a link.
+    Compare(SocketAddr),
     /// The view has changed.
     Changed(Change),
 }
@@ -155,17 +163,22 @@
 enum Due {
     Protocol(Timer<Member>),
     Seek,
+    Compare,
 }
 
 /// The view of one instance.
 pub struct Swim {
     foca: Foca<Member, Checked, StdRng, NoCustomBroadcast>,
     sealed: Sealed,
+    /// Frames of links are another sender's: one that takes its time there must not be overtaken by datagrams and count as a replay.
+    linked: Sealed,
     /// What is due, by its time and its turn.
     due: BTreeMap<(At, u64), Due>,
     turn: u64,
     seeds: Vec<SocketAddr>,
     random: StdRng,
+    /// Another's view has come.
+    compared: bool,
     left: bool,
     counts: Counts,
 }
@@ -183,16 +196,18 @@
             max_packet_size: some(LARGEST),
             remove_down_after: Some(FORGET),
             max_transmissions: NonZeroU8::new(PASSED_ON).expect("above 0"),
-            periodic_announce: every(COMPARE, 1),
+            periodic_announce: None,
             periodic_announce_to_down_members: every(REMIND, 2),
             periodic_gossip: every(GOSSIP, GOSSIP_TO),
             ..foca::Config::new_lan(size)
         };
-        let sealed = Sealed::new(key, random.random());
+        let sealed = Sealed::new(key.clone(), random.random());
+        let linked = Sealed::new(key, random.random());
         let seeds = config.seeds.into_iter().filter(|seed| *seed != me.address).collect();
         let foca = Foca::new(me, protocol, StdRng::seed_from_u64(random.random()), Checked(PostcardCodec));
-        let due = BTreeMap::from([((now, 0), Due::Seek)]);
-        Swim { foca, sealed, due, turn: 0, seeds, random, left: false, counts: Counts::default() }
+        let due = BTreeMap::from([((now, 0), Due::Seek), ((now + COMPARE_FIRST, 1), Due::Compare)]);
+        let (compared, left, counts) = (false, false, Counts::default());
+        Swim { foca, sealed, linked, due, turn: 1, seeds, random, compared, left, counts }
     }
 
     /// When it is to hear of the time next.
@@ -216,12 +231,20 @@
                     self.take(now, unix, said, &mut outputs);
                 }
             },
+            Input::View(view) => {
+                self.compared = true;
+                let mut said = AccumulatingRuntime::new();
+                // Its only error is that this instance has left.
+                let _ = self.foca.apply_many(view.0.iter().cloned(), true, &mut said);
+                self.take(now, unix, said, &mut outputs);
+            }
             Input::Time => {
                 self.wake(now);
                 while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
                     let mut said = AccumulatingRuntime::new();
                     match entry.remove() {
                         Due::Seek => self.seek(now, &mut said),
+                        Due::Compare => outputs.extend(self.compare(now)),
                         // An error says that what it was set for is over.
                         Due::Protocol(timer) => drop(self.foca.handle_timer(timer, &mut said)),
                     }
@@ -263,6 +286,37 @@
         self.put(now + pause, Due::Seek);
     }
 
+    /// Asks one that is there for its view.
+    fn compare(&mut self, now: At) -> Option<Output> {
+        let pause = if self.compared { COMPARE } else { COMPARE_FIRST };
+        let pause = pause.mul_f64(self.random.random_range(0.5..1.5));
+        self.put(now + pause, Due::Compare);
+        let there: Vec<_> = self.foca.iter_members().map(|m| m.id().address).collect();
+        (!there.is_empty()).then(|| Output::Compare(there[self.random.random_range(0..there.len())]))
+    }
+
+    /// All that is known of members, this instance among them, for one that asks over a link.
+    pub fn view(&self) -> View {
+        let me = foca::Member::alive(self.me().clone());
+        View(self.foca.iter_membership_state().cloned().chain([me]).collect())
+    }
+
+    /// A frame for a link.
+    pub fn seal(&mut self, word: &Word, unix: Duration) -> Vec<u8> {
+        self.linked.seal(&word.encode(), unix)
+    }
+
+    /// What a frame from a link says; none where it is not the key's, came before, or says nothing that can be.
+    pub fn open(&mut self, frame: &[u8], now: At, unix: Duration) -> Option<Word> {
+        let Ok(payload) = self.linked.open(frame, now, unix) else {
+            self.counts.strange += 1;
+            return None;
+        };
+        let word = Word::decode(payload);
+        self.counts.unfit += u64::from(word.is_none());
+        word
+    }
+
     fn put(&mut self, at: At, what: Due) {
         self.turn += 1;
         self.due.insert((at, self.turn), what);
--- a/instances/tests/network.rs
+++ b/instances/tests/network.rs
@@ -3,8 +3,7 @@
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -23,16 +22,17 @@
 }
 
 /// Something that reaches an instance.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Time(usize, u64),
     Arrives(usize, Vec<u8>),
+    /// A whole view, over a link.
+    View(usize, View),
 }
 
 /// A network and its instances.
 struct Net {
     now: At,
-    steps: BinaryHeap<Reverse<(At, u64, Step)>>,
+    steps: BTreeMap<(At, u64), Step>,
     turn: u64,
     random: StdRng,
     swims: Vec<Option<Swim>>,
@@ -49,13 +49,15 @@
     skew: Vec<f64>,
     changes: Vec<(At, usize, Change)>,
     seeds: usize,
+    /// Bytes that went over links.
+    linked: u64,
 }
 
 impl Net {
     fn new(count: usize, seed: u64) -> Net {
         Net {
             now: secs(100.0),
-            steps: BinaryHeap::new(),
+            steps: BTreeMap::new(),
             turn: 0,
             random: StdRng::seed_from_u64(seed),
             swims: (0..count).map(|_| None).collect(),
@@ -68,6 +70,7 @@
             skew: vec![0.0; count],
             changes: Vec::new(),
             seeds: 3,
+            linked: 0,
         }
     }
 
@@ -86,7 +89,7 @@
 
     fn put(&mut self, at: At, step: Step) {
         self.turn += 1;
-        self.steps.push(Reverse((at, self.turn, step)));
+        self.steps.insert((at, self.turn), step);
     }
 
     fn timer(&mut self, n: usize) {
@@ -106,6 +109,17 @@
         for output in swim.handle(self.now, unix, input) {
             match output {
                 Output::Changed(change) => self.changes.push((self.now, n, change)),
+                Output::Compare(with) => {
+                    let with = (0..self.swims.len()).find(|m| address(*m) == with);
+                    let with = with.filter(|m| self.side[*m] == self.side[n] && !self.stopped.contains(m));
+                    let view = with.and_then(|m| self.swims[m].as_ref()).map(Swim::view);
+                    if let Some(view) = view {
+                        let bytes = Word::View(view.clone()).encode().len() as u64;
+                        self.linked += bytes;
+                        let delay = self.random.random_range(self.delay.0..self.delay.1);
+                        self.put(self.now + secs(2.0 * delay), Step::View(n, view));
+                    }
+                }
                 Output::Send { to, bytes } => {
                     let Some(to) = (0..self.swims.len()).find(|m| address(*m) == to) else { continue };
                     let lost = self.random.random_bool(self.lost) || self.side[n] != self.side[to];
@@ -121,8 +135,8 @@
 
     fn run(&mut self, for_s: f64) {
         let end = self.now + secs(for_s);
-        while self.steps.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
-            let Reverse((at, _, step)) = self.steps.pop().expect("peeked");
+        while let Some(entry) = self.steps.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), step) = entry.remove_entry();
             self.now = self.now.max(at);
             match step {
                 Step::Time(n, life) if life == self.lives[n] && !self.stopped.contains(&n) => {
@@ -136,6 +150,9 @@
                     self.unread.entry(n).or_default().push(bytes);
                 }
                 Step::Arrives(n, bytes) => self.give(n, Input::Datagram(&bytes)),
+                // A link to one that is stopped gives up long before that goes on.
+                Step::View(n, _) if self.stopped.contains(&n) => {}
+                Step::View(n, view) => self.give(n, Input::View(&view)),
             }
         }
         self.now = end;
@@ -193,6 +210,17 @@
     }
 }
 
+/// A newcomer among hundreds hears by datagrams of those that changed, and of few others.
+#[test]
+fn newcomers_among_hundreds_soon_see_all() {
+    let mut net = fleet(300, 1);
+    (0..210).for_each(|n| net.swims[n] = None);
+    net.run(3.0);
+    (0..210).for_each(|n| net.start(n));
+    net.run(20.0);
+    assert_eq!(net.wrong(), []);
+}
+
 #[test]
 fn who_leaves_is_missed_at_once() {
     let mut net = fleet(9, 1);
@@ -313,10 +341,12 @@
         let mut net = Net::new(count, 1);
         (0..count).for_each(|n| net.start(n));
         net.run(20.0);
-        let started: u64 = net.swims.iter().flatten().map(|s| s.counts().sent_bytes).sum();
+        let sent =
+            |net: &Net| net.linked + net.swims.iter().flatten().map(|s| s.counts().sent_bytes).sum::<u64>();
+        let started = sent(&net);
         assert_eq!(net.wrong(), [], "{count}");
         net.run(30.0);
-        let bytes: u64 = net.swims.iter().flatten().map(|s| s.counts().sent_bytes).sum::<u64>() - started;
+        let bytes = sent(&net) - started;
         let (quiet, begin) = (bytes as f64 / count as f64 / 30.0, started as f64 / count as f64 / 20.0);
         println!("{count} instances: {quiet:.0} bytes a second each, {begin:.0} in their first 20 s");
         assert!(quiet < 4_000.0, "{count} instances: {quiet} bytes a second each");
--- /dev/null
+++ b/relay/src/instances/link.rs
@@ -0,0 +1,86 @@
+//! Links between instances: a frame asks, a frame answers, and the link ends. One bad peer costs its own connection and no more: each
+//! has its time, its length and its place among few.
+use onyxglade_instances::{LONGEST_FRAME, View, Word};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+use super::Instances;
+
+/// Links that others have open here at once; one more is closed unread.
+const LINKS: usize = 16;
+/// A link has done all within this time.
+const WHOLE: Duration = Duration::from_secs(3);
+/// Longest question, in bytes: only answers are long.
+const LONGEST_ASK: usize = 256;
+
+/// Takes links, and answers what is asked.
+pub(super) async fn accept(instances: Rc<Instances>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(LINKS));
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let Ok(place) = places.clone().try_acquire_owned() else { continue };
+                let instances = instances.clone();
+                actix_rt::spawn(async move {
+                    let _place = place;
+                    if !matches!(timeout(WHOLE, answer(&instances, stream)).await, Ok(Ok(()))) {
+                        tracing::debug!(%from, "instances: a link ended with nothing said");
+                    }
+                });
+            }
+            Err(_) => sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+async fn answer(instances: &Instances, mut stream: TcpStream) -> io::Result<()> {
+    let frame = read(&mut stream, LONGEST_ASK).await?;
+    match (instances.open(&frame), instances.known()) {
+        (Some(Word::Ask), Some(view)) => write(&mut stream, &instances.seal(&Word::View(view))).await,
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+/// Asks another for its view.
+pub(super) async fn ask(instances: &Instances, at: SocketAddr) -> io::Result<View> {
+    let call = async {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // From the address that others know, so that it can be told by it who asks.
+        if let (SocketAddr::V4(mine), true) = (instances.told.listen, at.is_ipv4()) {
+            socket.bind(SocketAddrV4::new(*mine.ip(), 0).into())?;
+        }
+        let mut stream = socket.connect(at).await?;
+        write(&mut stream, &instances.seal(&Word::Ask)).await?;
+        let frame = read(&mut stream, LONGEST_FRAME).await?;
+        match instances.open(&frame) {
+            Some(Word::View(view)) => Ok(view),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    };
+    timeout(WHOLE, call).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Reads a frame that is not longer than it may be.
+async fn read(stream: &mut TcpStream, longest: usize) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await? as usize;
+    if length > longest {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, format!("a frame of {length} bytes")));
+    }
+    // What is told is not believed before it comes: room grows with what is there.
+    let mut frame = Vec::new();
+    stream.take(length as u64).read_to_end(&mut frame).await?;
+    if frame.len() < length { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(frame) }
+}
+
+async fn write(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+    let mut bytes = (frame.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(frame);
+    stream.write_all(&bytes).await
+}
--- a/relay/src/instances/mod.rs
+++ b/relay/src/instances/mod.rs
@@ -1,14 +1,16 @@
-//! The other instances: the sockets round [`onyxglade_instances::Swim`], and what those who run the relay see of its view. Decides
+//! The other instances: the sockets (datagrams here, links in [`link`]) round [`onyxglade_instances::Swim`], and what those who run the relay see of its view. Decides
 //! nothing. Without `[instances]` in the relay's own file there is no socket and nothing here runs.
-use onyxglade_instances::{Change, Config, Input, Member, Output, Swim};
+mod link;
+
+use onyxglade_instances::{Change, Config, Input, Member, Output, Swim, View, Word};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::config;
@@ -25,6 +27,8 @@
     told: config::Instances,
     begun: Instant,
     swim: RefCell<Option<Swim>>,
+    /// Another's view is being asked for.
+    comparing: Cell<bool>,
     leaving: Cell<bool>,
     left: Notify,
     leave: Notify,
@@ -37,6 +41,7 @@
             told,
             begun: Instant::now(),
             swim: RefCell::default(),
+            comparing: Cell::new(false),
             leaving: Cell::new(false),
             left: Notify::new(),
             leave: Notify::new(),
@@ -45,11 +50,18 @@
         instances
     }
 
-    async fn listen(&self) -> UdpSocket {
+    /// Both sockets, or neither: the process before may still have them.
+    async fn listen(&self) -> (UdpSocket, TcpListener) {
         let mut told = false;
         loop {
-            match UdpSocket::bind(self.told.listen).await {
-                Ok(socket) => return socket,
+            let both = async {
+                let socket = UdpSocket::bind(self.told.listen).await?;
+                // The port that the system gave, where none was told.
+                let listener = TcpListener::bind(socket.local_addr()?).await?;
+                Ok::<_, io::Error>((socket, listener))
+            };
+            match both.await {
+                Ok(both) => return both,
                 Err(fault) => {
                     if !std::mem::replace(&mut told, true) {
                         let listen = self.told.listen;
@@ -62,7 +74,7 @@
     }
 
     async fn run(self: Rc<Self>, name: Option<String>) {
-        let socket = self.listen().await;
+        let (socket, listener) = self.listen().await;
         let told = &self.told;
         let address = told.advertise.or(socket.local_addr().ok()).unwrap_or(told.listen);
         let unix = unix();
@@ -81,6 +93,8 @@
         let seed =
             (unix.as_nanos() as u64) ^ (u64::from(std::process::id()) << 32) ^ u64::from(address.port());
         *self.swim.borrow_mut() = Some(Swim::new(me, config, told.key.clone(), seed, self.begun.elapsed()));
+        let (views, mut viewed) = mpsc::channel(1);
+        let links = actix_rt::spawn(link::accept(self.clone(), listener));
         let mut buffer = [0; LARGEST];
         let mut leaving = std::pin::pin!(self.leave.notified());
         loop {
@@ -90,9 +104,11 @@
                 biased;
                 () = &mut leaving => {
                     let outputs = self.handle(Input::Leave);
-                    self.carry_out(&socket, outputs).await;
+                    self.carry_out(&socket, &views, outputs).await;
+                    links.abort();
                     return self.left.notify_one();
                 }
+                Some(view) = viewed.recv() => self.handle(Input::View(&view)),
                 // What has come is heard before it is judged what has not.
                 got = socket.recv_from(&mut buffer) => match got {
                     Ok((length, _)) => self.handle(Input::Datagram(&buffer[..length])),
@@ -101,20 +117,56 @@
                 },
                 () = sleep_until(due.into()) => self.handle(Input::Time),
             };
-            self.carry_out(&socket, outputs).await;
+            self.carry_out(&socket, &views, outputs).await;
         }
     }
 
+    /// Asks another for its view, unless one is being asked already.
+    fn compare(self: &Rc<Self>, with: SocketAddr, views: mpsc::Sender<View>) {
+        if self.comparing.replace(true) {
+            return;
+        }
+        let instances = self.clone();
+        actix_rt::spawn(async move {
+            match link::ask(&instances, with).await {
+                Ok(view) => drop(views.send(view).await),
+                Err(fault) => tracing::debug!(%with, %fault, "instances: another's view cannot be had"),
+            }
+            instances.comparing.set(false);
+        });
+    }
+
+    /// A frame for a link.
+    fn seal(&self, word: &Word) -> Vec<u8> {
+        self.swim.borrow_mut().as_mut().map_or(Vec::new(), |swim| swim.seal(word, unix()))
+    }
+
+    /// What a frame from a link says.
+    fn open(&self, frame: &[u8]) -> Option<Word> {
+        self.swim.borrow_mut().as_mut()?.open(frame, self.begun.elapsed(), unix())
+    }
+
+    /// All that is known of members.
+    fn known(&self) -> Option<View> {
+        self.swim.borrow().as_ref().map(Swim::view)
+    }
+
     fn handle(&self, input: Input) -> Vec<Output> {
         let now = self.begun.elapsed();
         self.swim.borrow_mut().as_mut().map_or(Vec::new(), |swim| swim.handle(now, unix(), input))
     }
 
-    async fn carry_out(&self, socket: &UdpSocket, outputs: Vec<Output>) {
+    async fn carry_out(
+        self: &Rc<Self>,
+        socket: &UdpSocket,
+        views: &mpsc::Sender<View>,
+        outputs: Vec<Output>,
+    ) {
         for output in outputs {
             match output {
                 // Datagrams may be lost anyway: what the system refuses is not sent again.
                 Output::Send { to, bytes } => drop(socket.send_to(&bytes, to).await),
+                Output::Compare(with) => self.compare(with, views.clone()),
                 Output::Changed(Change::Up(m)) => {
                     tracing::info!(name = m.name, address = %m.address, zone = m.zone, "instances: one is there");
                 }
--- a/rig/src/datagrams.rs
+++ b/rig/src/datagrams.rs
@@ -1,5 +1,6 @@
-//! Datagrams between relays: each relay is reached through a socket of the rig's, which knows who sends by the address that it sends from,
-//! and what is wrong on the way between those two just now.
+//! Ways between relays, for datagrams and links: each relay is reached through sockets of the rig's, which know who sends by the address that
+//! it sends from, and what is wrong on the way between those two just now. A link that begins on a cut way waits for its end; one
+//! that is under way is not cut: links between relays last for milliseconds.
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
@@ -8,13 +9,16 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Addresses at which relays are reached, in their order.
 const FIRST: u32 = 0x7f30_0001;
 const LARGEST: usize = 65_536;
+/// How often it is looked whether a cut is over.
+const LOOK: Duration = Duration::from_millis(50);
 
 /// How the way from one relay to another is.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -48,17 +52,54 @@
     pub async fn lead_to(self: &Rc<Self>, relay: usize, at: SocketAddr) -> io::Result<SocketAddr> {
         let socket = Rc::new(UdpSocket::bind((Ipv4Addr::from(FIRST + relay as u32), 0)).await?);
         let address = socket.local_addr()?;
+        let listener = TcpListener::bind(address).await?;
         spawn_local(self.clone().carry(relay, at, socket));
+        spawn_local(self.clone().accept(relay, at, listener));
         Ok(address)
     }
 
+    /// Which relay has an address, by what it sends from.
+    fn sender(&self, address: SocketAddr) -> Option<usize> {
+        let IpAddr::V4(ip) = address.ip() else { return None };
+        u32::from(ip).checked_sub(self.first).map(|n| n as usize)
+    }
+
+    fn way(&self, from: usize, to: usize) -> Way {
+        self.ways.borrow().get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    async fn accept(self: Rc<Self>, to: usize, at: SocketAddr, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((near, from)) => {
+                    let Some(from) = self.sender(from) else { continue };
+                    spawn_local(self.clone().link(from, to, at, near));
+                }
+                Err(_) => sleep(LOOK).await,
+            }
+        }
+    }
+
+    async fn link(self: Rc<Self>, from: usize, to: usize, at: SocketAddr, mut near: TcpStream) {
+        // An answer needs the way back too.
+        while self.way(from, to).cuts + self.way(to, from).cuts > 0 {
+            if matches!(timeout(LOOK, near.peek(&mut [0; 1])).await, Ok(Ok(0) | Err(_))) {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+        sleep(self.way(from, to).delay + self.way(to, from).delay).await;
+        if let Ok(mut far) = TcpStream::connect(at).await {
+            let _ = copy_bidirectional(&mut near, &mut far).await;
+        }
+    }
+
     async fn carry(self: Rc<Self>, to: usize, at: SocketAddr, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; LARGEST];
         loop {
             let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-            let IpAddr::V4(ip) = from.ip() else { continue };
-            let Some(from) = u32::from(ip).checked_sub(self.first) else { continue };
-            let way = self.ways.borrow().get(&(from as usize, to)).copied().unwrap_or_default();
+            let Some(from) = self.sender(from) else { continue };
+            let way = self.way(from, to);
             let (lost, lot) = {
                 let mut random = self.random.borrow_mut();
                 (random.random::<f64>() < way.lose, random.random::<f64>())
@@ -90,7 +131,6 @@
 mod tests {
     use super::*;
     use tokio::task::LocalSet;
-    use tokio::time::timeout;
 
     #[test]
     fn a_way_is_known_by_who_sends_and_overlapping_cuts_heal_with_the_last() {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -29,6 +29,8 @@
 pub struct Relay {
     pub number: usize,
     pub address: SocketAddr,
+    /// Where it listens for other relays.
+    pub instances: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
     life: RefCell<Option<Rc<Life>>>,
@@ -61,8 +63,10 @@
     ) -> Result<Rc<Relay>, String> {
         let fault = |what: &str, e: io::Error| format!("r{number}: {what}: {e}");
         let ip = Ipv4Addr::from(FIRST + number as u32);
-        let port = std::net::TcpListener::bind((ip, 0)).and_then(|l| l.local_addr());
-        let address = port.map_err(|e| fault("no port", e))?;
+        // Both are held until both are known, so that they differ.
+        let port = || std::net::TcpListener::bind((ip, 0)).and_then(|l| Ok((l.local_addr()?, l)));
+        let (address, _held) = port().map_err(|e| fault("no port", e))?;
+        let (instances, _held) = port().map_err(|e| fault("no port", e))?;
         let folder = folder.join(format!("r{number}"));
         fs::create_dir_all(folder.join("state")).map_err(|e| fault("its folder", e))?;
         let mut told = configuration(table, &format!("n{number}"), address, list, seed);
@@ -74,7 +78,16 @@
             fs::write(folder.join(name), text).map_err(|e| fault(name, e))?;
         }
         let program = program.to_owned();
-        Ok(Rc::new(Relay { number, address, program, folder, life: RefCell::default(), events, start }))
+        Ok(Rc::new(Relay {
+            number,
+            address,
+            instances,
+            program,
+            folder,
+            life: RefCell::default(),
+            events,
+            start,
+        }))
     }
 
     /// Writes its own file.
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -124,7 +124,7 @@
         std::fs::write(&key, KEY).map_err(|e| fault("the key", e))?;
         let mut reached = Vec::new();
         for relay in &relays {
-            let way = datagrams.lead_to(relay.number, relay.address).await;
+            let way = datagrams.lead_to(relay.number, relay.instances).await;
             reached.push(way.map_err(|e| fault("a way between relays", e))?.to_string());
         }
         for (number, own) in owns.iter_mut().enumerate() {
@@ -132,7 +132,7 @@
                 instances.zones.get(number % instances.zones.len().max(1)).cloned().unwrap_or_default();
             let mut table = toml::Table::new();
             table.insert("zone".into(), zone.into());
-            table.insert("listen".into(), relays[number].address.to_string().into());
+            table.insert("listen".into(), relays[number].instances.to_string().into());
             table.insert("advertise".into(), reached[number].clone().into());
             table.insert("seeds".into(), reached[..instances.seeds].to_vec().into());
             table.insert("key_file".into(), key.display().to_string().into());
