--- a/relay/tests/program/mod.rs
+++ b/relay/tests/program/mod.rs
@@ -1,4 +1,5 @@
-//! The relay's own program with a second front, for tests that need no stage round it.
+//! The relay's own program with a second front, for tests that need no stage round it. Each uses a part of what is here.
+#![allow(dead_code)]
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
