A replay at the far end of the window is refused; suspicions begin anew after a stop

Seen by proptest (order 321, 385, 321): a frame was taken twice. Cause: Sealed::heard in instances/src/seal.rs forgot the highest counter when the next was exactly 64 on, while one 64 back still counts as within the window. A test of that case stays. Now suspicions begin anew when it goes on, and somebody's whole view is asked for at once. Ruled out: lost datagrams.

--- a/instances/src/seal.rs
+++ b/instances/src/seal.rs
@@ -134,7 +134,8 @@
         if counter > heard.highest {
             let on = counter - heard.highest;
             // The highest so far is one of those before, from here on.
-            heard.before = if on >= WINDOW { 0 } else { (heard.before << on) | (1 << (on - 1)) };
+            let shifted = u32::try_from(on).ok().and_then(|on| heard.before.checked_shl(on)).unwrap_or(0);
+            heard.before = shifted | if on <= WINDOW { 1 << (on - 1) } else { 0 };
             heard.highest = counter;
         } else {
             let back = heard.highest - counter;
@@ -209,7 +210,16 @@
         assert!(Key::read(format!(" {}\n", "k".repeat(32)).as_bytes()).is_ok());
     }
 
+    /// Found by the test below: the highest so far was forgotten when the next one was just as far on as the window is wide.
+    #[test]
+    fn a_frame_at_the_windows_far_end_is_not_taken_again() {
+        let mut b = Sealed::new(key(7), 0);
+        let taken = [321, 385, 321, 320].map(|counter| b.heard(1, counter, At::ZERO).is_ok());
+        assert_eq!(taken, [true, true, false, false]);
+    }
+
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
         /// In whatever order frames come, each is taken at most once; those within the window are taken.
         #[test]
         fn each_frame_is_taken_at_most_once(order in prop::collection::vec(1u64..400, 1..400)) {
--- a/instances/src/swim.rs
+++ b/instances/src/swim.rs
@@ -34,7 +34,7 @@
 /// A member is asked for its whole view so often: what gossip did not reach is found out by this. A datagram names some 15 members, and
 /// nothing tells a newcomer of those who have not changed.
 const COMPARE: Duration = Duration::from_secs(10);
-/// The same where nobody has answered that yet in this process's life.
+/// The same where nobody has answered that yet since this process began or went on.
 const COMPARE_FIRST: Duration = Duration::from_millis(500);
 /// Each instance passes a change on so many times. Guards against what a start of all at once shows: passed on t times by each, a change
 /// misses an instance with a likelihood of e to the -t, and n instances that start together have n times n chances for that.
@@ -177,7 +177,9 @@
     turn: u64,
     seeds: Vec<SocketAddr>,
     random: StdRng,
-    /// Another's view has come.
+    /// How long a member is only suspected.
+    suspicion: Duration,
+    /// Another's view has come since this process last began or went on.
     compared: bool,
     left: bool,
     counts: Counts,
@@ -201,13 +203,14 @@
             periodic_gossip: every(GOSSIP, GOSSIP_TO),
             ..foca::Config::new_lan(size)
         };
+        let suspicion = protocol.suspect_to_down_after;
         let sealed = Sealed::new(key.clone(), random.random());
         let linked = Sealed::new(key, random.random());
         let seeds = config.seeds.into_iter().filter(|seed| *seed != me.address).collect();
         let foca = Foca::new(me, protocol, StdRng::seed_from_u64(random.random()), Checked(PostcardCodec));
         let due = BTreeMap::from([((now, 0), Due::Seek), ((now + COMPARE_FIRST, 1), Due::Compare)]);
         let (compared, left, counts) = (false, false, Counts::default());
-        Swim { foca, sealed, linked, due, turn: 1, seeds, random, compared, left, counts }
+        Swim { foca, sealed, linked, due, turn: 1, seeds, random, suspicion, compared, left, counts }
     }
 
     /// When it is to hear of the time next.
@@ -263,13 +266,22 @@
         outputs
     }
 
-    /// Puts all that is due off if this process was stopped: what came meanwhile is to be heard first.
+    /// Puts all that is due off if this process was stopped: what came meanwhile is to be heard first. Others may have sent it nothing
+    /// for a while, so suspicions begin anew, and somebody's whole view is had before they end.
     fn wake(&mut self, now: At) {
         let Some(first) = self.due().filter(|first| now > *first + SLEPT) else { return };
         self.counts.slept += 1;
         let off = now - first + TRIP;
-        let due = std::mem::take(&mut self.due);
-        self.due = due.into_iter().map(|((at, turn), what)| ((at + off, turn), what)).collect();
+        let due = std::mem::take(&mut self.due).into_iter().map(|((at, turn), what)| {
+            let at = match what {
+                Due::Protocol(Timer::ChangeSuspectToDown { .. }) => now + self.suspicion,
+                Due::Compare => now + TRIP,
+                _ => at + off,
+            };
+            ((at, turn), what)
+        });
+        self.due = due.collect();
+        self.compared = false;
     }
 
     /// Seeks a seed that is not there.
