One piece of code reads the files of experiments and of schedules

Cause: rig/src/schedule.rs read and decoded its file with the lines that lab/src/experiment.rs had; lab/src/file.rs serves both now. Faults read as before: the tests that name keys are unchanged and pass.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use crate::arrivals::Load;
+use crate::file;
 use crate::model::{Nature, Trouble};
 use crate::service::Costs;
 
@@ -178,16 +179,12 @@
 impl Experiment {
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Experiment, String> {
-        let name = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
-        Experiment::parse(&text).map_err(|e| format!("{name}: {e}"))
+        file::read(path, Experiment::parse)
     }
 
     /// The same from the file's text.
     pub fn parse(text: &str) -> Result<Experiment, String> {
-        let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
-        let experiment: Experiment = serde_path_to_error::deserialize(reader)
-            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        let experiment: Experiment = file::decode(text)?;
         experiment.check()?;
         Ok(experiment)
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,5 @@
 //! The relay's laboratory. Plain values and models below ([`model`], [`arrivals`], [`rules`], [`service`], [`record`],
-//! [`experiment`], [`world`]), free of sockets; above them what plays them: [`virtual_time`] against the decision
+//! [`experiment`], [`file`], [`world`]), free of sockets; above them what plays them: [`virtual_time`] against the decision
 //! module itself, or the stand-ins ([`emulator`], [`discovery`], [`load`], [`push`], [`relay`]) that [`play`] puts together;
 //! [`report`] last. `docs/lab.md` tells how to run and read an experiment.
 #![forbid(unsafe_code)]
@@ -8,6 +8,7 @@
 pub mod discovery;
 pub mod emulator;
 pub mod experiment;
+pub mod file;
 pub mod floor;
 pub mod load;
 pub mod model;
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -2,6 +2,7 @@
 //! Every fault names its key.
 use onyxglade_lab::arrivals::Load;
 use onyxglade_lab::experiment::{Event, Expectation, Experiment, Front, ListTable, Partners, RelayTable};
+use onyxglade_lab::file;
 use onyxglade_lab::model::Trouble;
 use onyxglade_lab::service::Costs;
 use serde::{Deserialize, Serialize};
@@ -217,16 +218,12 @@
 impl Schedule {
     /// Reads a file.
     pub fn read(path: &Path) -> Result<Schedule, String> {
-        let name = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot read it: {e}"))?;
-        Schedule::parse(&text).map_err(|e| format!("{name}: {e}"))
+        file::read(path, Schedule::parse)
     }
 
     /// The same from the file's text.
     pub fn parse(text: &str) -> Result<Schedule, String> {
-        let reader = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
-        let schedule: Schedule = serde_path_to_error::deserialize(reader)
-            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        let schedule: Schedule = file::decode(text)?;
         schedule.check()?;
         Ok(schedule)
     }
