One piece of code says whether a figure is within its bounds

Cause: rig/src/report.rs weighed expectations with the lines that lab/src/report.rs had; Expectation::holds serves both. A wrapper in rig/src/play.rs that only passed on when the stand-ins' clock began is gone. Behaviour as before: the unit tests of both are unchanged and pass.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -165,6 +165,15 @@
     pub least: Option<f64>,
 }
 
+impl Expectation {
+    /// Whether a figure is within its bounds; one that is missing is not.
+    pub fn holds(&self, value: Option<f64>) -> bool {
+        value.is_some_and(|v| {
+            self.most.is_none_or(|most| v <= most) && self.least.is_none_or(|least| v >= least)
+        })
+    }
+}
+
 fn one() -> u64 {
     1
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -97,10 +97,7 @@
         }
         let expectations = experiment.expectations.iter().map(|e| {
             let value = figures.get(&e.figure).copied();
-            let held = value.is_some_and(|v| {
-                e.most.is_none_or(|most| v <= most) && e.least.is_none_or(|least| v >= least)
-            });
-            Held { figure: e.figure.clone(), value, most: e.most, least: e.least, held }
+            Held { figure: e.figure.clone(), value, most: e.most, least: e.least, held: e.holds(value) }
         });
         let first = legs.iter().find(|leg| !leg.virtual_time && !leg.first_ten_seconds.is_empty());
         Outcome {
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -351,7 +351,7 @@
     /// A partner is in trouble, and the list tells of it.
     fn partner(self: &Rc<Self>, fault: &Fault) {
         let (Some(dest), Some(trouble)) = (fault.dest, fault.trouble) else { return };
-        let zero = self.start_of_stand_ins();
+        let zero = self.discovery.begun();
         let seconds = fault.for_s.unwrap_or(86_400.0);
         let told =
             self.world.borrow_mut().happen(zero.elapsed(), trouble, dest, seconds, trouble != Partner::Drain);
@@ -363,10 +363,6 @@
             });
         }
     }
-
-    fn start_of_stand_ins(&self) -> Instant {
-        self.discovery.begun()
-    }
 }
 
 /// Begins or ends a fault of a link.
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -46,9 +46,9 @@
         let figures = figures(history);
         let not_held = |e: &Expectation| {
             let value = figures.get(&e.figure).copied();
-            let held = value.is_some_and(|v| e.least.is_none_or(|l| v >= l) && e.most.is_none_or(|m| v <= m));
-            let value = value.map_or("missing".into(), |v| format!("{v:.3}"));
-            (!held).then(|| format!("{} is {value}, least {:?}, most {:?}", e.figure, e.least, e.most))
+            let told = value.map_or("missing".into(), |v| format!("{v:.3}"));
+            (!e.holds(value))
+                .then(|| format!("{} is {told}, least {:?}, most {:?}", e.figure, e.least, e.most))
         };
         let expectations_not_held = schedule.expectations.iter().filter_map(not_held).collect();
         let broken = check::all(history).into_iter().map(|(name, why)| (name.to_owned(), why));
