--- /dev/null
+++ b/instances/src/catalog.rs
@@ -0,0 +1,205 @@
+//! The list of execute nodes as instances pass it on: which one it is, what is in it, and what has changed of late.
+//!
+//! Knows entries as names with a text each, and nothing of what a text says.
+use ring::digest::{SHA256, digest};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// An entry that changed: its name, and its text where it is still there.
+pub type Entry = (String, Option<String>);
+
+/// Which list it is. The generation alone does not say: a list service that lost its memory counts anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Edition {
+    /// As the list service counts.
+    pub generation: u64,
+    /// Of all that is in it: the sum of the first 8 bytes of each entry's SHA-256.
+    pub digest: u64,
+}
+
+/// What one list has and another has not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// The list that it is from; none where the entries are all there are.
+    pub base: Option<Edition>,
+    /// The list that it leads to.
+    pub edition: Edition,
+    /// What is in it, or has changed.
+    pub entries: Vec<Entry>,
+}
+
+/// Changes that are remembered, so that who holds a list of a moment ago is told no more than that.
+const STEPS: usize = 32;
+/// Entries in them, for each one that is listed and beside. Guards against remembering more than the list itself.
+const LEAST_REMEMBERED: usize = 64;
+
+/// A list, and how it came to be.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    generation: u64,
+    digest: u64,
+    entries: BTreeMap<String, String>,
+    steps: VecDeque<(Edition, Vec<Entry>)>,
+}
+
+fn hash(name: &str, text: &str) -> u64 {
+    let whole = digest(&SHA256, format!("{name}\0{text}").as_bytes());
+    u64::from_be_bytes(whole.as_ref()[..8].try_into().expect("eight bytes"))
+}
+
+impl Catalog {
+    /// Which list it is.
+    pub fn edition(&self) -> Edition {
+        Edition { generation: self.generation, digest: self.digest }
+    }
+
+    /// What it would be with a difference from it, or from nothing; none where it is not the one that the difference is from,
+    /// or what comes out is not the list that the difference is to lead to.
+    pub fn with(&self, difference: &Difference) -> Option<Catalog> {
+        let known = match difference.base {
+            Some(base) => (base == self.edition()).then_some(Some(&difference.entries))?,
+            None => None,
+        };
+        let mut next = self.clone();
+        match known {
+            Some(entries) => next.change(entries.clone()),
+            None => next.replace(difference.entries.clone()),
+        }
+        next.generation = difference.edition.generation;
+        (next.edition() == difference.edition).then(|| next.after(self.edition()))
+    }
+
+    /// What it would be as the list service tells it: all that there is, or what changed.
+    pub fn told(&self, generation: u64, whole: bool, entries: Vec<Entry>) -> Catalog {
+        let mut next = self.clone();
+        if whole {
+            next.replace(entries);
+        } else {
+            next.change(entries);
+        }
+        next.generation = generation;
+        next.after(self.edition())
+    }
+
+    /// Puts entries in place of all that there are; the last step is what that changes.
+    fn replace(&mut self, entries: Vec<Entry>) {
+        let new: BTreeMap<_, _> =
+            entries.into_iter().filter_map(|(name, text)| Some((name, text?))).collect();
+        let gone =
+            self.entries.keys().filter(|name| !new.contains_key(*name)).map(|name| (name.clone(), None));
+        let gone: Vec<_> = gone.collect();
+        let changed = new.into_iter().map(|(name, text)| (name, Some(text)));
+        self.change(gone.into_iter().chain(changed).collect());
+    }
+
+    /// Takes up changes; those that change nothing are left out of the step.
+    fn change(&mut self, entries: Vec<Entry>) {
+        let mut step = Vec::new();
+        for (name, text) in entries {
+            if self.entries.get(&name) == text.as_ref() {
+                continue;
+            }
+            let new = text.as_ref().map_or(0, |text| hash(&name, text));
+            let old = match &text {
+                Some(text) => self.entries.insert(name.clone(), text.clone()),
+                None => self.entries.remove(&name),
+            };
+            let old = old.map_or(0, |text| hash(&name, &text));
+            self.digest = self.digest.wrapping_sub(old).wrapping_add(new);
+            step.push((name, text));
+        }
+        self.steps.push_back((Edition { generation: 0, digest: 0 }, step));
+    }
+
+    /// Books the step that was just made as one from such a list, and forgets what is too long ago.
+    fn after(mut self, from: Edition) -> Catalog {
+        let nothing = from == self.edition();
+        match self.steps.back_mut() {
+            Some(step) if !nothing => step.0 = from,
+            _ => drop(self.steps.pop_back()),
+        }
+        let most = self.entries.len() + LEAST_REMEMBERED;
+        let remembered =
+            |steps: &VecDeque<(_, Vec<Entry>)>| steps.iter().map(|(_, s)| s.len()).sum::<usize>();
+        while self.steps.len() > STEPS || remembered(&self.steps) > most {
+            self.steps.pop_front();
+        }
+        self
+    }
+
+    /// Whether what changed since such a list is remembered.
+    pub fn remembers(&self, held: Edition) -> bool {
+        held == self.edition() || self.steps.iter().any(|(from, _)| *from == held)
+    }
+
+    /// What who holds such a list has not: changes where they are remembered, else all.
+    pub fn since(&self, held: Option<Edition>) -> Difference {
+        let edition = self.edition();
+        let steps = held.and_then(|held| {
+            if held == edition {
+                return Some(Vec::new());
+            }
+            let first = self.steps.iter().rposition(|(from, _)| *from == held)?;
+            // The last word on each entry.
+            let all = self.steps.iter().skip(first).flat_map(|(_, step)| step.iter().cloned());
+            Some(all.collect::<BTreeMap<_, _>>().into_iter().collect())
+        });
+        match steps {
+            Some(entries) => Difference { base: held, edition, entries },
+            None => {
+                let all = self.entries.iter().map(|(name, text)| (name.clone(), Some(text.clone())));
+                Difference { base: None, edition, entries: all.collect() }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn entry(name: u8, text: u8) -> Entry {
+        (format!("n{name}"), (text > 0).then(|| format!("t{text}")))
+    }
+
+    #[test]
+    fn a_difference_fits_only_the_list_that_it_is_from() {
+        let first = Catalog::default().told(4, true, vec![entry(1, 1), entry(2, 1)]);
+        let second = first.told(5, false, vec![entry(2, 2)]);
+        let difference = second.since(Some(first.edition()));
+        assert_eq!(difference.entries, [entry(2, 2)]);
+        assert_eq!(first.with(&difference).map(|c| c.edition()), Some(second.edition()));
+        assert!(Catalog::default().with(&difference).is_none(), "it is from another list");
+        let spoilt = Difference { entries: vec![entry(2, 3)], ..difference };
+        assert!(first.with(&spoilt).is_none(), "it leads elsewhere");
+        // The same generation with other entries is another list.
+        assert_ne!(first.told(5, false, vec![entry(2, 3)]).edition(), second.edition());
+        let whole = second.since(None);
+        assert_eq!((whole.base, whole.entries.len()), (None, 2));
+        assert_eq!(first.with(&whole).map(|c| c.edition()), Some(second.edition()));
+    }
+
+    proptest! {
+        /// Whoever holds any list of the past, or none, has the present one with what it is told; what is remembered is bounded.
+        #[test]
+        fn whoever_holds_a_list_of_the_past_is_led_to_the_present_one(
+            lists in prop::collection::vec((any::<bool>(), prop::collection::vec((0u8..9, 0u8..4), 0..6)), 1..60),
+        ) {
+            let mut past = vec![Catalog::default()];
+            for (n, (whole, entries)) in lists.into_iter().enumerate() {
+                let entries = entries.into_iter().map(|(name, text)| entry(name, text)).collect();
+                let next = past.last().expect("one").told(n as u64 / 2 + 1, whole, entries);
+                past.push(next);
+            }
+            let now = past.last().expect("one");
+            for then in &past {
+                let difference = now.since(Some(then.edition()));
+                let led = then.with(&difference).expect("it fits");
+                prop_assert_eq!(led.edition(), now.edition());
+                prop_assert_eq!(&led.entries, &now.entries);
+            }
+            prop_assert!(now.steps.iter().map(|(_, s)| s.len()).sum::<usize>() <= 9 + LEAST_REMEMBERED);
+        }
+    }
+}
--- /dev/null
+++ b/instances/src/lists.rs
@@ -0,0 +1,742 @@
+//! Lists between instances: who asks the list service, from whom all others have its word, and how old that word is.
+//!
+//! Few ask, the first by [`rank`]; each instance holds links to two that come before it and hears the word there. What is said
+//! carries the span of time in which the list service said it, on the hearer's own clock: a word replaces another if the service
+//! surely said it later, or may have and it has the higher generation. So no older list replaces a newer one, and a generation that
+//! falls is taken up as soon as it is surely the later word. Where nobody's word is fresh, instances ask in turn, few at a time.
+//!
+//! A state machine: [`Lists::handle`] takes the time and what happened, and gives what is to be done.
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::At;
+use crate::catalog::{Catalog, Difference, Edition, Entry};
+use crate::rank;
+use crate::said::{Beat, News, Told};
+use crate::view::Word;
+
+/// Each side of a link says so often what it holds.
+const BEAT: Duration = Duration::from_millis(400);
+/// A link on which nothing came for so long is given up: its far side hangs or is cut off.
+const SILENT: Duration = Duration::from_secs(2);
+/// Beats that may be echoed yet.
+const ECHOED: usize = 16;
+/// Bytes of entries in one part.
+const PART: usize = 256 * 1024;
+/// Seeds are counted as there for so long after the start: they start together with all others.
+const SEEDS_ASSUMED: Duration = Duration::from_secs(2);
+/// An instance that is not among the first waits so long for others' word before its turn begins: the first have had an answer by
+/// then, and one that is alone still serves within its first second.
+const GRACE: Duration = Duration::from_millis(500);
+/// See [`rank::period`].
+const PERIOD: Duration = Duration::from_secs(1);
+/// A link that could not be had, or broke, is tried again after a pause that doubles between these.
+const TRY_AGAIN: Duration = Duration::from_millis(300);
+const TRY_AGAIN_MOST: Duration = Duration::from_secs(10);
+/// One of the first asks again so soon after a call that failed: its pause doubles between these.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+const ASK_AGAIN_MOST: Duration = Duration::from_secs(1);
+/// Others are linked to in place of those that still do no sooner than this, and by lot up to twice that: views that are still
+/// filling make everybody's choice another every moment.
+const CHOOSE_AGAIN: Duration = Duration::from_secs(5);
+/// Two that pass on different lists for so long do not merely lag: the service is asked which is its own.
+const ODD: Duration = Duration::from_secs(2);
+/// A list that the service itself does not know of is not heeded for so long, whoever passes it on; and so many such lists.
+const FALSE: Duration = Duration::from_secs(60);
+const MOST_FALSE: usize = 64;
+/// What is wanted is asked for again after so long.
+const WANT_AGAIN: Duration = Duration::from_secs(1);
+
+/// What is told beforehand.
+#[derive(Clone, Debug)]
+pub struct ListsConfig {
+    /// This instance's address.
+    pub me: SocketAddr,
+    /// As for [`crate::Config`].
+    pub seeds: Vec<SocketAddr>,
+    /// About how many instances there are.
+    pub expected: u32,
+    /// The list is to be no older than this. Half of it is let pass before others than the first ask.
+    pub must_ask_in: Duration,
+    /// Longest list that is taken, in bytes of its entries.
+    pub longest: usize,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Heard {
+    /// Who is there, without this instance.
+    Members(Vec<SocketAddr>),
+    /// A link stands, to whom this instance wanted one or from somebody.
+    Opened {
+        /// Its number.
+        link: u64,
+        /// Where to, where this instance wanted it.
+        to: Option<SocketAddr>,
+    },
+    /// A link could not be had.
+    Unopened(SocketAddr),
+    /// A link has ended.
+    Closed(u64),
+    /// Something was said on a link.
+    Said(u64, Word),
+    /// The list service is being called.
+    Asked,
+    /// It answered.
+    Answered {
+        /// When the call began.
+        began: At,
+        /// As it counts.
+        generation: u64,
+        /// These are all that there are, not only what changed.
+        whole: bool,
+        /// Its entries.
+        entries: Vec<Entry>,
+    },
+    /// It did not, or its answer broke off; then what it had to tell is had at once.
+    Failed {
+        /// The answer broke off.
+        torn: bool,
+    },
+    /// It is time: see [`Lists::due`].
+    Time,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Todo {
+    /// A link is to be had.
+    Open(SocketAddr),
+    /// A link is to be ended.
+    Close(u64),
+    /// A word is to be sent on a link.
+    Say(u64, Word),
+    /// Whether the list service is to be called, from now on.
+    Turn(bool),
+    /// The list that is held is another: see [`Lists::since`].
+    Changed,
+}
+
+/// A list and when the list service said that it is the one: at or after `from`, and at or before `to`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Which list.
+    pub edition: Edition,
+    /// How often the service had lost its memory by then, as far as that was seen.
+    pub memory: u64,
+    /// See above.
+    pub from: At,
+    /// See above.
+    pub to: At,
+    /// Who asked the service.
+    pub origin: SocketAddr,
+    /// Over how many others its word came.
+    pub hops: u8,
+}
+
+impl Known {
+    /// Whether it is the service's later word: surely, or it may be and comes later as the service counts.
+    fn supersedes(&self, other: &Known) -> bool {
+        if self.from >= other.to {
+            return self.edition != other.edition;
+        }
+        let counted = |known: &Known| (known.memory, known.edition);
+        self.edition != other.edition && self.to > other.from && counted(self) > counted(other)
+    }
+
+    fn confirm(&mut self, by: &Known) {
+        self.memory = self.memory.max(by.memory);
+        if by.from > self.from {
+            (self.from, self.origin, self.hops) = (by.from, by.origin, by.hops);
+        }
+        self.to = self.to.max(by.to);
+    }
+
+    fn told(&self, now: At) -> Told {
+        Told {
+            edition: self.edition,
+            memory: self.memory,
+            oldest: now.saturating_sub(self.from),
+            newest: now.saturating_sub(self.to),
+            origin: self.origin,
+            hops: self.hops,
+        }
+    }
+}
+
+/// A link that stands.
+struct Link {
+    /// Whom this instance wanted to hear.
+    to: Option<SocketAddr>,
+    heard: At,
+    /// Numbers said and when, the last ones.
+    beats: VecDeque<(u64, At)>,
+    /// The last number heard; 0 is none.
+    echo: u64,
+    /// What the far side holds, with the time of that.
+    told: Option<Known>,
+    /// Which list it holds, as it says.
+    holds: Option<Edition>,
+    /// The list that was last sent there.
+    sent: Option<Edition>,
+    /// When the list was last asked for there.
+    wanted: Option<At>,
+    /// Parts of what is being said there.
+    coming: Vec<Entry>,
+    coming_bytes: usize,
+}
+
+/// Lists of one instance.
+pub struct Lists {
+    config: ListsConfig,
+    begun: At,
+    random: StdRng,
+    members: Vec<SocketAddr>,
+    /// All that are known, this one among them, in their order, and its place.
+    order: Vec<SocketAddr>,
+    place: usize,
+    /// See [`rank::parents`].
+    parents: Vec<SocketAddr>,
+    assumed: bool,
+    catalog: Catalog,
+    held: Option<Known>,
+    /// The service's last word to this instance itself.
+    direct: Option<Known>,
+    /// That word does not fit what is held: all of the list is to be asked for.
+    doubt: bool,
+    /// The call that is out: the list that it asks from, if not for all.
+    asking: Option<Option<Edition>>,
+    failures: u32,
+    not_before: At,
+    /// When this instance asks in place of those who do not have the service's word.
+    ask_at: Option<At>,
+    turn: bool,
+    links: BTreeMap<u64, Link>,
+    opening: BTreeSet<SocketAddr>,
+    /// Who could not be had: until when, and the pause.
+    away: HashMap<SocketAddr, (At, Duration)>,
+    /// Lists that others went on passing on and the service did not know of, and until when they are not heeded.
+    false_ones: HashMap<Edition, At>,
+    /// What different ones say, and since when.
+    odd: Option<(BTreeSet<Edition>, At)>,
+    choose_at: At,
+    beat_at: At,
+}
+
+impl Lists {
+    /// An instance that has just started and holds nothing.
+    pub fn new(config: ListsConfig, seed: u64, now: At) -> Self {
+        let mut lists = Lists {
+            begun: now,
+            random: StdRng::seed_from_u64(seed),
+            members: Vec::new(),
+            order: Vec::new(),
+            place: 0,
+            parents: Vec::new(),
+            assumed: true,
+            catalog: Catalog::default(),
+            held: None,
+            direct: None,
+            doubt: false,
+            asking: None,
+            failures: 0,
+            not_before: now,
+            ask_at: None,
+            turn: false,
+            links: BTreeMap::new(),
+            opening: BTreeSet::new(),
+            away: HashMap::new(),
+            false_ones: HashMap::new(),
+            odd: None,
+            choose_at: now,
+            beat_at: now,
+            config,
+        };
+        lists.put_in_order();
+        lists
+    }
+
+    /// When it is to hear of the time next.
+    pub fn due(&self) -> At {
+        self.beat_at
+    }
+
+    /// What is held.
+    pub fn held(&self) -> Option<Known> {
+        self.held
+    }
+
+    /// What who holds such a list has not.
+    pub fn since(&self, held: Option<Edition>) -> Difference {
+        self.catalog.since(held)
+    }
+
+    /// The generation from which the list service is to be asked on; none where all of the list is.
+    pub fn index(&self) -> Option<u64> {
+        self.held.filter(|_| !self.doubt).map(|held| held.edition.generation)
+    }
+
+    /// Links that stand, those that this instance wanted and those that others did.
+    pub fn links(&self) -> (usize, usize) {
+        let mine = self.links.values().filter(|link| link.to.is_some()).count();
+        (mine, self.links.len() - mine)
+    }
+
+    /// Takes what happened at a time of this machine's monotonic clock.
+    pub fn handle(&mut self, now: At, heard: Heard) -> Vec<Todo> {
+        let mut todo = Vec::new();
+        match heard {
+            Heard::Members(members) => {
+                self.members = members;
+                self.put_in_order();
+            }
+            Heard::Opened { link, to } => self.opened(now, link, to, &mut todo),
+            Heard::Unopened(to) => {
+                self.opening.remove(&to);
+                self.put_away(now, to);
+            }
+            Heard::Closed(link) => self.closed(now, link),
+            Heard::Said(link, word) => self.said(now, link, word, &mut todo),
+            Heard::Asked => self.asking = Some(self.held.filter(|_| !self.doubt).map(|held| held.edition)),
+            Heard::Answered { began, generation, whole, entries } => {
+                self.answered(now, began, (generation, whole, entries), &mut todo);
+            }
+            Heard::Failed { torn } => self.failed(now, torn),
+            Heard::Time => self.beat(now, &mut todo),
+        }
+        if self.assumed && now >= self.begun + SEEDS_ASSUMED {
+            self.assumed = false;
+            self.put_in_order();
+        }
+        self.take(now, &mut todo);
+        self.take_turn(now, &mut todo);
+        self.choose(now, &mut todo);
+        todo
+    }
+
+    fn put_in_order(&mut self) {
+        let assumed = if self.assumed { &self.config.seeds[..] } else { &[] };
+        let known = self.members.iter().chain(assumed).copied().chain([self.config.me]);
+        self.order = rank::order(known, &self.config.seeds);
+        self.place = self.order.iter().position(|one| *one == self.config.me).expect("among them");
+        self.parents = rank::parents(&self.order, self.place);
+        self.away.retain(|who, _| self.order.contains(who));
+    }
+
+    /// Half of the time in which the list is to be asked for: longer than the first take to hear it anew and all others
+    /// over three links, and time enough to take their place.
+    fn stale(&self) -> Duration {
+        self.config.must_ask_in / 2
+    }
+
+    fn is_fresh(&self, known: &Known, now: At) -> bool {
+        now < known.from + self.stale()
+    }
+
+    fn is_false(&self, known: &Known, now: At) -> bool {
+        self.false_ones.get(&known.edition).is_some_and(|until| now < *until)
+    }
+
+    /// Whose word counts: the service's own to this instance; else that of those it chose to hear, since they come before it; else
+    /// that of those that chose to hear it; where none of it is fresh, all of it.
+    fn heeded(&self, now: At) -> Vec<(Option<u64>, Known)> {
+        if let Some(direct) = self.direct.filter(|direct| self.is_fresh(direct, now)) {
+            return vec![(None, direct)];
+        }
+        let told = |fits: &dyn Fn(&Link, &Known) -> bool| -> Vec<_> {
+            let told = self.links.iter().filter_map(|(number, link)| Some((Some(*number), link, link.told?)));
+            let told = told.filter(|(.., known)| !self.is_false(known, now));
+            told.filter(|(_, link, known)| fits(link, known))
+                .map(|(number, _, known)| (number, known))
+                .collect()
+        };
+        let chosen = told(&|link, known| link.to.is_some() && self.is_fresh(known, now));
+        let others = told(&|_, known| self.is_fresh(known, now));
+        [chosen, others, told(&|_, _| true)].into_iter().find(|told| !told.is_empty()).unwrap_or_default()
+    }
+
+    /// Takes up what counts: what is held is confirmed, and what supersedes it is asked for, of one who has it.
+    fn take(&mut self, now: At, todo: &mut Vec<Todo>) {
+        let heeded = self.heeded(now);
+        if let Some(held) = &mut self.held {
+            let edition = held.edition;
+            heeded.iter().filter(|(_, known)| known.edition == edition).for_each(|(_, k)| held.confirm(k));
+        }
+        self.look_for_odd(now, &heeded);
+        let held = self.held;
+        let better = heeded.iter().filter(|(_, known)| held.is_none_or(|held| known.supersedes(&held)));
+        let better: Vec<_> = better.filter_map(|(link, known)| Some(((*link)?, *known))).collect();
+        let at = |number: &u64| self.links.get(number).and_then(|link| link.wanted);
+        if better.iter().any(|(number, _)| at(number).is_some_and(|at| now < at + WANT_AGAIN)) {
+            return;
+        }
+        // Of those that have the best, the one that was not asked before, or longest ago.
+        let best = better.iter().filter(|(_, one)| !better.iter().any(|(_, other)| other.supersedes(one)));
+        let best = best.map(|(number, _)| *number).min_by_key(at);
+        if let Some((number, link)) = best.and_then(|number| Some((number, self.links.get_mut(&number)?))) {
+            link.wanted = Some(now);
+            todo.push(Todo::Say(number, Word::Want(held.map(|held| held.edition))));
+        }
+    }
+
+    /// Whether those who are heard pass on different lists, and go on doing so. Who hears the service itself keeps to what it
+    /// found before.
+    fn look_for_odd(&mut self, now: At, heeded: &[(Option<u64>, Known)]) {
+        if heeded.first().is_some_and(|(link, _)| link.is_none()) {
+            return;
+        }
+        let fresh = heeded.iter().filter(|(_, known)| self.is_fresh(known, now));
+        let said: BTreeSet<_> = fresh.map(|(_, known)| known.edition).collect();
+        match &mut self.odd {
+            _ if said.len() < 2 => self.odd = None,
+            // It may be another one each time.
+            Some((before, _)) => {
+                before.extend(said.into_iter().take(MOST_FALSE.saturating_sub(before.len())))
+            }
+            None => self.odd = Some((said, now)),
+        }
+    }
+
+    fn opened(&mut self, now: At, number: u64, to: Option<SocketAddr>, todo: &mut Vec<Todo>) {
+        if let Some(to) = to {
+            self.opening.remove(&to);
+        }
+        let link = Link {
+            to,
+            heard: now,
+            beats: VecDeque::new(),
+            echo: 0,
+            told: None,
+            holds: None,
+            sent: None,
+            wanted: None,
+            coming: Vec::new(),
+            coming_bytes: 0,
+        };
+        self.links.insert(number, link);
+        if to.is_some() {
+            todo.push(Todo::Say(number, Word::Follow));
+            self.beat_on(now, number, todo);
+        }
+    }
+
+    fn closed(&mut self, now: At, number: u64) {
+        if let Some(to) = self.links.remove(&number).and_then(|link| link.to) {
+            self.put_away(now, to);
+        }
+    }
+
+    fn put_away(&mut self, now: At, who: SocketAddr) {
+        let pause = self.away.get(&who).map_or(TRY_AGAIN, |(_, pause)| (*pause * 2).min(TRY_AGAIN_MOST));
+        let until = now + pause.mul_f64(self.random.random_range(0.5..1.5));
+        self.away.insert(who, (until, pause));
+    }
+
+    fn beat(&mut self, now: At, todo: &mut Vec<Todo>) {
+        if now < self.beat_at {
+            return;
+        }
+        self.beat_at = now + BEAT;
+        let silent: Vec<_> = self
+            .links
+            .iter()
+            .filter(|(_, link)| now >= link.heard + SILENT)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in silent {
+            self.closed(now, number);
+            todo.push(Todo::Close(number));
+        }
+        for number in self.links.keys().copied().collect::<Vec<_>>() {
+            self.beat_on(now, number, todo);
+        }
+    }
+
+    fn beat_on(&mut self, now: At, number: u64, todo: &mut Vec<Todo>) {
+        let told = self.held.map(|held| held.told(now));
+        let Some(link) = self.links.get_mut(&number) else { return };
+        // The first is a lot, so that nothing that was said on another link echoes one of this.
+        let next =
+            link.beats.back().map_or_else(|| self.random.random::<u64>() / 2 + 1, |(last, _)| last + 1);
+        link.beats.push_back((next, now));
+        if link.beats.len() > ECHOED {
+            link.beats.pop_front();
+        }
+        todo.push(Todo::Say(number, Word::Beat(Beat { number: next, echo: link.echo, told })));
+    }
+
+    fn said(&mut self, now: At, number: u64, word: Word, todo: &mut Vec<Todo>) {
+        let Some(link) = self.links.get_mut(&number) else { return };
+        link.heard = now;
+        match word {
+            Word::Beat(beat) => {
+                let first = std::mem::replace(&mut link.echo, beat.number) == 0;
+                link.holds = beat.told.map(|told| told.edition);
+                link.told = beat.told.and_then(|told| link.known(now, beat.echo, &told));
+                if let (Some(to), Some(_)) = (link.to, link.told) {
+                    self.away.remove(&to);
+                }
+                let answer = first && link.beats.is_empty();
+                self.pass_on(now, number, todo);
+                if answer {
+                    self.beat_on(now, number, todo);
+                }
+            }
+            Word::Want(base) => self.send(now, number, base, todo),
+            Word::News(news) => self.news(now, number, news, todo),
+            // A link has been followed already, and whole views are asked for on links of their own.
+            Word::Follow | Word::Ask | Word::View(_) => {
+                self.closed(now, number);
+                todo.push(Todo::Close(number));
+            }
+        }
+    }
+
+    /// Sends what is held to who is known not to have it, if it was not sent there already: changes, or all to who holds
+    /// nothing. Anybody else is told of it and asks. False if nothing was sent though there is something.
+    fn pass_on(&mut self, now: At, number: u64, todo: &mut Vec<Todo>) -> bool {
+        let (Some(held), Some(link)) = (self.held, self.links.get(&number)) else { return true };
+        let edition = held.edition;
+        if link.echo == 0 || link.holds == Some(edition) || link.sent == Some(edition) {
+            return true;
+        }
+        let base = link.holds.or(link.sent);
+        let sends = base.is_none_or(|base| self.catalog.remembers(base));
+        if sends {
+            self.send(now, number, base, todo);
+        }
+        sends
+    }
+
+    fn send(&mut self, now: At, number: u64, base: Option<Edition>, todo: &mut Vec<Todo>) {
+        let (Some(held), Some(link)) = (self.held, self.links.get_mut(&number)) else { return };
+        link.sent = Some(held.edition);
+        let (echo, told) = (link.echo, held.told(now));
+        let difference = self.catalog.since(base);
+        let mut parts = vec![Vec::new()];
+        let mut bytes = 0;
+        for entry in difference.entries {
+            bytes += size(&entry);
+            if bytes > PART && !parts.last().is_some_and(Vec::is_empty) {
+                parts.push(Vec::new());
+                bytes = size(&entry);
+            }
+            parts.last_mut().expect("one").push(entry);
+        }
+        let count = parts.len();
+        for (n, entries) in parts.into_iter().enumerate() {
+            let news = News { echo, told, base: difference.base, entries, last: n + 1 == count };
+            todo.push(Todo::Say(number, Word::News(news)));
+        }
+    }
+
+    fn news(&mut self, now: At, number: u64, news: News, todo: &mut Vec<Todo>) {
+        let Some(link) = self.links.get_mut(&number) else { return };
+        link.coming_bytes += news.entries.iter().map(size).sum::<usize>();
+        if link.coming_bytes > self.config.longest {
+            self.closed(now, number);
+            return todo.push(Todo::Close(number));
+        }
+        link.coming.extend(news.entries);
+        if !news.last {
+            return;
+        }
+        (link.coming_bytes, link.holds) = (0, Some(news.told.edition));
+        let entries = std::mem::take(&mut link.coming);
+        let Some(known) = link.known(now, news.echo, &news.told) else { return };
+        link.told = Some(known);
+        let counts = self.heeded(now).iter().any(|(from, _)| *from == Some(number));
+        if !counts || self.held.is_some_and(|held| !known.supersedes(&held)) {
+            return;
+        }
+        let whole = news.base.is_none();
+        let difference = Difference { base: news.base, edition: known.edition, entries };
+        match self.catalog.with(&difference) {
+            Some(catalog) => {
+                (self.catalog, self.held) = (catalog, Some(known));
+                self.spread(now, todo);
+            }
+            // It was from another list than is held by now; a whole one that is not what it says is none.
+            None if whole => {
+                self.closed(now, number);
+                todo.push(Todo::Close(number));
+            }
+            None => todo.push(Todo::Say(number, Word::Want(None))),
+        }
+    }
+
+    /// What is held is another list: all who may not have it hear of it at once.
+    fn spread(&mut self, now: At, todo: &mut Vec<Todo>) {
+        todo.push(Todo::Changed);
+        for number in self.links.keys().copied().collect::<Vec<_>>() {
+            if !self.pass_on(now, number, todo) {
+                self.beat_on(now, number, todo);
+            }
+        }
+    }
+
+    fn answered(&mut self, now: At, began: At, said: (u64, bool, Vec<Entry>), todo: &mut Vec<Todo>) {
+        let (generation, whole, entries) = said;
+        let base = self.asking.replace(self.held.map(|held| held.edition)).flatten();
+        (self.failures, self.not_before, self.ask_at) = (0, now, None);
+        if !whole && base != Some(self.catalog.edition()) {
+            // Others' word came meanwhile, and the next call asks on from that.
+            return;
+        }
+        let fell = !whole && generation < self.catalog.edition().generation;
+        let catalog = self.catalog.told(generation, whole, entries);
+        let origin = self.config.me;
+        let told = self.links.values().filter_map(|link| link.told);
+        let memory = told.chain(self.held).map(|known| known.memory).max().unwrap_or(0);
+        let lost = self.held.is_some_and(|held| generation < held.edition.generation);
+        let memory = if lost { memory.saturating_add(1) } else { memory };
+        let known = Known { edition: catalog.edition(), memory, from: began, to: now, origin, hops: 0 };
+        self.direct = Some(known);
+        match &mut self.held {
+            // It lost its memory: what changed since says nothing of what is left.
+            _ if fell => self.doubt = true,
+            Some(held) if held.edition == known.edition => {
+                held.confirm(&known);
+                self.doubt = false;
+            }
+            Some(held) if !known.supersedes(held) => self.doubt = true,
+            _ => {
+                (self.catalog, self.held, self.doubt) = (catalog, Some(known), false);
+                self.spread(now, todo);
+            }
+        }
+        if !self.doubt
+            && let Some((said, _)) = self.odd.take()
+        {
+            self.deny(now, generation, said);
+        }
+    }
+
+    /// Of the lists that others went on passing on, those that come after what the service says now were never told by it.
+    fn deny(&mut self, now: At, generation: u64, said: BTreeSet<Edition>) {
+        self.false_ones.retain(|_, until| now < *until);
+        let room = MOST_FALSE - self.false_ones.len().min(MOST_FALSE);
+        let false_ones = said.into_iter().filter(|edition| edition.generation > generation).take(room);
+        self.false_ones.extend(false_ones.map(|edition| (edition, now + FALSE)));
+    }
+
+    fn failed(&mut self, now: At, torn: bool) {
+        // Others may have its word yet.
+        (self.asking, self.direct) = (None, None);
+        self.failures += 1;
+        let pause = (ASK_AGAIN * (1 << self.failures.min(5)) / 2).min(ASK_AGAIN_MOST);
+        // What broke off may have told of a drain.
+        self.not_before = if torn { now } else { now + pause.mul_f64(self.random.random_range(0.5..1.5)) };
+        // Whose turn it was has it again after all others.
+        if self.ask_at.is_some() {
+            let round = PERIOD * (rank::period(self.size()) + 1);
+            self.ask_at = Some(now + round.mul_f64(self.random.random_range(0.5..1.5)));
+        }
+    }
+
+    /// How many instances there are, as far as this one knows.
+    fn size(&self) -> usize {
+        self.order.len().max(self.config.expected as usize)
+    }
+
+    /// Whether this instance's place says something: it is a seed, which all know, or it knows most of all.
+    fn is_placed(&self) -> bool {
+        self.config.seeds.contains(&self.config.me) || 2 * self.order.len() >= self.config.expected as usize
+    }
+
+    fn take_turn(&mut self, now: At, todo: &mut Vec<Todo>) {
+        let due = match self.held {
+            None => self.begun + GRACE,
+            Some(held) => (held.from + self.stale()).max(self.begun + GRACE),
+        };
+        let odd = self.odd.as_ref().is_some_and(|(_, since)| now >= *since + ODD);
+        let first = self.place < rank::FIRST && self.is_placed();
+        let wanted = if first || self.stands_in(now) {
+            true
+        } else if now >= due || odd {
+            let at = match self.ask_at {
+                Some(at) => at,
+                None => {
+                    let place = if self.is_placed() && !odd { self.place } else { self.lot() };
+                    now.max(due) + PERIOD * rank::period(place)
+                }
+            };
+            self.ask_at = Some(at);
+            now >= at
+        } else {
+            self.ask_at = None;
+            false
+        };
+        // A call for the whole list that the service may have begun on is not thrown away.
+        let whole_is_out = self.asking == Some(None);
+        let turn = whole_is_out || (wanted && (self.asking.is_some() || now >= self.not_before));
+        if turn != self.turn {
+            self.turn = turn;
+            if !turn {
+                self.asking = None;
+            }
+            todo.push(Todo::Turn(turn));
+        }
+    }
+
+    /// A place by lot: one's own says nothing where few are known, and nothing of who hears different lists.
+    fn lot(&mut self) -> usize {
+        self.random.random_range(0..self.size())
+    }
+
+    /// Whether this instance has the service's word in place of those that come before it, and none of them has it again.
+    fn stands_in(&self, now: At) -> bool {
+        let before = |origin: &SocketAddr| self.order[..self.place].contains(origin);
+        let told = self.links.values().filter_map(|link| link.told);
+        let again = told.filter(|known| self.is_fresh(known, now)).any(|known| before(&known.origin));
+        self.direct.is_some_and(|direct| self.is_fresh(&direct, now)) && (!again || self.doubt)
+    }
+
+    /// Links to whom this instance is to hear.
+    fn choose(&mut self, now: At, todo: &mut Vec<Todo>) {
+        let may = |one: &&SocketAddr| self.away.get(*one).is_none_or(|(until, _)| now >= *until);
+        let chosen: Vec<_> = self.parents.iter().filter(may).take(rank::PARENTS).copied().collect();
+        let linked: Vec<_> =
+            self.links.iter().filter_map(|(n, link)| Some((*n, link.to?, link.told))).collect();
+        let has = |one: &SocketAddr| linked.iter().any(|(_, to, _)| to == one) || self.opening.contains(one);
+        let absent: Vec<_> = chosen.iter().filter(|one| !has(one)).copied().collect();
+        let mut room = rank::PARENTS.saturating_sub(linked.len() + self.opening.len());
+        if room == 0 && !absent.is_empty() && now >= self.choose_at && self.opening.is_empty() {
+            // One more for a while; what is left over goes once the new one has spoken.
+            room = usize::from(linked.len() <= rank::PARENTS);
+            self.choose_at = now + CHOOSE_AGAIN.mul_f64(self.random.random_range(1.0..2.0));
+        }
+        for one in absent.into_iter().take(room) {
+            self.opening.insert(one);
+            todo.push(Todo::Open(one));
+        }
+        let spoken =
+            linked.iter().filter(|(.., told)| told.is_some_and(|told| self.is_fresh(&told, now))).count();
+        if linked.len() > rank::PARENTS && spoken == linked.len() {
+            let left = linked.iter().find(|(_, to, _)| !chosen.contains(to)).or(linked.last());
+            if let Some((number, ..)) = left {
+                self.links.remove(number);
+                todo.push(Todo::Close(*number));
+            }
+        }
+    }
+}
+
+impl Link {
+    /// What the far side says, on this instance's clock; none where it echoes nothing that was said here: then it is not known
+    /// when it was said, nor by whom.
+    fn known(&self, now: At, echo: u64, told: &Told) -> Option<Known> {
+        let (_, said) = self.beats.iter().find(|(number, _)| *number == echo)?;
+        let from = said.saturating_sub(told.oldest);
+        let to = now.saturating_sub(told.newest).max(from);
+        let Told { edition, memory, origin, hops, .. } = *told;
+        Some(Known { edition, memory, from, to, origin, hops: hops.saturating_add(1) })
+    }
+}
+
+fn size((name, text): &Entry) -> usize {
+    name.len() + text.as_ref().map_or(0, String::len)
+}
--- /dev/null
+++ b/instances/src/rank.rs
@@ -0,0 +1,128 @@
+//! The order in which instances come where few of them are to do something for all: without a leader, by hashes of
+//! addresses (rendezvous hashing, Thaler and Ravishankar 1998), so that views which differ by few members differ by few places.
+use std::net::{IpAddr, SocketAddr};
+
+/// So many ask the list service as long as it answers them: one may fail and nothing is missed.
+pub const FIRST: usize = 2;
+/// An instance has the list's word from so many others.
+pub const PARENTS: usize = 2;
+/// About how many have it from one. With it a thousand are reached over three others.
+const CHILDREN: usize = 16;
+/// So many of the first pass the word on where few are known, as at a start, where only the seeds are.
+const LEAST_PASSING: usize = 3;
+
+/// What decides on an instance's place, for all alike or for one that chooses: FNV-1a over the addresses, mixed by the last steps of
+/// SplitMix64, since FNV's high bits hardly follow the last bytes. Not a guard against anybody: places are no secret.
+fn hash(chooser: Option<SocketAddr>, of: SocketAddr) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325u64;
+    let mut add = |bytes: &[u8]| {
+        bytes.iter().for_each(|byte| hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3));
+    };
+    for one in chooser.into_iter().chain([of]) {
+        match one.ip() {
+            IpAddr::V4(ip) => add(&ip.octets()),
+            IpAddr::V6(ip) => add(&ip.octets()),
+        }
+        add(&one.port().to_be_bytes());
+    }
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// All that are known, in their order: seeds first, since all know them from the beginning.
+pub fn order(all: impl IntoIterator<Item = SocketAddr>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut all: Vec<_> = all.into_iter().map(|one| (!seeds.contains(&one), hash(None, one), one)).collect();
+    all.sort_unstable();
+    all.dedup();
+    all.into_iter().map(|(.., one)| one).collect()
+}
+
+/// Those of whom one at a place may have the list's word, as it prefers them: some of the first, who are before it, then any others.
+pub fn parents(order: &[SocketAddr], place: usize) -> Vec<SocketAddr> {
+    let me = order[place];
+    let near = place.min(place.div_ceil(CHILDREN).max(LEAST_PASSING));
+    // Not the very first, where there are others: all that come later would share them.
+    let from = if near > LEAST_PASSING { near / 2 } else { 0 };
+    let chosen = |part: &[SocketAddr]| {
+        let mut part: Vec<_> =
+            part.iter().filter(|one| **one != me).map(|one| (hash(Some(me), *one), *one)).collect();
+        part.sort_unstable_by(|a, b| b.cmp(a));
+        part.into_iter().map(|(_, one)| one).collect::<Vec<_>>()
+    };
+    let mut all = chosen(&order[from..near]);
+    all.extend(chosen(&order[..from]));
+    all.extend(chosen(&order[near..]));
+    all
+}
+
+/// How many periods one at a place lets pass before it asks in place of those who do not have the list's word: two ask at
+/// once, two a period later, then four, then eight in each period. A service that is down is asked by no more than that, however many
+/// instances there are.
+pub fn period(place: usize) -> u32 {
+    match place {
+        0..2 => 0,
+        2..4 => 1,
+        4..8 => 2,
+        _ => 3 + (place as u32 - 8) / 8,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::{HashMap, HashSet};
+    use std::net::Ipv4Addr;
+
+    fn address(n: u32) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::from(0x0a00_0001 + n), 7946))
+    }
+
+    fn ordered(count: u32) -> Vec<SocketAddr> {
+        order((0..count).map(address), &[address(1), address(2), address(0)])
+    }
+
+    #[test]
+    fn seeds_come_first_and_nobody_has_too_many_to_pass_the_word_to() {
+        for count in [3, 30, 300, 1000] {
+            let order = ordered(count);
+            assert_eq!(order[..3].iter().collect::<HashSet<_>>().len(), 3);
+            assert!((0..3).all(|n| order[..3].contains(&address(n))));
+            let mut children = HashMap::<_, u32>::new();
+            let mut far = vec![0; order.len()];
+            for place in 1..order.len() {
+                let chosen: Vec<_> = parents(&order, place).into_iter().take(PARENTS).collect();
+                let places = chosen.iter().map(|p| order.iter().position(|o| o == p).expect("known"));
+                let places: Vec<_> = places.filter(|p| *p < place).collect();
+                assert_eq!(places.len(), PARENTS.min(place), "who is before it");
+                far[place] = 1 + places.iter().map(|p| far[*p]).max().expect("one");
+                chosen.into_iter().for_each(|p| *children.entry(p).or_default() += 1);
+            }
+            // The three first ones are before each other as well.
+            assert!(*far.iter().max().expect("one") <= 5, "{count}: {far:?}");
+            let most = children.values().max().expect("one");
+            assert!(*most <= 4 * CHILDREN as u32, "{count}: {most} children");
+        }
+    }
+
+    #[test]
+    fn one_that_goes_changes_few_places() {
+        let all = ordered(300);
+        let fewer: Vec<_> = all.iter().copied().filter(|one| *one != all[150]).collect();
+        let of = |order: &[SocketAddr]| -> HashMap<_, _> {
+            let chosen = |place| parents(order, place).into_iter().take(PARENTS).collect::<Vec<_>>();
+            (0..order.len()).map(|place| (order[place], chosen(place))).collect()
+        };
+        let (before, after) = (of(&all), of(&fewer));
+        let moved = after.iter().filter(|(one, parents)| before[*one] != **parents).count();
+        assert!(moved < 30, "{moved} have others");
+    }
+
+    #[test]
+    fn few_ask_in_each_period() {
+        let mut asking = HashMap::<u32, usize>::new();
+        (0..1000).for_each(|place| *asking.entry(period(place)).or_default() += 1);
+        assert!(asking.values().all(|count| *count <= 8));
+        assert_eq!((asking[&0], asking[&1], asking[&2], period(999)), (2, 2, 4, 126));
+    }
+}
--- a/instances/src/swim.rs
+++ b/instances/src/swim.rs
@@ -169,6 +169,7 @@
 /// The view of one instance.
 pub struct Swim {
     foca: Foca<Member, Checked, StdRng, NoCustomBroadcast>,
+    key: Key,
     sealed: Sealed,
     /// Frames of links are another sender's: one that takes its time there must not be overtaken by datagrams and count as a replay.
     linked: Sealed,
@@ -205,12 +206,12 @@
         };
         let suspicion = protocol.suspect_to_down_after;
         let sealed = Sealed::new(key.clone(), random.random());
-        let linked = Sealed::new(key, random.random());
+        let linked = Sealed::new(key.clone(), random.random());
         let seeds = config.seeds.into_iter().filter(|seed| *seed != me.address).collect();
         let foca = Foca::new(me, protocol, StdRng::seed_from_u64(random.random()), Checked(PostcardCodec));
         let due = BTreeMap::from([((now, 0), Due::Seek), ((now + COMPARE_FIRST, 1), Due::Compare)]);
         let (compared, left, counts) = (false, false, Counts::default());
-        Swim { foca, sealed, linked, due, turn: 1, seeds, random, suspicion, compared, left, counts }
+        Swim { foca, key, sealed, linked, due, turn: 1, seeds, random, suspicion, compared, left, counts }
     }
 
     /// When it is to hear of the time next.
@@ -318,6 +319,11 @@
         self.linked.seal(&word.encode(), unix)
     }
 
+    /// Frames of a link that stands: a sender of its own, since what waits on one link must not count as a replay after another's.
+    pub fn sealed(&mut self) -> Sealed {
+        Sealed::new(self.key.clone(), self.random.random())
+    }
+
     /// What a frame from a link says; none where it is not the key's, came before, or says nothing that can be.
     pub fn open(&mut self, frame: &[u8], now: At, unix: Duration) -> Option<Word> {
         let Ok(payload) = self.linked.open(frame, now, unix) else {
--- a/instances/src/view.rs
+++ b/instances/src/view.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Member;
+use crate::catalog::Edition;
+use crate::said::{Beat, News};
 
 /// Longest frame on a link, in bytes: a thousand members as long as they may be are a quarter of that.
 pub const LONGEST_FRAME: usize = 1024 * 1024;
@@ -17,6 +19,14 @@
     Ask,
     /// These are, or were a while ago.
     View(View),
+    /// This link is to stand: tell on it of the list.
+    Follow,
+    /// See there.
+    Beat(Beat),
+    /// Tell what is in the list that you hold and not in such a one, or all of it.
+    Want(Option<Edition>),
+    /// See there.
+    News(News),
 }
 
 /// All that an instance knows of members, those that went a while ago among them.
@@ -45,8 +55,8 @@
     pub fn decode(bytes: &[u8]) -> Option<Word> {
         let (word, rest) = postcard::take_from_bytes(bytes).ok()?;
         let sound = match &word {
-            Word::Ask => true,
             Word::View(view) => view.0.iter().all(|known| known.id().is_sound()),
+            Word::Ask | Word::Follow | Word::Beat(_) | Word::Want(_) | Word::News(_) => true,
         };
         (sound && rest.is_empty()).then_some(word)
     }
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -72,6 +72,8 @@
     generation: watch::Sender<u64>,
     /// Entries as they were told, and at which generation.
     changes: RefCell<Vec<(u64, Entry)>>,
+    /// ... and when.
+    pub told: RefCell<Vec<(u64, At)>>,
     /// Generations at which the whole list was told again.
     whole: Cell<u64>,
     text: RefCell<Option<Written>>,
@@ -105,6 +107,7 @@
             begun: SystemTime::now() - start.elapsed(),
             generation: watch::Sender::new(1),
             changes: RefCell::default(),
+            told: RefCell::default(),
             whole: Cell::new(1),
             text: RefCell::default(),
             down: RefCell::new(down),
@@ -173,6 +176,7 @@
         self.generation.send_modify(|g| {
             *g += 1;
             self.changes.borrow_mut().push((*g, entry));
+            self.told.borrow_mut().push((*g, now));
         });
     }
 
--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -203,6 +203,8 @@
     pub capacity: u32,
     /// About how many instances there are.
     pub expected: u32,
+    /// Lists pass between instances.
+    pub lists: bool,
 }
 
 /// How destinations are kept that are seldom used, on the fronts that are on.
@@ -368,6 +370,8 @@
     pub capacity: u32,
     #[serde(default = "default_expected")]
     pub expected: u32,
+    #[serde(default)]
+    pub lists: bool,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -618,9 +622,9 @@
     let read = std::fs::read(&table.key_file).map_err(|e| format!("cannot read {path}: {e}"));
     let key = read.and_then(|text| Key::read(&text).map_err(|e| format!("{path}: {e}")));
     let key = key.map_err(|e| faults.push(format!("instances.key_file: {e}"))).ok()?;
-    let InstancesTable { name, zone, region, capacity, expected, .. } = table;
+    let InstancesTable { name, zone, region, capacity, expected, lists, .. } = table;
     let listen = listen.filter(|_| faults.len() == found)?;
-    Some(Instances { listen, advertise, seeds, key, name, zone, region, capacity, expected })
+    Some(Instances { listen, advertise, seeds, key, name, zone, region, capacity, expected, lists })
 }
 
 fn idle(table: IdleTable, faults: &mut Vec<String>) -> Idle {
@@ -660,7 +664,8 @@
     });
     let hook = if own.hook.is_some() { "a plug-in" } else { "no plug-in" };
     let instances = own.instances.map_or(String::new(), |told| {
-        format!(", talks to other instances on {} ({} seeds)", told.listen, told.seeds.len())
+        let lists = if told.lists { ", lists pass between them" } else { "" };
+        format!(", talks to other instances on {} ({} seeds){lists}", told.listen, told.seeds.len())
     });
     Ok(format!("{push}, {hook}{instances}"))
 }
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -6,17 +6,20 @@
 use slatethread::ListScope;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::spawn_blocking;
 use tokio::time::timeout;
 
 use crate::core::{Carrier, Core};
+use crate::instances::Sharing;
 use crate::list::{ListText, NodeList};
 
 /// How long a watch is held where nothing changes, as a part of the time in which the settings want the list
 /// asked for. Guards against a discovery that goes silent: only the end of a wait shows that.
 const WAIT_PART: u32 = 5;
+/// The same where lists pass between instances: few hold watches, and what they say is the older the longer these are.
+const SHARED_PART: u32 = 10;
 /// How long an answer may take beyond that: discovery handles calls one after another.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -30,8 +33,14 @@
 }
 
 /// Follows the list whenever the module asks for it, for as long as that goes well, and from its first word on
-/// wherever discovery has moved to. `held` is the generation of the list that is known already.
-pub async fn follow<C: Carrier>(core: Rc<Core<C>>, mut place: watch::Receiver<Place>, mut held: Option<u64>) {
+/// wherever discovery has moved to. `held` is the generation of the list that is known already. Where lists pass between instances
+/// (`sharing`), only while it is this one's turn, and what comes is theirs before it is taken in.
+pub async fn follow<C: Carrier>(
+    core: Rc<Core<C>>,
+    mut place: watch::Receiver<Place>,
+    mut held: Option<u64>,
+    sharing: Option<Sharing>,
+) {
     // Where lists are pushed, who has them is on this machine and keeps nobody waiting: the module does not ask for them.
     let mut pushed = !core.rules().settings.list_on_request;
     let mut moved = false;
@@ -46,21 +55,36 @@
             // Another one may count otherwise.
             held = None;
         }
+        if let Some(sharing) = &sharing {
+            sharing.turn().await;
+        }
         let now = place.borrow_and_update().clone();
         tokio::select! {
+            // Another has it now; this one waits for its turn again, whatever the module asks for.
+            () = over(&sharing) => moved = true,
             // Guards against following the old one to its end, or asking the new one only after a pause.
             Ok(()) = place.changed() => moved = true,
-            fault = session(&core, &now, &mut held) => {
+            fault = session(&core, &now, &mut held, sharing.as_ref()) => {
                 let Fault { text, how } = fault;
                 // What broke off is had whole, whatever it held; so is what stays silent, which may be watches alone.
                 held = held.filter(|_| !matches!(how, ListScope::Torn | ListScope::Silent));
                 tracing::warn!(fault = text, ?how, "discovery cannot be followed; the module asks again later");
+                if let Some(sharing) = &sharing {
+                    sharing.failed(how == ListScope::Torn);
+                }
                 core.list_broken(how);
             }
         }
     }
 }
 
+async fn over(sharing: &Option<Sharing>) {
+    match sharing {
+        Some(sharing) => sharing.over().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// What went wrong with a call.
 struct Fault {
     text: String,
@@ -81,15 +105,23 @@
 /// Ends with what went wrong. A list is taken in while the next watch is already under way, since a watch goes on
 /// only if it is renewed at once; but no more than one at a time. Where a list is held, what it lacks is asked for and
 /// no more. Guards against a fleet that starts and has discovery write the whole list to every relay first.
-async fn session<C: Carrier>(core: &Rc<Core<C>>, place: &Place, held: &mut Option<u64>) -> Fault {
+async fn session<C: Carrier>(
+    core: &Rc<Core<C>>,
+    place: &Place,
+    held: &mut Option<u64>,
+    sharing: Option<&Sharing>,
+) -> Fault {
     let base = format!("http://{}/v1/endpoints", place.address);
     let mut first = true;
     loop {
-        tracing::debug!(?held, "discovery is asked");
-        let wait = core.rules().must_ask_in() / WAIT_PART;
-        let answer = match *held {
-            Some(held) => {
-                let watch = format!("{base}?index={held}&wait={}", wait.as_millis());
+        let shared = sharing.and_then(|sharing| Some((sharing, sharing.asks()?)));
+        let index = shared.as_ref().map_or(*held, |(_, index)| *index);
+        let began = Instant::now();
+        tracing::debug!(?index, "discovery is asked");
+        let wait = core.rules().must_ask_in() / if shared.is_some() { SHARED_PART } else { WAIT_PART };
+        let answer = match index {
+            Some(index) => {
+                let watch = format!("{base}?index={index}&wait={}", wait.as_millis());
                 fetch(place, &watch, wait + PATIENCE).await
             }
             None => fetch(place, &base, core.list_patience().unwrap_or(PATIENCE)).await,
@@ -99,6 +131,15 @@
             Err(fault) => return fault,
         };
         let (generation, changes, whole) = (list.generation, list.len(), list.reset);
+        if let Some((sharing, _)) = shared {
+            *held = Some(generation);
+            sharing.answered(began, &list);
+            if std::mem::take(&mut first) {
+                // The module hears that the list can be had; what is in it comes by way of the others' one.
+                take(core, NodeList::made(generation, false, Vec::new()));
+            }
+            continue;
+        }
         if held.replace(generation).is_none() {
             tracing::info!(generation, nodes = changes, "list of execute nodes");
         } else if whole || changes > 0 {
--- a/relay/src/instances/link.rs
+++ b/relay/src/instances/link.rs
@@ -1,12 +1,12 @@
-//! Links between instances: a frame asks, a frame answers, and the link ends. One bad peer costs its own connection and no more: each
-//! has its time, its length and its place among few.
+//! Links between instances: a frame asks, a frame answers, and the link ends; or the first frame says that it is to stand. One bad
+//! peer costs its own connection and no more: each has its time, its length and its place among few.
 use onyxglade_instances::{LONGEST_FRAME, View, Word};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
@@ -15,6 +15,8 @@
 
 /// Links that others have open here at once; one more is closed unread.
 const LINKS: usize = 16;
+/// Links that others have standing here at once. As many as hear the list from one in a start, when few are known.
+const STANDING: usize = 256;
 /// A link has done all within this time.
 const WHOLE: Duration = Duration::from_secs(3);
 /// Longest question, in bytes: only answers are long.
@@ -23,15 +25,25 @@
 /// Takes links, and answers what is asked.
 pub(super) async fn accept(instances: Rc<Instances>, listener: TcpListener) {
     let places = Arc::new(Semaphore::new(LINKS));
+    let standing = Arc::new(Semaphore::new(STANDING));
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let Ok(place) = places.clone().try_acquire_owned() else { continue };
-                let instances = instances.clone();
+                let (instances, standing) = (instances.clone(), standing.clone());
                 actix_rt::spawn(async move {
-                    let _place = place;
-                    if !matches!(timeout(WHOLE, answer(&instances, stream)).await, Ok(Ok(()))) {
-                        tracing::debug!(%from, "instances: a link ended with nothing said");
+                    let answered = timeout(WHOLE, answer(&instances, stream)).await;
+                    drop(place);
+                    match answered {
+                        Ok(Ok(None)) => {}
+                        Ok(Ok(Some(stream))) => {
+                            if let (Some(shared), Ok(_place)) =
+                                (&instances.shared, standing.try_acquire_owned())
+                            {
+                                shared.stand(&instances, stream, None).await;
+                            }
+                        }
+                        _ => tracing::debug!(%from, "instances: a link ended with nothing said"),
                     }
                 });
             }
@@ -40,23 +52,33 @@
     }
 }
 
-async fn answer(instances: &Instances, mut stream: TcpStream) -> io::Result<()> {
+/// Answers the first frame; gives the link back if it is to stand.
+async fn answer(instances: &Instances, mut stream: TcpStream) -> io::Result<Option<TcpStream>> {
     let frame = read(&mut stream, LONGEST_ASK).await?;
     match (instances.open(&frame), instances.known()) {
-        (Some(Word::Ask), Some(view)) => write(&mut stream, &instances.seal(&Word::View(view))).await,
+        (Some(Word::Ask), Some(view)) => {
+            write(&mut stream, &instances.seal(&Word::View(view))).await?;
+            Ok(None)
+        }
+        (Some(Word::Follow), _) if instances.shared.is_some() => Ok(Some(stream)),
         _ => Err(io::ErrorKind::InvalidData.into()),
     }
 }
 
+/// A link to another.
+pub(super) async fn connect(instances: &Instances, at: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // From the address that others know, so that it can be told by it who asks.
+    if let (SocketAddr::V4(mine), true) = (instances.told.listen, at.is_ipv4()) {
+        socket.bind(SocketAddrV4::new(*mine.ip(), 0).into())?;
+    }
+    socket.connect(at).await
+}
+
 /// Asks another for its view.
 pub(super) async fn ask(instances: &Instances, at: SocketAddr) -> io::Result<View> {
     let call = async {
-        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        // From the address that others know, so that it can be told by it who asks.
-        if let (SocketAddr::V4(mine), true) = (instances.told.listen, at.is_ipv4()) {
-            socket.bind(SocketAddrV4::new(*mine.ip(), 0).into())?;
-        }
-        let mut stream = socket.connect(at).await?;
+        let mut stream = connect(instances, at).await?;
         write(&mut stream, &instances.seal(&Word::Ask)).await?;
         let frame = read(&mut stream, LONGEST_FRAME).await?;
         match instances.open(&frame) {
@@ -68,7 +90,7 @@
 }
 
 /// Reads a frame that is not longer than it may be.
-async fn read(stream: &mut TcpStream, longest: usize) -> io::Result<Vec<u8>> {
+pub(super) async fn read(stream: &mut (impl AsyncRead + Unpin), longest: usize) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await? as usize;
     if length > longest {
         return Err(io::Error::new(io::ErrorKind::InvalidData, format!("a frame of {length} bytes")));
@@ -79,7 +101,7 @@
     if frame.len() < length { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(frame) }
 }
 
-async fn write(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+pub(super) async fn write(stream: &mut (impl AsyncWrite + Unpin), frame: &[u8]) -> io::Result<()> {
     let mut bytes = (frame.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(frame);
     stream.write_all(&bytes).await
--- a/relay/src/instances/mod.rs
+++ b/relay/src/instances/mod.rs
@@ -1,8 +1,10 @@
-//! The other instances: the sockets (datagrams here, links in [`link`]) round [`onyxglade_instances::Swim`], and what those who run the relay see of its view. Decides
+//! The other instances: the sockets (datagrams here, links in [`link`], lists on them in [`lists`]) round [`onyxglade_instances`],
+//! and what those who run the relay see of the view. Decides
 //! nothing. Without `[instances]` in the relay's own file there is no socket and nothing here runs.
 mod link;
+mod lists;
 
-use onyxglade_instances::{Change, Config, Input, Member, Output, Swim, View, Word};
+use onyxglade_instances::{Change, Config, Input, Member, Output, Sealed, Swim, View, Word};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -14,6 +16,8 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::config;
+use lists::Shared;
+pub use lists::{Sharing, Told, take};
 
 /// Largest datagram that is read; a longer one is none of ours.
 const LARGEST: usize = 2048;
@@ -32,14 +36,18 @@
     leaving: Cell<bool>,
     left: Notify,
     leave: Notify,
+    /// Lists pass between instances.
+    shared: Option<Rc<Shared>>,
 }
 
 impl Instances {
     /// Talks to the others from now on. The relay does not wait for it.
-    pub fn start(told: config::Instances, name: Option<String>) -> Rc<Self> {
+    pub fn start(told: config::Instances, name: Option<String>, lists: Option<Told>) -> Rc<Self> {
+        let begun = Instant::now();
         let instances = Rc::new(Instances {
             told,
-            begun: Instant::now(),
+            begun,
+            shared: lists.map(|told| Shared::new(told, begun)),
             swim: RefCell::default(),
             comparing: Cell::new(false),
             leaving: Cell::new(false),
@@ -93,6 +101,9 @@
         let seed =
             (unix.as_nanos() as u64) ^ (u64::from(std::process::id()) << 32) ^ u64::from(address.port());
         *self.swim.borrow_mut() = Some(Swim::new(me, config, told.key.clone(), seed, self.begun.elapsed()));
+        if let Some(shared) = &self.shared {
+            shared.begin(&self, address, seed.rotate_left(17));
+        }
         let (views, mut viewed) = mpsc::channel(1);
         let links = actix_rt::spawn(link::accept(self.clone(), listener));
         let mut buffer = [0; LARGEST];
@@ -136,6 +147,23 @@
         });
     }
 
+    /// How lists are had, where they pass between instances.
+    pub fn sharing(self: &Rc<Self>) -> Option<Sharing> {
+        Some(Sharing { instances: self.clone(), shared: self.shared.clone()? })
+    }
+
+    /// Where the others are that are there.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let swim = self.swim.borrow();
+        swim.as_ref()
+            .map_or(Vec::new(), |swim| swim.members().iter().map(|seen| seen.member.address).collect())
+    }
+
+    /// Frames of a link that stands.
+    fn sealed(&self) -> Option<Sealed> {
+        self.swim.borrow_mut().as_mut().map(Swim::sealed)
+    }
+
     /// A frame for a link.
     fn seal(&self, word: &Word) -> Vec<u8> {
         self.swim.borrow_mut().as_mut().map_or(Vec::new(), |swim| swim.seal(word, unix()))
@@ -162,6 +190,10 @@
         views: &mpsc::Sender<View>,
         outputs: Vec<Output>,
     ) {
+        if let (Some(shared), true) = (&self.shared, outputs.iter().any(|o| matches!(o, Output::Changed(_))))
+        {
+            shared.members_changed(self);
+        }
         for output in outputs {
             match output {
                 // Datagrams may be lost anyway: what the system refuses is not sent again.
@@ -217,6 +249,7 @@
             "instances": others.collect::<Vec<_>>(),
             "counts": {"sent": counts.sent, "sent_bytes": counts.sent_bytes, "taken": counts.taken,
                 "strange": counts.strange, "unfit": counts.unfit, "slept": counts.slept},
+            "list": self.shared.as_ref().map(|shared| shared.view()),
         })
     }
 }
--- a/relay/src/list.rs
+++ b/relay/src/list.rs
@@ -6,7 +6,7 @@
 //! are taken in.
 use memmap2::MmapMut;
 use serde::de::{SeqAccess, Visitor};
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::fmt;
@@ -35,7 +35,7 @@
 }
 
 /// What discovery says of an execute node.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Lifecycle {
     Serving,
@@ -123,6 +123,22 @@
         NodeList { generation: 0, reset: true, entries: Entries::Made(entries) }
     }
 
+    /// A list, or changes, that were read one by one.
+    pub fn made(generation: u64, reset: bool, entries: Vec<NodeEntry<'static>>) -> Self {
+        NodeList { generation, reset, entries: Entries::Made(entries) }
+    }
+
+    /// Each entry by its name and as a text, none for one that is gone: the same for all who were told the same.
+    pub fn texts(&self) -> Vec<(String, Option<String>)> {
+        let entries = (0..self.parts()).flat_map(|part| self.part(part));
+        let text = |entry: NodeEntry| {
+            let name = entry.instance_id.clone().into_owned();
+            let listed = entry.lifecycle != Lifecycle::Deleted;
+            (name, listed.then(|| serde_json::to_string(&ToldNode::from(entry)).expect("plain values")))
+        };
+        entries.map(text).collect()
+    }
+
     /// Checks a text whole; a fault names its path.
     pub fn read(text: ListText) -> Result<NodeList, String> {
         let told: Told = decode(text.bytes())?;
@@ -220,7 +236,7 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct ToldNode<'a> {
     #[serde(borrow)]
@@ -238,6 +254,52 @@
     started_at_ms: f64,
 }
 
+impl<'a> From<NodeEntry<'a>> for ToldNode<'a> {
+    fn from(node: NodeEntry<'a>) -> Self {
+        ToldNode {
+            instance_id: node.instance_id,
+            host_port: node.host_port,
+            zone: node.zone,
+            machine_type: node.machine_type,
+            cell: node.cell,
+            lifecycle: node.lifecycle,
+            weight: node.weight,
+            started_at_ms: node.started_at_ms as f64,
+        }
+    }
+}
+
+impl NodeEntry<'static> {
+    /// An entry from its text.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let told: ToldNode = decode(text.as_bytes())?;
+        let own = |text: Cow<str>| Cow::Owned(text.into_owned());
+        let NodeEntry { instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_at_ms } =
+            told.into();
+        let (instance_id, host_port) = (own(instance_id), own(host_port));
+        let (zone, machine_type) = (own(zone), own(machine_type));
+        Ok(NodeEntry { instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_at_ms })
+    }
+
+    /// One that is gone.
+    pub fn gone(name: String) -> Self {
+        let none = Cow::Borrowed("");
+        let (host_port, zone, machine_type) = (none.clone(), none.clone(), none);
+        let lifecycle = Lifecycle::Deleted;
+        let instance_id = Cow::Owned(name);
+        NodeEntry {
+            instance_id,
+            host_port,
+            zone,
+            machine_type,
+            cell: 0,
+            lifecycle,
+            weight: None,
+            started_at_ms: 0,
+        }
+    }
+}
+
 impl<'a> From<ToldNode<'a>> for NodeEntry<'a> {
     fn from(node: ToldNode<'a>) -> Self {
         NodeEntry {
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -15,7 +15,7 @@
 use crate::figures::{Census, Figures};
 use crate::handover::{self, Elder};
 use crate::hook::Hooks;
-use crate::instances::Instances;
+use crate::instances::{self, Instances, Sharing};
 use crate::journal::{Journal, Open};
 use crate::outs::Outs;
 use crate::presence::{Presence, Word};
@@ -65,12 +65,22 @@
         actix_rt::spawn(desk.clone().accept(listener, Rc::new(Places::new(CALLERS))));
     }
     let name = platform.as_ref().map(|platform| platform.name.clone());
-    let instances = own.instances.map(|told| Instances::start(told, name));
+    // Lists pass between instances of the platform's front only: the second one's gateways are in the file.
+    let lists = platform.as_ref().map(|platform| instances::Told {
+        must_ask_in: platform.rules.must_ask_in(),
+        longest: own.idle.list_limit,
+    });
+    let instances = own.instances.map(|told| {
+        let lists = lists.filter(|_| told.lists);
+        Instances::start(told, name, lists)
+    });
+    let sharing = instances.as_ref().and_then(Instances::sharing);
     desk.set_instances(instances.clone());
     let platform = match platform {
         Some(platform) => {
             let upgrades = admin.is_some();
-            let started = start_platform(platform, &own.idle, hooks()?, &figures, &process, &desk, upgrades);
+            let started =
+                start_platform(platform, &own.idle, hooks()?, &figures, &process, &desk, upgrades, sharing);
             tokio::select! {
                 started = started => Some(started?),
                 // It has taken nothing on yet that is not in the journal.
@@ -165,6 +175,8 @@
     budget: Rc<Budget>,
     elder: Option<Rc<Elder>>,
     following: actix_rt::task::JoinHandle<()>,
+    /// Lists pass between instances.
+    shared: bool,
     listen: std::net::SocketAddr,
 }
 
@@ -240,6 +252,7 @@
     }
 }
 
+#[allow(clippy::too_many_arguments)]
 async fn start_platform(
     mut config: config::Platform,
     idle: &Idle,
@@ -248,6 +261,7 @@
     process: &Standing,
     desk: &Admin,
     upgrades: bool,
+    sharing: Option<Sharing>,
 ) -> Result<PlatformFront, String> {
     let (lock, legacy) = match upgrades {
         true => {
@@ -258,6 +272,7 @@
         false => (None, None),
     };
     idle.apply(&mut config.rules);
+    config.rules.settings.list_shared = sharing.is_some();
     let Limits { disk, sockets } = config.limits;
     let budget = Rc::new(Budget { sockets: Cell::new(sockets), shared: Cell::new(legacy.is_some()) });
     let to_nodes = crate::platform::carrier::ToNodes::new(&config.rules, config.discovery, idle.list_limit);
@@ -290,7 +305,11 @@
         }
     }
     begin(&core, "platform");
-    let following = actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held));
+    if let Some(sharing) = &sharing {
+        actix_rt::spawn(instances::take(core.clone(), sharing.clone()));
+    }
+    let shared = sharing.is_some();
+    let following = actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held, sharing));
     actix_rt::spawn(crate::platform::carrier::close_idle(core.clone()));
     let elder = upgrades.then(|| Elder::listen(&config.state)).transpose();
     let elder = elder.unwrap_or_else(|fault| {
@@ -303,7 +322,7 @@
     actix_rt::spawn(server.accept(listener, places.clone()));
     process.turn(Word::Started);
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
-    Ok(PlatformFront { core, places, budget, elder, following, listen: config.listen })
+    Ok(PlatformFront { core, places, budget, elder, following, shared, listen: config.listen })
 }
 
 /// The machine's descriptors, divided in one place. What gives way first is written in `docs/operation.md`.
@@ -365,6 +384,7 @@
         let (config, idle) = match read {
             Ok((Some(mut config), idle)) => {
                 idle.apply(&mut config.rules);
+                config.rules.settings.list_shared = self.shared;
                 (config, idle)
             }
             Ok((None, _)) => return true,
--- a/rig/src/datagrams.rs
+++ b/rig/src/datagrams.rs
@@ -1,6 +1,6 @@
 //! Ways between relays, for datagrams and links: each relay is reached through sockets of the rig's, which know who sends by the address that
-//! it sends from, and what is wrong on the way between those two just now. A link that begins on a cut way waits for its end; one
-//! that is under way is not cut: links between relays last for milliseconds.
+//! it sends from, and what is wrong on the way between those two just now. What is said on a link over a cut way arrives once the
+//! cut is over, as with a network's retransmissions; what is slow for datagrams is as slow for links, without overtaking.
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
@@ -9,14 +9,18 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Addresses at which relays are reached, in their order.
 const FIRST: u32 = 0x7f30_0001;
 const LARGEST: usize = 65_536;
+/// Bytes that are taken off a link at once, and how many such parts wait on a way: bounds what a cut one holds.
+const PART: usize = 16 * 1024;
+const PARTS: usize = 64;
 /// How often it is looked whether a cut is over.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -80,7 +84,7 @@
         }
     }
 
-    async fn link(self: Rc<Self>, from: usize, to: usize, at: SocketAddr, mut near: TcpStream) {
+    async fn link(self: Rc<Self>, from: usize, to: usize, at: SocketAddr, near: TcpStream) {
         // An answer needs the way back too.
         while self.way(from, to).cuts + self.way(to, from).cuts > 0 {
             if matches!(timeout(LOOK, near.peek(&mut [0; 1])).await, Ok(Ok(0) | Err(_))) {
@@ -88,12 +92,48 @@
             }
             sleep(LOOK).await;
         }
-        sleep(self.way(from, to).delay + self.way(to, from).delay).await;
-        if let Ok(mut far) = TcpStream::connect(at).await {
-            let _ = copy_bidirectional(&mut near, &mut far).await;
+        let Ok(far) = TcpStream::connect(at).await else { return };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+        // One side's end is the other's: a link has no half.
+        tokio::select! {
+            () = self.pass(from, to, near_in, far_out) => {}
+            () = self.pass(to, from, far_in, near_out) => {}
         }
     }
 
+    /// Passes one direction of a link on, to its end.
+    async fn pass(
+        &self,
+        from: usize,
+        to: usize,
+        mut out: impl AsyncRead + Unpin,
+        mut into: impl AsyncWrite + Unpin,
+    ) {
+        let (parts, mut arriving) = mpsc::channel::<(Instant, Vec<u8>)>(PARTS);
+        let take = async move {
+            let mut buffer = vec![0; PART];
+            while let Ok(length @ 1..) = out.read(&mut buffer).await {
+                let due = Instant::now() + self.way(from, to).delay;
+                if parts.send((due, buffer[..length].to_vec())).await.is_err() {
+                    break;
+                }
+            }
+        };
+        let give = async move {
+            while let Some((due, bytes)) = arriving.recv().await {
+                sleep_until(due).await;
+                while self.way(from, to).cuts > 0 {
+                    sleep(LOOK).await;
+                }
+                if into.write_all(&bytes).await.is_err() {
+                    break;
+                }
+            }
+        };
+        tokio::join!(take, give);
+    }
+
     async fn carry(self: Rc<Self>, to: usize, at: SocketAddr, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; LARGEST];
         loop {
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -46,6 +46,8 @@
     pub instances: bool,
     pub events: Vec<Event>,
     pub list_calls: Vec<ListCall>,
+    /// Changes that the list service told of: generations, and when.
+    pub told: Vec<(u64, At)>,
     /// What the list service's time went into.
     pub answering: Duration,
     pub throwing: Duration,
@@ -104,6 +106,34 @@
         changed.saturating_sub(done)
     }
 
+    /// How long each change took to be heard, by each relay that held a list when it was told and ran on: the time until it said that
+    /// it holds that list or a later one; none where it never did.
+    pub fn heard(&self) -> Vec<Option<At>> {
+        let mut heard = Vec::new();
+        for (generation, told) in &self.told {
+            for relay in 0..self.relays {
+                let mine = || self.events.iter().filter(|e| e.relay == relay);
+                let over = |what: &What| matches!(what, What::Started | What::Ended | What::Crashed(_));
+                let after = || mine().filter(|e| e.at >= *told);
+                let held = mine().rev().filter(|e| e.at < *told);
+                let held = held.map(|e| &e.what).find(|what| over(what) || matches!(what, What::Listed(_)));
+                if !matches!(held, Some(What::Listed(_))) {
+                    continue;
+                }
+                let first =
+                    after().find(|e| over(&e.what) || matches!(e.what, What::Listed(g) if g >= *generation));
+                match first {
+                    Some(Event { what: What::Listed(_), at, .. }) => heard.push(Some(*at - *told)),
+                    // It ended before: that is not its failing.
+                    Some(_) => {}
+                    None => heard.push(None),
+                }
+            }
+        }
+        heard.sort_unstable_by_key(|at| at.unwrap_or(At::MAX));
+        heard
+    }
+
     /// When each relay that runs at the end came to hold a list in its present life; none if it does not.
     pub fn listed(&self) -> Vec<Option<At>> {
         let mut listed = vec![None; self.relays];
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -136,6 +136,7 @@
             table.insert("advertise".into(), reached[number].clone().into());
             table.insert("seeds".into(), reached[..instances.seeds].to_vec().into());
             table.insert("key_file".into(), key.display().to_string().into());
+            table.insert("lists".into(), instances.lists.into());
             table.insert("expected".into(), (relays.len() as i64).into());
             own.insert("instances".into(), table.into());
         }
@@ -228,6 +229,7 @@
     let taken = schedule.partners.iter().map(|p| p.nature.opens).filter(|n| *n > 0).min();
     let world = std::mem::replace(&mut *world.borrow_mut(), World::new(&experiment, 1, 0));
     history.list_calls = discovery.calls.borrow().clone();
+    history.told = discovery.told.borrow().clone();
     (history.answering, history.throwing) = discovery.used();
     (history.opens_most, history.opens_refused) = world.record.opens();
     history.opens_taken = taken.unwrap_or(0);
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -26,7 +26,7 @@
 }
 
 /// The figures that the last line tells.
-const TOLD: [&str; 12] = [
+const TOLD: [&str; 14] = [
     "relays",
     "up_s",
     "list_calls",
@@ -35,6 +35,8 @@
     "all_listed_s",
     "without_list",
     "views_agree_s",
+    "heard_s_p99",
+    "heard_s_last",
     "connections_peak_share",
     "delivered_in_time_share",
     "handed_in",
@@ -111,6 +113,12 @@
         ("rules_broken", history.rules_broken as f64),
         ("crashed", history.events.iter().filter(|e| matches!(e.what, What::Crashed(_))).count() as f64),
     ];
+    let heard = history.heard();
+    if let Some(last) = heard.last() {
+        let seconds = |at: &Option<crate::history::At>| at.map_or(f64::INFINITY, |at| at.as_secs_f64());
+        figures.push(("heard_s_p99", seconds(&heard[(heard.len() * 99).div_ceil(100) - 1])));
+        figures.push(("heard_s_last", seconds(last)));
+    }
     if history.instances {
         figures.push(("views_agree_s", history.views_agree().as_secs_f64()));
     }
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -80,11 +80,13 @@
     pub seeds: usize,
     /// Relays are of these zones in turn.
     pub zones: Vec<String>,
+    /// Lists pass between them.
+    pub lists: bool,
 }
 
 impl Default for Instances {
     fn default() -> Self {
-        Instances { seeds: 3, zones: Vec::new() }
+        Instances { seeds: 3, zones: Vec::new(), lists: false }
     }
 }
 
@@ -251,6 +253,11 @@
         if self.instances.as_ref().is_some_and(|i| i.seeds == 0 || i.seeds > self.relay.count) {
             return Err(format!("instances.seeds: must be from 1 to relay.count ({})", self.relay.count));
         }
+        let shared = self.instances.as_ref().is_some_and(|i| i.lists);
+        if shared && self.carried().contains(&LinkTo::Endpoints) {
+            // Each relay is told other addresses there, and a list that passes between them has another's.
+            return Err("instances.lists: lists cannot pass where faults are about links to endpoints".into());
+        }
         for (name, relays) in &self.groups {
             self.plain(relays).map_err(|e| format!("groups.{name}: {e}"))?;
         }
@@ -435,6 +442,10 @@
                 "fault[0].peers",
             ),
             ("[instances]\nseeds = 11\n", "instances.seeds"),
+            (
+                "[instances]\nlists = true\n[[fault]]\nat_s = 1\nkind = \"cut\"\nlink = \"endpoints\"\n",
+                "instances.lists",
+            ),
             ("[start]\nover_s = 99.0\n", "start.over_s"),
             ("[service]\nthrown_part = 2.0\n", "service.thrown_part"),
             ("[service]\nwhole = 2.0\n", "service.whole"),
--- a/rig/tests/short.rs
+++ b/rig/tests/short.rs
@@ -1,4 +1,5 @@
 //! Short schedules against processes of the real program. Verdicts are the promises and what the schedule itself expects.
+use onyxglade_lab::discovery::CallFate;
 use onyxglade_lab::relay::program;
 use onyxglade_rig::history::{History, What};
 use onyxglade_rig::play::{Programs, play};
@@ -53,6 +54,17 @@
     assert!(history.views()[0].contains(&4) && !history.views()[0].contains(&5));
 }
 
+/// Two have the list from the service and all others from them; when those two are cut off from it, another takes their place.
+#[test]
+fn relays_that_pass_lists_on_keep_them_when_those_who_ask_are_cut_off() {
+    let history = holds("short-lists.toml");
+    let first: Vec<_> = history.list_calls.iter().filter(|c| c.at.as_secs_f64() < 2.0).collect();
+    assert!(first.len() <= 2, "eight relays, and these calls: {first:?}");
+    let stood_in = history.list_calls.iter().any(|c| c.who > 2 && c.fate == CallFate::Answered);
+    assert!(stood_in, "nobody took their place: {:?}", history.list_calls);
+    assert!(history.heard().iter().all(Option::is_some), "a change was not heard: {:?}", history.heard());
+}
+
 /// What the rig says is not kept when it is not: a relay that never reaches the list service.
 #[test]
 fn a_relay_that_cannot_have_a_list_is_told_of() {
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -56,8 +56,9 @@
 impl Asking {
     /// Takes up how many couriers there are, and the time within which each must ask.
     pub fn settle(&mut self, settings: &Settings) {
-        // Where lists are pushed, who has them is on this machine and serves nobody else.
-        let couriers = settings.couriers.filter(|_| settings.list_on_request);
+        // Where lists are pushed, who has them is on this machine and serves nobody else; where they are shared, who asks is
+        // decided elsewhere.
+        let couriers = settings.couriers.filter(|_| settings.list_on_request && !settings.list_shared);
         self.couriers = f64::from(couriers.unwrap_or(1).max(1));
         self.quiet = settings.rules.must_ask_in.unwrap_or(10 * SECOND);
         self.turn = self.turn.max(self.whole_turn());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,6 +173,8 @@
     pub backoff_told: bool,
     /// Whether the list comes only when asked for.
     pub list_on_request: bool,
+    /// Whether couriers pass lists on to one another, so that few of them ask, whatever their number.
+    pub list_shared: bool,
     /// What list weights state.
     pub weights: Weights,
     /// Whether endpoints may be probed.
--- a/wirehost/src/env.rs
+++ b/wirehost/src/env.rs
@@ -163,6 +163,8 @@
         dial_timeout: limits.dial_timeout,
         backoff_told: limits.retry_after,
         list_on_request: env.membership_mode.as_deref() == Some("subscribe"),
+        // Couriers of this wire share nothing.
+        list_shared: false,
         weights: match env.weights.as_deref() {
             Some("nominal") => Weights::Exact,
             Some("rough") => Weights::Rough,
