--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -947,6 +947,7 @@
             ("advertise = \"0.0.0.0:7946\"", "instances.advertise"),
             ("advertise = \"127.0.0.1\"", "instances.advertise"),
             ("expected = 0", "instances.expected"),
+            ("lists = 1", "instances.lists"),
             ("tls = true", "instances"),
             (&*long, "instances.zone"),
         ] {
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -117,7 +117,7 @@
         let shared = sharing.and_then(|sharing| Some((sharing, sharing.asks()?)));
         let index = shared.as_ref().map_or(*held, |(_, index)| *index);
         let began = Instant::now();
-        tracing::debug!(?index, "discovery is asked");
+        tracing::debug!(held = ?index, "discovery is asked");
         let wait = core.rules().must_ask_in() / if shared.is_some() { SHARED_PART } else { WAIT_PART };
         let answer = match index {
             Some(index) => {
--- a/relay/src/instances/mod.rs
+++ b/relay/src/instances/mod.rs
@@ -147,6 +147,11 @@
         });
     }
 
+    /// Whether its file says that lists pass between instances.
+    pub fn wants_lists(&self) -> bool {
+        self.told.lists
+    }
+
     /// How lists are had, where they pass between instances.
     pub fn sharing(self: &Rc<Self>) -> Option<Sharing> {
         Some(Sharing { instances: self.clone(), shared: self.shared.clone()? })
--- a/relay/src/list.rs
+++ b/relay/src/list.rs
@@ -324,6 +324,25 @@
         NodeList::read(text.as_bytes().to_vec().into())
     }
 
+    #[test]
+    fn an_entry_is_the_same_once_passed_on_and_its_text_whatever_the_service_wrote_round_it() {
+        let text = |space: &str, weight: &str| {
+            format!(
+                r#"{{"generation":1,"reset":false,"instances":[{{{space}"hostPort":"h:1",{space}"instanceId":"a\u0062","zone":"z","machineType":"k",
+                "cell":7,"lifecycle":"DRAINING","weight":{weight},"startedAtMs":1e3}},{{"instanceId":"g","hostPort":"h","zone":"z",
+                "machineType":"k","cell":7,"lifecycle":"DELETED","weight":1,"startedAtMs":0}}]}}"#
+            )
+        };
+        let plain = read(&text("", "1.5")).expect("sound");
+        let texts = plain.texts();
+        assert_eq!(texts, read(&text("\n  ", "1.50")).expect("sound").texts());
+        let passed = NodeEntry::read(texts[0].1.as_deref().expect("listed")).expect("its own form");
+        assert_eq!(passed, plain.part(0)[0]);
+        assert_eq!(texts[1], ("g".to_owned(), None));
+        assert_eq!(NodeEntry::gone("g".into()).lifecycle, Lifecycle::Deleted);
+        assert!(NodeEntry::read("{}").is_err());
+    }
+
     fn text(count: usize) -> String {
         let one = |n: usize| {
             format!(
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -74,6 +74,9 @@
         let lists = lists.filter(|_| told.lists);
         Instances::start(told, name, lists)
     });
+    if lists.is_none() && instances.as_ref().is_some_and(|instances| instances.wants_lists()) {
+        tracing::warn!("instances.lists: there is no list to pass on without the platform's front");
+    }
     let sharing = instances.as_ref().and_then(Instances::sharing);
     desk.set_instances(instances.clone());
     let platform = match platform {
