Limits are divided by the instances that are there; a restarted relay's notices are not late

Cause: limits and cold budgets were divided by replicas_of_me alone; 60 relays that are told 3 send 20 times their share. Now, with instances.shares, by who is there: more at once, fewer slowly (instances/src/count.rs). Module: settings taken up anew divide what is known already (Unit::divide). Off unless the relay's own file says so.

Not taken: endpoints of each relay's own (a preference of 0.75 calls by rendezvous hashing).

--- /dev/null
+++ b/instances/src/count.rs
@@ -0,0 +1,107 @@
+//! How a fleet divides limits among the instances that are there.
+//!
+//! Divides by no fewer than are there: more are counted at once, fewer only slowly, since views differ for a while whenever somebody comes or goes,
+//! and a partition looks like the end of all on its other side.
+use std::time::Duration;
+
+use crate::At;
+
+/// Fewer are counted only once that was so for this long: longer than it takes hundreds to see who has come back from a restart.
+const SURE: Duration = Duration::from_secs(20);
+/// Then what is counted above those that are there shrinks by this part ...
+const STEP_PART: f64 = 0.1;
+/// ... each time that this has passed: half of all are given up for gone within a minute.
+const STEP: Duration = Duration::from_secs(5);
+
+/// How many instances limits are divided by.
+#[derive(Clone, Debug)]
+pub struct Count {
+    counted: f64,
+    there: u32,
+    /// When fewer may be counted next.
+    fewer_at: At,
+}
+
+impl Count {
+    /// At first, as many as were told, this one among them.
+    pub fn new(told: u32, now: At) -> Self {
+        Count { counted: f64::from(told.max(1)), there: 1, fewer_at: now + SURE }
+    }
+
+    /// So many are there, this one among them.
+    pub fn there(&mut self, now: At, there: u32) {
+        // Some came back, and others may yet; or some went for the first time since all were there.
+        if there > self.there || self.counted <= f64::from(self.there) {
+            self.fewer_at = self.fewer_at.max(now + SURE);
+        }
+        self.there = there.max(1);
+        self.counted = self.counted.max(f64::from(self.there));
+    }
+
+    /// The time has come, or something has: how many are counted now.
+    pub fn counted(&mut self, now: At) -> u32 {
+        let there = f64::from(self.there);
+        while self.counted > there && now >= self.fewer_at {
+            let over = (self.counted - there) * (1.0 - STEP_PART);
+            // The last one is not left for ever.
+            self.counted = if over < 0.5 { there } else { there + over };
+            self.fewer_at += STEP;
+        }
+        self.counted.ceil() as u32
+    }
+
+    /// When fewer may be counted, if ever.
+    pub fn due(&self) -> Option<At> {
+        (self.counted > f64::from(self.there)).then_some(self.fewer_at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn secs(s: f64) -> At {
+        At::from_secs_f64(s)
+    }
+
+    #[test]
+    fn half_of_all_are_given_up_within_a_minute_and_a_restart_changes_nothing() {
+        let mut count = Count::new(300, secs(0.0));
+        count.there(secs(1.0), 300);
+        count.there(secs(30.0), 90);
+        assert_eq!(count.counted(secs(45.0)), 300, "they may come back");
+        count.there(secs(45.0), 300);
+        assert_eq!((count.counted(secs(46.0)), count.due()), (300, None));
+        count.there(secs(100.0), 150);
+        let at = |count: &mut Count, s| count.counted(secs(s));
+        assert_eq!(at(&mut count, 119.0), 300);
+        assert!(at(&mut count, 155.0) <= 225 && at(&mut count, 155.0) >= 200);
+        assert!(at(&mut count, 260.0) < 160);
+        count.there(secs(261.0), 301);
+        assert_eq!(at(&mut count, 261.0), 301, "at once");
+    }
+
+    proptest! {
+        /// Never fewer than are there, never more than there ever were; and in the end as many as there are.
+        #[test]
+        fn what_is_counted_lies_between_who_is_there_and_who_ever_was(
+            told in 1u32..400,
+            views in prop::collection::vec((0.0f64..60.0, 1u32..400), 1..30),
+        ) {
+            let mut now = 0.0;
+            let mut count = Count::new(told, secs(now));
+            let mut most = told;
+            for (pause, there) in views {
+                now += pause;
+                most = most.max(there);
+                count.there(secs(now), there);
+                let counted = count.counted(secs(now));
+                prop_assert!(counted >= there && counted <= most);
+                prop_assert!(count.due().is_some() || counted == there);
+            }
+            let there = count.there;
+            prop_assert_eq!(count.counted(secs(now + 600.0)), there);
+        }
+    }
+}
--- a/instances/src/lib.rs
+++ b/instances/src/lib.rs
@@ -9,6 +9,7 @@
 #![deny(missing_docs)]
 
 mod catalog;
+mod count;
 mod lists;
 mod member;
 mod rank;
@@ -18,6 +19,7 @@
 mod view;
 
 pub use catalog::{Catalog, Difference, Edition, Entry};
+pub use count::Count;
 pub use lists::{Heard, Known, Lists, ListsConfig, Todo};
 pub use member::{LONGEST, Member};
 pub use said::{Beat, News, Told};
--- a/instances/src/rank.rs
+++ b/instances/src/rank.rs
@@ -14,19 +14,26 @@
 /// What decides on an instance's place, for all alike or for one that chooses: FNV-1a over the addresses, mixed by the last steps of
 /// SplitMix64, since FNV's high bits hardly follow the last bytes. Not a guard against anybody: places are no secret.
 fn hash(chooser: Option<SocketAddr>, of: SocketAddr) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64;
-    let mut add = |bytes: &[u8]| {
-        bytes.iter().for_each(|byte| hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3));
+    mixed(chooser.into_iter().chain([of]).fold(BEGIN, add_address))
+}
+
+const BEGIN: u64 = 0xcbf2_9ce4_8422_2325;
+
+fn add(hash: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn add_address(hash: u64, one: SocketAddr) -> u64 {
+    let hash = match one.ip() {
+        IpAddr::V4(ip) => add(hash, &ip.octets()),
+        IpAddr::V6(ip) => add(hash, &ip.octets()),
     };
-    for one in chooser.into_iter().chain([of]) {
-        match one.ip() {
-            IpAddr::V4(ip) => add(&ip.octets()),
-            IpAddr::V6(ip) => add(&ip.octets()),
-        }
-        add(&one.port().to_be_bytes());
-    }
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    add(hash, &one.port().to_be_bytes())
+}
+
+fn mixed(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
 }
 
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -50,6 +50,9 @@
 pub struct RelayTable {
     pub front: Front,
     pub count: usize,
+    /// How many there are by the settings, where that is another number.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub told: Option<usize>,
     pub slots: u32,
     pub held: u32,
     pub sockets: usize,
@@ -70,6 +73,7 @@
         RelayTable {
             front: Front::Platform,
             count: 1,
+            told: None,
             slots: 64,
             held: 512,
             sockets: 1024,
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -59,7 +59,7 @@
              "effect": "non_idempotent", "late_worth": 0.3, "credit": 2.0}
         ],
         "extra": {"max_calls": table.slots, "own_limits": [false], "bundle_max": [1]},
-        "zone": "a", "zones": ["a"], "shapes": ["m"], "replicas_of_me": table.count,
+        "zone": "a", "zones": ["a"], "shapes": ["m"], "replicas_of_me": table.told.unwrap_or(table.count),
         "membership_mode": "subscribe", "weights": if table.weights { "nominal" } else { "none" },
         "policy_limits": {
             "most_tries": 8, "most_held": table.held, "max_retry_after": 3_000_000_000u64,
--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -205,6 +205,8 @@
     pub expected: u32,
     /// Lists pass between instances.
     pub lists: bool,
+    /// Limits are divided among the instances that are there.
+    pub shares: bool,
 }
 
 /// How destinations are kept that are seldom used, on the fronts that are on.
@@ -372,6 +374,8 @@
     pub expected: u32,
     #[serde(default)]
     pub lists: bool,
+    #[serde(default)]
+    pub shares: bool,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -622,9 +626,9 @@
     let read = std::fs::read(&table.key_file).map_err(|e| format!("cannot read {path}: {e}"));
     let key = read.and_then(|text| Key::read(&text).map_err(|e| format!("{path}: {e}")));
     let key = key.map_err(|e| faults.push(format!("instances.key_file: {e}"))).ok()?;
-    let InstancesTable { name, zone, region, capacity, expected, lists, .. } = table;
+    let InstancesTable { name, zone, region, capacity, expected, lists, shares, .. } = table;
     let listen = listen.filter(|_| faults.len() == found)?;
-    Some(Instances { listen, advertise, seeds, key, name, zone, region, capacity, expected, lists })
+    Some(Instances { listen, advertise, seeds, key, name, zone, region, capacity, expected, lists, shares })
 }
 
 fn idle(table: IdleTable, faults: &mut Vec<String>) -> Idle {
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -133,6 +133,8 @@
     state: RefCell<State>,
     journal: RefCell<Journal>,
     outs: RefCell<Outs>,
+    /// Among how many relays limits are divided, where that follows who is there.
+    divided: Cell<Option<u32>>,
     figures: Rc<Figures>,
     /// Held while a list is taken in: lists are taken in in their order.
     listing: tokio::sync::Mutex<()>,
@@ -197,6 +199,7 @@
             state: RefCell::new(state),
             journal: RefCell::new(journal),
             outs: RefCell::new(outs),
+            divided: Cell::default(),
             figures,
             listing: tokio::sync::Mutex::new(()),
             wake: Notify::new(),
@@ -225,7 +228,8 @@
 
     /// Takes up new rules without a job's notice; `disk` is what the journal may fill. Classes, kinds and zones
     /// are known to open jobs and nodes by their places in the settings, so these can't change under them.
-    pub fn settle(&self, rules: Rules, disk: u64) {
+    pub fn settle(&self, mut rules: Rules, disk: u64) {
+        rules.settings.couriers = self.divided.get().or(rules.settings.couriers);
         self.journal.borrow_mut().set_limit(disk);
         let old = self.rules();
         if rules.names != old.names {
@@ -237,6 +241,17 @@
         self.lend();
     }
 
+    /// Limits are divided among so many relays from now on.
+    pub fn divide_limits(&self, relays: u32) {
+        self.divided.set(Some(relays));
+        let mut rules = (*self.rules()).clone();
+        if rules.settings.couriers != Some(relays) {
+            rules.settings.couriers = Some(relays);
+            self.state.borrow_mut().courier.settle(rules.settings.clone());
+            *self.rules.borrow_mut() = Rc::new(rules);
+        }
+    }
+
     /// Takes a job from a submitter. The answer comes as soon as the module has decided and, if it took the
     /// job, the journal holds it.
     pub async fn admit(self: &Rc<Self>, job: Job) -> Answer {
--- a/relay/src/instances/lists.rs
+++ b/relay/src/instances/lists.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncWriteExt, split};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{Instances, link};
@@ -21,8 +21,6 @@
 const WAITING: usize = 64;
 /// A link comes up within this time, and takes a word within it.
 const TAKES: Duration = Duration::from_secs(2);
-/// Others that come and go together, as in a start, are told together.
-const TOGETHER: Duration = Duration::from_millis(100);
 /// An instance that cannot listen for so long (the process before it still does) asks the list service by itself.
 const LISTENS: Duration = Duration::from_secs(1);
 
@@ -51,8 +49,6 @@
     changed: Notify,
     ways: RefCell<HashMap<u64, Way>>,
     last_way: Cell<u64>,
-    /// Others have come or gone, and it is about to be told.
-    telling: Cell<bool>,
 }
 
 impl Shared {
@@ -66,7 +62,6 @@
             changed: Notify::new(),
             ways: RefCell::default(),
             last_way: Cell::new(0),
-            telling: Cell::new(false),
         })
     }
 
@@ -91,21 +86,7 @@
         });
     }
 
-    /// Others have come or gone.
-    pub(super) fn members_changed(self: &Rc<Self>, instances: &Rc<Instances>) {
-        if self.telling.replace(true) {
-            return;
-        }
-        let (shared, instances) = (self.clone(), instances.clone());
-        actix_rt::spawn(async move {
-            sleep(TOGETHER).await;
-            shared.telling.set(false);
-            let members = instances.addresses();
-            shared.handle(&instances, Heard::Members(members));
-        });
-    }
-
-    fn handle(self: &Rc<Self>, instances: &Rc<Instances>, heard: Heard) {
+    pub(super) fn handle(self: &Rc<Self>, instances: &Rc<Instances>, heard: Heard) {
         let now = self.begun.elapsed();
         let todo = match &mut *self.lists.borrow_mut() {
             Some(lists) => lists.handle(now, heard),
--- a/relay/src/instances/mod.rs
+++ b/relay/src/instances/mod.rs
@@ -3,8 +3,9 @@
 //! nothing. Without `[instances]` in the relay's own file there is no socket and nothing here runs.
 mod link;
 mod lists;
+mod shares;
 
-use onyxglade_instances::{Change, Config, Input, Member, Output, Sealed, Swim, View, Word};
+use onyxglade_instances::{Change, Config, Heard, Input, Member, Output, Sealed, Swim, View, Word};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -12,17 +13,20 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::config;
 use lists::Shared;
 pub use lists::{Sharing, Told, take};
+pub use shares::divide;
 
 /// Largest datagram that is read; a longer one is none of ours.
 const LARGEST: usize = 2048;
 /// How often it is tried to listen, where the process before still does or the network is not there yet.
 const LISTEN_AGAIN: Duration = Duration::from_millis(200);
+/// Others that come and go together, as in a start, are told together.
+const TOGETHER: Duration = Duration::from_millis(100);
 /// How long a question at the second address may take.
 const ASK: Duration = Duration::from_secs(2);
 
@@ -36,6 +40,11 @@
     leaving: Cell<bool>,
     left: Notify,
     leave: Notify,
+    /// Where the others are that are there, and whether it is about to be told that this has changed.
+    members: watch::Sender<Vec<SocketAddr>>,
+    telling: Cell<bool>,
+    /// How many limits are divided by, where they are divided among those that are there.
+    counted: Cell<Option<u32>>,
     /// Lists pass between instances.
     shared: Option<Rc<Shared>>,
 }
@@ -47,6 +56,9 @@
         let instances = Rc::new(Instances {
             told,
             begun,
+            members: watch::Sender::default(),
+            telling: Cell::new(false),
+            counted: Cell::default(),
             shared: lists.map(|told| Shared::new(told, begun)),
             swim: RefCell::default(),
             comparing: Cell::new(false),
@@ -104,6 +116,7 @@
         if let Some(shared) = &self.shared {
             shared.begin(&self, address, seed.rotate_left(17));
         }
+        self.members_changed();
         let (views, mut viewed) = mpsc::channel(1);
         let links = actix_rt::spawn(link::accept(self.clone(), listener));
         let mut buffer = [0; LARGEST];
@@ -157,6 +170,28 @@
         Some(Sharing { instances: self.clone(), shared: self.shared.clone()? })
     }
 
+    /// Whether its file says that limits are divided among those that are there.
+    pub fn wants_shares(&self) -> bool {
+        self.told.shares
+    }
+
+    /// Others have come or gone.
+    fn members_changed(self: &Rc<Self>) {
+        if self.telling.replace(true) {
+            return;
+        }
+        let instances = self.clone();
+        actix_rt::spawn(async move {
+            sleep(TOGETHER).await;
+            instances.telling.set(false);
+            let members = instances.addresses();
+            instances.members.send_replace(members.clone());
+            if let Some(shared) = &instances.shared {
+                shared.handle(&instances, Heard::Members(members));
+            }
+        });
+    }
+
     /// Where the others are that are there.
     fn addresses(&self) -> Vec<SocketAddr> {
         let swim = self.swim.borrow();
@@ -195,9 +230,8 @@
         views: &mpsc::Sender<View>,
         outputs: Vec<Output>,
     ) {
-        if let (Some(shared), true) = (&self.shared, outputs.iter().any(|o| matches!(o, Output::Changed(_))))
-        {
-            shared.members_changed(self);
+        if outputs.iter().any(|output| matches!(output, Output::Changed(_))) {
+            self.members_changed();
         }
         for output in outputs {
             match output {
@@ -254,6 +288,7 @@
             "instances": others.collect::<Vec<_>>(),
             "counts": {"sent": counts.sent, "sent_bytes": counts.sent_bytes, "taken": counts.taken,
                 "strange": counts.strange, "unfit": counts.unfit, "slept": counts.slept},
+            "counted": self.counted.get(),
             "list": self.shared.as_ref().map(|shared| shared.view()),
         })
     }
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -96,6 +96,14 @@
         Some(push) => Some(start_push(push, hooks()?, &figures).await?),
         None => None,
     };
+    if let Some(instances) = instances.as_ref().filter(|instances| instances.wants_shares()) {
+        if let Some(platform) = &platform {
+            actix_rt::spawn(instances::divide(platform.core.clone(), instances.clone()));
+        }
+        if let Some(push) = &push {
+            actix_rt::spawn(instances::divide(push.core.clone(), instances.clone()));
+        }
+    }
     figures.loaded(true);
     let first = platform.as_ref().map(|platform| platform.core.clone() as Rc<dyn Front>);
     let second = push.as_ref().map(|push| push.core.clone() as Rc<dyn Front>);
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -165,6 +165,19 @@
         }
     }
 
+    /// When its present process was started, or its last one.
+    pub fn started(&self) -> Option<Duration> {
+        let events = self.events.borrow();
+        events.iter().rev().find(|e| e.relay == self.number && e.what == What::Started).map(|e| e.at)
+    }
+
+    /// When it was first ready after a time.
+    pub fn ready_since(&self, from: Option<Duration>) -> Option<Duration> {
+        let events = self.events.borrow();
+        let mut ready = events.iter().filter(|e| e.relay == self.number && e.what == What::Ready);
+        ready.find(|e| Some(e.at) >= from).map(|e| e.at)
+    }
+
     pub fn runs(&self) -> bool {
         self.life.borrow().as_ref().is_some_and(|life| life.runs.get())
     }
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -55,6 +55,8 @@
     pub opens_most: u32,
     pub opens_taken: u32,
     pub opens_refused: u32,
+    /// All that were opened, at all endpoints.
+    pub opens_all: u32,
     /// The relay's rules, over all processes together.
     pub breaches: Vec<Breach>,
     pub rules_broken: usize,
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -32,6 +32,8 @@
 const KEY: &str = "a key for relays that a rig has started";
 /// Messages begin at the latest so long after the first process's start.
 const READY: Duration = Duration::from_secs(60);
+/// A process that was restarted may be so late, from when it is ready, with what was due before.
+const TOLD_AGAIN: Duration = Duration::from_millis(1500);
 /// How often it is looked whether a time has come.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -137,6 +139,7 @@
             table.insert("seeds".into(), reached[..instances.seeds].to_vec().into());
             table.insert("key_file".into(), key.display().to_string().into());
             table.insert("lists".into(), instances.lists.into());
+            table.insert("shares".into(), instances.shares.into());
             table.insert("expected".into(), (relays.len() as i64).into());
             own.insert("instances".into(), table.into());
         }
@@ -231,7 +234,7 @@
     history.list_calls = discovery.calls.borrow().clone();
     history.told = discovery.told.borrow().clone();
     (history.answering, history.throwing) = discovery.used();
-    (history.opens_most, history.opens_refused) = world.record.opens();
+    (history.opens_most, history.opens_refused, history.opens_all) = world.record.opens();
     history.opens_taken = taken.unwrap_or(0);
     history.breaches = world.checker.breaches().to_vec();
     history.rules_broken = world.checker.total();
@@ -279,6 +282,9 @@
             }
             Kind::Kill | Kind::Term => {
                 let at_once = fault.kind == Kind::Kill;
+                if lasts.is_some() {
+                    numbers.iter().for_each(|relay| self.put_off(*relay, Duration::MAX));
+                }
                 let ends =
                     chosen.iter().cloned().map(|relay| spawn_local(async move { relay.end(at_once).await }));
                 for end in ends.collect::<Vec<_>>() {
@@ -296,6 +302,7 @@
                 let step = fault.back_over_s.unwrap_or(0.0) / chosen.len() as f64;
                 for relay in &chosen {
                     relay.start_again(fault.folder)?;
+                    spawn_local(self.clone().ready_again(relay.clone()));
                     sleep(Duration::from_secs_f64(step)).await;
                 }
             }
@@ -325,6 +332,26 @@
         Ok(())
     }
 
+    /// No end of what a relay holds is overdue before a time.
+    fn put_off(&self, relay: usize, until: Duration) {
+        let holders = self.holders.borrow();
+        let mut world = self.world.borrow_mut();
+        let held = holders.iter().filter(|(_, holder)| **holder == relay);
+        held.for_each(|(msg, _)| world.checker.put_off(*msg, until));
+    }
+
+    /// A relay that was started again owes what it holds a while after it is ready.
+    async fn ready_again(self: Rc<Self>, relay: Rc<Relay>) {
+        let from = relay.started();
+        while relay.runs() && relay.ready_since(from).is_none() {
+            sleep(LOOK).await;
+        }
+        // One that was ended again meanwhile has another who waits for it.
+        if relay.started() == from {
+            self.put_off(relay.number, self.discovery.begun().elapsed() + TOLD_AGAIN);
+        }
+    }
+
     /// Begins or ends a fault of the ways between some relays and others.
     fn part(&self, fault: &Fault, relays: &[usize], peers: &[usize], begins: bool) {
         let change = |from, to| {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -129,7 +129,8 @@
         } else {
             let old = self.listed.unwrap_or(limit);
             let new = old + (limit - old) * MEAN_STEP;
-            (self.listed, self.even) = (Some(new), new / couriers);
+            self.listed = Some(new);
+            self.divide(couriers);
         }
     }
 
@@ -222,6 +223,7 @@
     pub fn settle(&mut self, settings: Settings) {
         let learned = Learned::new(settings.idle_close.unwrap_or(SECOND), REST_START);
         self.couriers = f64::from(settings.couriers.unwrap_or(1).max(1));
+        self.units.values_mut().for_each(|unit| unit.divide(self.couriers));
         self.slots = settings.slots.map_or(usize::MAX, |s| s as usize);
         self.lost_slots = (self.slots as f64 * LOST_SHARE).ceil() as usize;
         self.guard = GUARD_STEPS * settings.step.unwrap_or(LOOK);
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,7 +97,8 @@
 
 impl Unit {
     pub fn new(now: Nanos, listed: Option<f64>, couriers: f64, least: f64) -> Self {
-        let even = listed.map_or(f64::INFINITY, |w| w / couriers);
+        let unit = Unit { listed, ..Unit::default() };
+        let even = unit.share(couriers);
         Unit {
             window: 1.0,
             used: now,
@@ -106,11 +107,20 @@
             even,
             tokens: 1.0,
             filled: now,
-            listed,
-            ..Unit::default()
+            ..unit
         }
     }
 
+    /// An even share of the listed rate among so many couriers.
+    fn share(&self, couriers: f64) -> f64 {
+        self.listed.map_or(f64::INFINITY, |listed| listed / couriers)
+    }
+
+    /// There are so many couriers now. A pace under the limit finds its new level by itself, from where it is.
+    pub fn divide(&mut self, couriers: f64) {
+        self.even = self.share(couriers);
+    }
+
     /// Fills the tokens at the pace, up to `burst` seconds of it and at least one.
     pub fn refill(&mut self, now: Nanos, burst: f64) {
         let most = (self.pace * burst).max(1.0);
