A relay that waits for others' list plays its first round, so that it asks without a message

Cause: since a known list waits for a better one (relay/src/run.rs), nothing woke the core before the first message, and the module's first round is what asks. Ruled out: the decisions (their turn began at once), the rig (its other calls came in time). Without lists = true nothing changes.

--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -17,6 +17,7 @@
 use crate::hook::Hooks;
 use crate::instances::{self, Instances, Sharing};
 use crate::journal::{Journal, Open};
+use crate::list::NodeList;
 use crate::outs::Outs;
 use crate::presence::{Presence, Word};
 
@@ -311,9 +312,9 @@
         }
         None => {
             open.into_iter().for_each(|open| core.resume(open));
-            if sharing.is_none() {
-                core.take_list(&config.known).await;
-            }
+            // Where lists pass between instances, what is known waits for a better one; the first round is played all the same.
+            let nothing = NodeList::default();
+            core.take_list(if sharing.is_some() { &nothing } else { &config.known }).await;
             held = held.or((!config.known.is_empty()).then_some(config.known.generation));
         }
     }
--- a/rig/tests/starts.rs
+++ b/rig/tests/starts.rs
@@ -2,7 +2,7 @@
 //! the list in the end, and what was news meanwhile was heard by all.
 mod common;
 
-use common::{holds, read};
+use common::{holds, played, read};
 use onyxglade_lab::discovery::CallFate;
 use onyxglade_rig::history::{History, What};
 
@@ -22,6 +22,17 @@
     holds("start-list-slow.toml");
 }
 
+/// Nothing is handed in before all hold the list, so that nothing but the start itself makes them ask.
+#[test]
+fn a_fleet_without_messages_has_its_list_too() {
+    let mut schedule = read("start-list-slow.toml");
+    (schedule.start.warm, schedule.seconds) = (true, 1.0);
+    let (outcome, history) = played(&schedule);
+    assert!(outcome.held(), "{outcome:?}");
+    let first = history.list_calls.first().map(|call| call.at.as_secs());
+    assert!(first.is_some_and(|at| at < 30), "the first call came at {first:?} s");
+}
+
 #[test]
 fn a_list_service_that_turns_nine_in_ten_away_is_enough_for_all() {
     let history = holds("start-list-busy.toml");
