One form of a list's entry; one way to end a link, to settle, to wait for a known list

Read again, behaviour as before. relay/src/list.rs: an entry was written out twice (ToldNode and NodeEntry, with both ways between them); NodeEntry is read and written itself. instances/src/catalog.rs: with() is told() and a check, and steps are booked once instead of patched afterwards. lists.rs: one end() for four pairs of lines. Core::settle keeps list_shared as it keeps the number of instances, instead of run.rs putting it in again with each SIGHUP. instances/lists.rs: a known list waits in the same select as news; Sharing's calls no longer only pass on. config.rs calls the rule on texts that Member::is_sound has. rig: a restarted relay's readiness is a flag of its process; each of up to 300 waiters went through all events (100,000 and more) every 50 ms. One is_zero for three.

--- a/instances/src/catalog.rs
+++ b/instances/src/catalog.rs
@@ -56,44 +56,44 @@
     /// What it would be with a difference from it, or from nothing; none where it is not the one that the difference is from,
     /// or what comes out is not the list that the difference is to lead to.
     pub fn with(&self, difference: &Difference) -> Option<Catalog> {
-        let known = match difference.base {
-            Some(base) => (base == self.edition()).then_some(Some(&difference.entries))?,
-            None => None,
-        };
-        let mut next = self.clone();
-        match known {
-            Some(entries) => next.change(entries.clone()),
-            None => next.replace(difference.entries.clone()),
+        if difference.base.is_some_and(|base| base != self.edition()) {
+            return None;
         }
-        next.generation = difference.edition.generation;
-        (next.edition() == difference.edition).then(|| next.after(self.edition()))
+        let (generation, whole) = (difference.edition.generation, difference.base.is_none());
+        let next = self.told(generation, whole, difference.entries.clone());
+        (next.edition() == difference.edition).then_some(next)
     }
 
     /// What it would be as the list service tells it: all that there is, or what changed.
     pub fn told(&self, generation: u64, whole: bool, entries: Vec<Entry>) -> Catalog {
         let mut next = self.clone();
-        if whole {
-            next.replace(entries);
-        } else {
-            next.change(entries);
-        }
+        let step = if whole { next.replace(entries) } else { next.change(entries) };
         next.generation = generation;
-        next.after(self.edition())
+        if next.edition() != self.edition() {
+            next.steps.push_back((self.edition(), step));
+        }
+        let most = next.entries.len() + LEAST_REMEMBERED;
+        let remembered =
+            |steps: &VecDeque<(_, Vec<Entry>)>| steps.iter().map(|(_, step)| step.len()).sum::<usize>();
+        while next.steps.len() > STEPS || remembered(&next.steps) > most {
+            next.steps.pop_front();
+        }
+        next
     }
 
-    /// Puts entries in place of all that there are; the last step is what that changes.
-    fn replace(&mut self, entries: Vec<Entry>) {
+    /// Puts entries in place of all that there are; gives what that changes.
+    fn replace(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
         let new: BTreeMap<_, _> =
             entries.into_iter().filter_map(|(name, text)| Some((name, text?))).collect();
         let gone =
             self.entries.keys().filter(|name| !new.contains_key(*name)).map(|name| (name.clone(), None));
         let gone: Vec<_> = gone.collect();
         let changed = new.into_iter().map(|(name, text)| (name, Some(text)));
-        self.change(gone.into_iter().chain(changed).collect());
+        self.change(gone.into_iter().chain(changed).collect())
     }
 
-    /// Takes up changes; those that change nothing are left out of the step.
-    fn change(&mut self, entries: Vec<Entry>) {
+    /// Takes up changes; gives those that change something.
+    fn change(&mut self, entries: Vec<Entry>) -> Vec<Entry> {
         let mut step = Vec::new();
         for (name, text) in entries {
             if self.entries.get(&name) == text.as_ref() {
@@ -108,23 +108,7 @@
             self.digest = self.digest.wrapping_sub(old).wrapping_add(new);
             step.push((name, text));
         }
-        self.steps.push_back((Edition { generation: 0, digest: 0 }, step));
-    }
-
-    /// Books the step that was just made as one from such a list, and forgets what is too long ago.
-    fn after(mut self, from: Edition) -> Catalog {
-        let nothing = from == self.edition();
-        match self.steps.back_mut() {
-            Some(step) if !nothing => step.0 = from,
-            _ => drop(self.steps.pop_back()),
-        }
-        let most = self.entries.len() + LEAST_REMEMBERED;
-        let remembered =
-            |steps: &VecDeque<(_, Vec<Entry>)>| steps.iter().map(|(_, s)| s.len()).sum::<usize>();
-        while self.steps.len() > STEPS || remembered(&self.steps) > most {
-            self.steps.pop_front();
-        }
-        self
+        step
     }
 
     /// Whether what changed since such a list is remembered.
--- a/instances/src/lib.rs
+++ b/instances/src/lib.rs
@@ -21,7 +21,7 @@
 pub use catalog::{Catalog, Difference, Edition, Entry};
 pub use count::Count;
 pub use lists::{Heard, Known, Lists, ListsConfig, Todo};
-pub use member::{LONGEST, Member};
+pub use member::{LONGEST, Member, fits};
 pub use said::{Beat, News, Told};
 pub use seal::{Key, KeyFault, Sealed, Unsealed};
 pub use swim::{Change, Config, Counts, Input, Output, Seen, Swim};
--- a/instances/src/lists.rs
+++ b/instances/src/lists.rs
@@ -434,6 +434,12 @@
         }
     }
 
+    /// Ends a link as one that cannot be had.
+    fn end(&mut self, now: At, number: u64, todo: &mut Vec<Todo>) {
+        self.closed(now, number);
+        todo.push(Todo::Close(number));
+    }
+
     fn put_away(&mut self, now: At, who: SocketAddr) {
         let pause = self.away.get(&who).map_or(TRY_AGAIN, |(_, pause)| (*pause * 2).min(TRY_AGAIN_MOST));
         let until = now + pause.mul_f64(self.random.random_range(0.5..1.5));
@@ -452,8 +458,7 @@
             .map(|(number, _)| *number)
             .collect();
         for number in silent {
-            self.closed(now, number);
-            todo.push(Todo::Close(number));
+            self.end(now, number, todo);
         }
         for number in self.links.keys().copied().collect::<Vec<_>>() {
             self.beat_on(now, number, todo);
@@ -493,10 +498,7 @@
             Word::Want(base) => self.send(now, number, base, todo),
             Word::News(news) => self.news(now, number, news, todo),
             // A link has been followed already, and whole views are asked for on links of their own.
-            Word::Follow | Word::Ask | Word::View(_) => {
-                self.closed(now, number);
-                todo.push(Todo::Close(number));
-            }
+            Word::Follow | Word::Ask | Word::View(_) => self.end(now, number, todo),
         }
     }
 
@@ -542,8 +544,7 @@
         let Some(link) = self.links.get_mut(&number) else { return };
         link.coming_bytes += news.entries.iter().map(size).sum::<usize>();
         if link.coming_bytes > self.config.longest {
-            self.closed(now, number);
-            return todo.push(Todo::Close(number));
+            return self.end(now, number, todo);
         }
         link.coming.extend(news.entries);
         if !news.last {
@@ -565,10 +566,7 @@
                 self.spread(now, todo);
             }
             // It was from another list than is held by now; a whole one that is not what it says is none.
-            None if whole => {
-                self.closed(now, number);
-                todo.push(Todo::Close(number));
-            }
+            None if whole => self.end(now, number, todo),
             None => todo.push(Todo::Say(number, Word::Want(None))),
         }
     }
--- a/instances/src/member.rs
+++ b/instances/src/member.rs
@@ -6,6 +6,11 @@
 /// Longest name, zone, region or version, in bytes: all of it is told with each update about a member.
 pub const LONGEST: usize = 48;
 
+/// Whether a name, zone, region or version may be told.
+pub fn fits(text: &str) -> bool {
+    text.len() <= LONGEST && !text.chars().any(char::is_control)
+}
+
 /// An instance: its address says which one it is, its life which of the processes that were there in turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -42,8 +47,7 @@
     /// Whether it may be told about: an address that can be sent to, and texts that are not longer than they may be.
     pub fn is_sound(&self) -> bool {
         let texts = [&self.name, &self.zone, &self.region, &self.version];
-        let fits = |text: &&String| text.len() <= LONGEST && !text.chars().any(char::is_control);
-        self.address.port() != 0 && !self.address.ip().is_unspecified() && texts.iter().all(fits)
+        self.address.port() != 0 && !self.address.ip().is_unspecified() && texts.iter().all(|text| fits(text))
     }
 }
 
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -128,7 +128,7 @@
         taken
     }
 
-    /// Connections opened at one endpoint in its worst second, and those refused at all of them.
+    /// Connections opened at one endpoint in its worst second, and those refused and all opened at any of them.
     pub fn opens(&self) -> (u32, u32, u32) {
         (self.opens.values().map(|(.., peak)| *peak).max().unwrap_or(0), self.opens_refused, self.opens_all)
     }
--- a/relay/src/config.rs
+++ b/relay/src/config.rs
@@ -1,5 +1,5 @@
 //! The one place where configuration is read, checked and given defaults. Every fault names its key.
-use onyxglade_instances::{Key, LONGEST};
+use onyxglade_instances::{Key, LONGEST, fits};
 use rustls::pki_types::ServerName;
 use serde::de::IntoDeserializer;
 use serde::{Deserialize, Serialize};
@@ -615,7 +615,7 @@
     for (key, text) in
         [("name", table.name.as_deref()), ("zone", Some(&*table.zone)), ("region", Some(&*table.region))]
     {
-        if text.is_some_and(|t| t.len() > LONGEST || t.chars().any(char::is_control)) {
+        if text.is_some_and(|text| !fits(text)) {
             faults.push(format!("instances.{key}: at most {LONGEST} bytes, without control characters"));
         }
     }
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -229,7 +229,9 @@
     /// Takes up new rules without a job's notice; `disk` is what the journal may fill. Classes, kinds and zones
     /// are known to open jobs and nodes by their places in the settings, so these can't change under them.
     pub fn settle(&self, mut rules: Rules, disk: u64) {
+        // What follows who is there is not for the settings to tell.
         rules.settings.couriers = self.divided.get().or(rules.settings.couriers);
+        rules.settings.list_shared = self.rules().settings.list_shared;
         self.journal.borrow_mut().set_limit(disk);
         let old = self.rules();
         if rules.names != old.names {
--- a/relay/src/instances/lists.rs
+++ b/relay/src/instances/lists.rs
@@ -23,6 +23,9 @@
 const TAKES: Duration = Duration::from_secs(2);
 /// An instance that cannot listen for so long (the process before it still does) asks the list service by itself.
 const LISTENS: Duration = Duration::from_secs(1);
+/// A list of an earlier process's is used only if nothing better has come by then: its addresses may be others' by now. One that is alone
+/// still serves within its first second.
+const KNOWN_AFTER: Duration = Duration::from_millis(900);
 
 /// What the lists of this instance are told beforehand.
 #[derive(Clone, Copy, Debug)]
@@ -98,10 +101,10 @@
                 Todo::Close(number) => self.end(number),
                 Todo::Say(number, word) => {
                     // One that does not take what is said is as good as gone; its task tells that it has ended.
-                    let stuck =
-                        self.ways.borrow().get(&number).is_some_and(|way| way.words.try_send(word).is_err());
-                    if stuck {
-                        self.ways.borrow()[&number].ended.cancel();
+                    if let Some(way) = self.ways.borrow().get(&number)
+                        && way.words.try_send(word).is_err()
+                    {
+                        way.ended.cancel();
                     }
                 }
                 Todo::Turn(turn) => drop(self.turn.send_replace(turn)),
@@ -166,25 +169,6 @@
         }
     }
 
-    /// Done when the list service is to be called by this instance.
-    pub async fn turn(&self) {
-        if self.lists.borrow().is_none() {
-            let _ = timeout(LISTENS, self.began.notified()).await;
-        }
-        if self.lists.borrow().is_some() {
-            // Its sender is held here.
-            let _ = self.turn.subscribe().wait_for(|turn| *turn).await;
-        }
-    }
-
-    /// Done when it no longer is.
-    pub async fn over(&self) {
-        if self.lists.borrow().is_none() {
-            self.began.notified().await;
-        }
-        let _ = self.turn.subscribe().wait_for(|turn| !*turn).await;
-    }
-
     /// For the view of those who run the relay.
     pub(super) fn view(&self) -> Value {
         let lists = self.lists.borrow();
@@ -209,12 +193,23 @@
 impl Sharing {
     /// Done when the list service is to be called by this instance.
     pub async fn turn(&self) {
-        self.shared.turn().await;
+        let shared = &self.shared;
+        if shared.lists.borrow().is_none() {
+            let _ = timeout(LISTENS, shared.began.notified()).await;
+        }
+        if shared.lists.borrow().is_some() {
+            // Its sender is held here.
+            let _ = shared.turn.subscribe().wait_for(|turn| *turn).await;
+        }
     }
 
     /// Done when it no longer is.
     pub async fn over(&self) {
-        self.shared.over().await;
+        let shared = &self.shared;
+        if shared.lists.borrow().is_none() {
+            shared.began.notified().await;
+        }
+        let _ = shared.turn.subscribe().wait_for(|turn| !*turn).await;
     }
 
     /// The service is called: from which generation on, or for all of the list. None while this instance does not listen yet, and asks
@@ -238,31 +233,25 @@
     }
 }
 
-/// A list of an earlier process's is used only if nothing better has come by then: its addresses may be others' by now. One that is alone
-/// still serves within its first second.
-const KNOWN_AFTER: Duration = Duration::from_millis(900);
-
 /// Takes in what is held, whenever that is another list; for want of any, what was known before the start.
 pub async fn take<C: Carrier>(core: Rc<Core<C>>, sharing: Sharing, known: NodeList) {
     let shared = sharing.shared;
     let mut taken = None;
-    if !known.is_empty() && timeout(KNOWN_AFTER, shared.changed.notified()).await.is_err() {
-        tracing::info!(
-            generation = known.generation,
-            nodes = known.len(),
-            "the list that was known before the start is used"
-        );
-        core.take_list(&known).await;
-    } else if !known.is_empty() {
-        // It is taken in below.
-        shared.changed.notify_one();
-    }
+    let mut known = (!known.is_empty()).then_some(known);
+    let known_at = Instant::now() + KNOWN_AFTER;
     loop {
-        shared.changed.notified().await;
-        let told = match &*shared.lists.borrow() {
-            Some(lists) => lists.held().map(|held| (held, lists.since(taken))),
-            None => None,
-        };
+        tokio::select! {
+            biased;
+            () = shared.changed.notified() => known = None,
+            () = sleep_until(known_at.into()), if known.is_some() => {
+                let known = known.take().unwrap_or_default();
+                let (generation, nodes) = (known.generation, known.len());
+                tracing::info!(generation, nodes, "the list that was known before the start is used");
+                core.take_list(&known).await;
+                continue;
+            }
+        }
+        let told = shared.lists.borrow().as_ref().and_then(|lists| Some((lists.held()?, lists.since(taken))));
         let Some((held, difference)) = told else { continue };
         let read = |(name, text): (String, Option<String>)| match text {
             None => Some(NodeEntry::gone(name)),
--- a/relay/src/list.rs
+++ b/relay/src/list.rs
@@ -21,16 +21,22 @@
 const LONG: usize = 128 * 1024;
 
 /// An execute node as discovery lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
 pub struct NodeEntry<'a> {
+    #[serde(borrow)]
     pub instance_id: Cow<'a, str>,
+    #[serde(borrow)]
     pub host_port: Cow<'a, str>,
+    #[serde(borrow)]
     pub zone: Cow<'a, str>,
+    #[serde(borrow)]
     pub machine_type: Cow<'a, str>,
     pub cell: u64,
     pub lifecycle: Lifecycle,
     pub weight: Option<f64>,
     /// Its last start, as Unix time in milliseconds; 0 is long ago.
+    #[serde(default, deserialize_with = "millis")]
     pub started_at_ms: u64,
 }
 
@@ -134,7 +140,7 @@
         let text = |entry: NodeEntry| {
             let name = entry.instance_id.clone().into_owned();
             let listed = entry.lifecycle != Lifecycle::Deleted;
-            (name, listed.then(|| serde_json::to_string(&ToldNode::from(entry)).expect("plain values")))
+            (name, listed.then(|| serde_json::to_string(&entry).expect("plain values")))
         };
         entries.map(text).collect()
     }
@@ -177,9 +183,9 @@
                 let mut at = parts.get(number).copied().unwrap_or(bytes.len());
                 let mut entries = Vec::with_capacity(PART.min(self.len()));
                 while entries.len() < PART {
-                    let mut one = serde_json::Deserializer::from_slice(&bytes[at..]).into_iter::<ToldNode>();
+                    let mut one = serde_json::Deserializer::from_slice(&bytes[at..]).into_iter::<NodeEntry>();
                     let Some(Ok(node)) = one.next() else { break };
-                    entries.push(node.into());
+                    entries.push(node);
                     at += one.byte_offset();
                     // On to the next one, or to the end of them.
                     let between = bytes[at..].iter().take_while(|b| b.is_ascii_whitespace() || **b == b',');
@@ -224,7 +230,7 @@
                         all.parts.push(raw.get());
                     }
                     if all.fault.is_none() {
-                        let fault = decode::<ToldNode>(raw.get().as_bytes()).err();
+                        let fault = decode::<NodeEntry>(raw.get().as_bytes()).err();
                         all.fault = fault.map(|fault| format!("instances[{}].{fault}", all.count));
                     }
                     all.count += 1;
@@ -236,48 +242,19 @@
     }
 }
 
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "camelCase")]
-struct ToldNode<'a> {
-    #[serde(borrow)]
-    instance_id: Cow<'a, str>,
-    #[serde(borrow)]
-    host_port: Cow<'a, str>,
-    #[serde(borrow)]
-    zone: Cow<'a, str>,
-    #[serde(borrow)]
-    machine_type: Cow<'a, str>,
-    cell: u64,
-    lifecycle: Lifecycle,
-    weight: Option<f64>,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-impl<'a> From<NodeEntry<'a>> for ToldNode<'a> {
-    fn from(node: NodeEntry<'a>) -> Self {
-        ToldNode {
-            instance_id: node.instance_id,
-            host_port: node.host_port,
-            zone: node.zone,
-            machine_type: node.machine_type,
-            cell: node.cell,
-            lifecycle: node.lifecycle,
-            weight: node.weight,
-            started_at_ms: node.started_at_ms as f64,
-        }
-    }
+/// Negative or absurd figures say as little as none.
+fn millis<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    f64::deserialize(deserializer).map(|told| told as u64)
 }
 
 impl NodeEntry<'static> {
     /// An entry from its text.
     pub fn read(text: &str) -> Result<Self, String> {
-        let told: ToldNode = decode(text.as_bytes())?;
+        let told: NodeEntry = decode(text.as_bytes())?;
         let own = |text: Cow<str>| Cow::Owned(text.into_owned());
-        let NodeEntry { instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_at_ms } =
-            told.into();
-        let (instance_id, host_port) = (own(instance_id), own(host_port));
-        let (zone, machine_type) = (own(zone), own(machine_type));
+        let NodeEntry { cell, lifecycle, weight, started_at_ms, .. } = told;
+        let (instance_id, host_port) = (own(told.instance_id), own(told.host_port));
+        let (zone, machine_type) = (own(told.zone), own(told.machine_type));
         Ok(NodeEntry { instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_at_ms })
     }
 
@@ -300,22 +277,6 @@
     }
 }
 
-impl<'a> From<ToldNode<'a>> for NodeEntry<'a> {
-    fn from(node: ToldNode<'a>) -> Self {
-        NodeEntry {
-            instance_id: node.instance_id,
-            host_port: node.host_port,
-            zone: node.zone,
-            machine_type: node.machine_type,
-            cell: node.cell,
-            lifecycle: node.lifecycle,
-            weight: node.weight,
-            // Negative or absurd figures say as little as none.
-            started_at_ms: node.started_at_ms as u64,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -187,8 +187,6 @@
     budget: Rc<Budget>,
     elder: Option<Rc<Elder>>,
     following: actix_rt::task::JoinHandle<()>,
-    /// Lists pass between instances.
-    shared: bool,
     listen: std::net::SocketAddr,
 }
 
@@ -322,7 +320,6 @@
     if let Some(sharing) = &sharing {
         actix_rt::spawn(instances::take(core.clone(), sharing.clone(), config.known));
     }
-    let shared = sharing.is_some();
     let following = actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, held, sharing));
     actix_rt::spawn(crate::platform::carrier::close_idle(core.clone()));
     let elder = upgrades.then(|| Elder::listen(&config.state)).transpose();
@@ -336,7 +333,7 @@
     actix_rt::spawn(server.accept(listener, places.clone()));
     process.turn(Word::Started);
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
-    Ok(PlatformFront { core, places, budget, elder, following, shared, listen: config.listen })
+    Ok(PlatformFront { core, places, budget, elder, following, listen: config.listen })
 }
 
 /// The machine's descriptors, divided in one place. What gives way first is written in `docs/operation.md`.
@@ -398,7 +395,6 @@
         let (config, idle) = match read {
             Ok((Some(mut config), idle)) => {
                 idle.apply(&mut config.rules);
-                config.rules.settings.list_shared = self.shared;
                 (config, idle)
             }
             Ok((None, _)) => return true,
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -22,6 +22,8 @@
 
 /// After SIGTERM a process has so long.
 const WIND_DOWN: Duration = Duration::from_millis(3700);
+/// How often it is looked whether a process is ready.
+const LOOK: Duration = Duration::from_millis(50);
 /// Relays have addresses of their own, so that no connection's own port can be in their way.
 pub const FIRST: u32 = 0x7f20_0001;
 
@@ -43,6 +45,8 @@
     pid: Pid,
     /// It is still there to be signalled.
     runs: Cell<bool>,
+    /// It said that it can serve.
+    ready: Cell<bool>,
     /// Its end is the schedule's doing.
     told: Cell<bool>,
     ended: Notify,
@@ -121,7 +125,13 @@
             .spawn()
             .map_err(|e| fault("cannot be started", e))?;
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("a process that has ended")?;
-        let life = Rc::new(Life { pid, runs: Cell::new(true), told: Cell::new(false), ended: Notify::new() });
+        let life = Rc::new(Life {
+            pid,
+            runs: Cell::new(true),
+            ready: Cell::new(false),
+            told: Cell::new(false),
+            ended: Notify::new(),
+        });
         self.life.replace(Some(life.clone()));
         self.tell(What::Started);
         let out = child.stdout.take().expect("piped");
@@ -139,7 +149,7 @@
         let mut log = fs::OpenOptions::new().append(true).open(self.folder.join("log")).ok();
         let mut lines = out.lines();
         while let Ok(Some(line)) = lines.next_line().await {
-            self.heard(&line);
+            self.heard(&line, &life);
             if let Some(log) = &mut log {
                 let _ = writeln!(log, "{line}");
             }
@@ -152,8 +162,9 @@
         }
     }
 
-    fn heard(&self, line: &str) {
+    fn heard(&self, line: &str, life: &Life) {
         if line.contains("platform front is ready") {
+            life.ready.set(true);
             self.tell(What::Ready);
         } else if let Some(word) = line.split("instances: one is ").nth(1) {
             let name = word.split("name=\"n").nth(1).and_then(|name| name.split('"').next());
@@ -165,17 +176,13 @@
         }
     }
 
-    /// When its present process was started, or its last one.
-    pub fn started(&self) -> Option<Duration> {
-        let events = self.events.borrow();
-        events.iter().rev().find(|e| e.relay == self.number && e.what == What::Started).map(|e| e.at)
-    }
-
-    /// When it was first ready after a time.
-    pub fn ready_since(&self, from: Option<Duration>) -> Option<Duration> {
-        let events = self.events.borrow();
-        let mut ready = events.iter().filter(|e| e.relay == self.number && e.what == What::Ready);
-        ready.find(|e| Some(e.at) >= from).map(|e| e.at)
+    /// Waits until its present process is ready; false if it ends before.
+    pub async fn ready(&self) -> bool {
+        let Some(life) = self.life.borrow().clone() else { return false };
+        while life.runs.get() && !life.ready.get() {
+            sleep(LOOK).await;
+        }
+        life.ready.get()
     }
 
     pub fn runs(&self) -> bool {
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -365,12 +365,7 @@
 
     /// A relay that was started again owes what it holds a while after it is ready.
     async fn ready_again(self: Rc<Self>, relay: Rc<Relay>) {
-        let from = relay.started();
-        while relay.runs() && relay.ready_since(from).is_none() {
-            sleep(LOOK).await;
-        }
-        // One that was ended again meanwhile has another who waits for it.
-        if relay.started() == from {
+        if relay.ready().await {
             self.put_off(relay.number, self.discovery.begun().elapsed() + TOLD_AGAIN);
         }
     }
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -114,7 +114,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<String>,
     /// Share of datagrams that a lossy link loses.
-    #[serde(default, skip_serializing_if = "is_none")]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub lose: f64,
     /// Delay and its jitter of a slow link, in milliseconds, and what passes, in bytes a second (0 is any number).
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -133,7 +133,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub back_over_s: Option<f64>,
     /// Of so many calls a busy list service takes one.
-    #[serde(default, skip_serializing_if = "is_none_of")]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub one_in: u32,
     /// The destination, where a partner is in trouble, and its trouble.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -224,16 +224,8 @@
     "all".into()
 }
 
-fn is_none(share: &f64) -> bool {
-    *share == 0.0
-}
-
-fn is_none_of(n: &u32) -> bool {
-    *n == 0
-}
-
-fn is_zero(n: &u64) -> bool {
-    *n == 0
+fn is_zero<T: Default + PartialEq>(n: &T) -> bool {
+    *n == T::default()
 }
 
 impl Schedule {
