A close towards a client serves what came before it and takes no answer with it

A process that ended at SIGTERM did not look whether its last answers were written (run.rs). Change: a request that came before the close is read and served, the connection stays; of one that came too slowly what is here counts; nothing is read after that. Where something was answered in the last 0.5 s, writing ends first and what still comes is read away, by nobody taken for a request, until the client closes, 0.5 s, 1 MiB, or until its place is wanted. At the end of a planned restart what is no whole request is closed, and 0.15 s are left for last answers. Ruled out: answers held back by the system (TCP_NODELAY is set on each), pipelined requests behind a last answer (actix serves what it has decoded). Tests: relay/src/door/tests.rs, each seen to fail with its mend taken out (reads_on, part, hurried). The file's one older test moved there unchanged.

--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -2,16 +2,19 @@
 //! keeps its manners. One that says nothing, or no longer, makes room for the next.
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
+use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
@@ -32,6 +35,10 @@
 const FIRST_WORD: Duration = Duration::from_millis(300);
 /// What is closed has so long to take its last answer.
 const FAREWELL: Duration = Duration::from_secs(1);
+/// An answer may still be on its way to the client for so long after it was written, and so long is read on behind it.
+const LINGER: Duration = Duration::from_millis(500);
+/// Most bytes that are read away behind a last answer. Guards against clients that never stop.
+const LINGER_BYTES: usize = 1024 * 1024;
 
 /// What a front lets connections do.
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +68,8 @@
     number: Cell<usize>,
     /// From then on connections are closed between requests.
     leaving: Cell<Option<Instant>>,
+    /// The process is about to end: what is not a whole request by now is not waited for.
+    ending: Cell<bool>,
     /// No more connections are taken.
     shut: CancellationToken,
 }
@@ -71,6 +80,7 @@
             free: Arc::new(Semaphore::new(number)),
             number: Cell::new(number),
             leaving: Cell::new(None),
+            ending: Cell::new(false),
             shut: CancellationToken::new(),
         }
     }
@@ -80,6 +90,11 @@
         self.leaving.set(from);
     }
 
+    /// The process is about to end: connections on which no whole request is open are closed.
+    pub fn end(&self) {
+        self.ending.set(true);
+    }
+
     /// No connection is left.
     pub fn is_empty(&self) -> bool {
         self.free.available_permits() >= self.number.get()
@@ -130,6 +145,10 @@
     known: Cell<bool>,
     /// When it was closed from this side: from then on it reads as ended.
     closed: Cell<Option<Instant>>,
+    /// Its last answer is written, and what comes behind that is read away.
+    parting: Cell<bool>,
+    /// Its place is wanted.
+    hurried: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -140,6 +159,8 @@
             since: Cell::new(Instant::now()),
             known: Cell::new(false),
             closed: Cell::new(None),
+            parting: Cell::new(false),
+            hurried: Cell::new(false),
             waker: RefCell::new(None),
         })
     }
@@ -172,6 +193,10 @@
 
     fn close(&self, now: Instant) {
         self.closed.set(Some(now));
+        self.wake();
+    }
+
+    fn wake(&self) {
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
@@ -226,17 +251,26 @@
 
     /// Closes what has overstayed. Guards against connections that send half a request or none, or were left
     /// open for good.
-    fn look(&self, now: Instant, manners: &Manners, leaving: bool) {
-        let is_over = |seen: &Seen| seen.overdue(now, manners) || leaving && seen.may_leave(now);
+    fn look(&self, now: Instant, manners: &Manners, leaving: bool, ending: bool) {
+        let is_over = |seen: &Seen| {
+            seen.overdue(now, manners)
+                || leaving && seen.may_leave(now)
+                || ending && seen.phase.get() != Phase::Serving
+        };
         let overdue = self.here().into_iter().filter(|seen| seen.closed.get().is_none() && is_over(seen));
         overdue.for_each(|seen| seen.close(now));
         // One that takes no bytes from us either is woken to be dropped.
         let stuck = self.here().into_iter().filter(|s| s.closed.get().is_some_and(|c| now >= c + FAREWELL));
-        stuck.for_each(|seen| seen.waker.take().into_iter().for_each(Waker::wake));
+        stuck.for_each(|seen| seen.wake());
     }
 
     /// Closes one connection that is not in use. Guards against hundreds of silent ones keeping submitters out.
     fn make_room(&self, now: Instant, yields: Yields) {
+        // One that only waits for its client to close has nothing more to give.
+        if let Some(seen) = self.here().into_iter().find(|seen| seen.parting.get() && !seen.hurried.get()) {
+            seen.hurried.set(true);
+            return seen.wake();
+        }
         let may = self.here().into_iter().filter(|seen| seen.may_make_room(now, yields));
         // Those that never asked anything first, then the longest idle.
         if let Some(seen) = may.min_by_key(|seen| (seen.known.get(), seen.since.get())) {
@@ -245,61 +279,120 @@
     }
 }
 
-/// A submitter's connection, as the server sees it.
-pub struct Gate {
-    stream: TcpStream,
+/// A submitter's connection, from its taking to its close.
+struct Guest {
+    stream: RefCell<TcpStream>,
     seen: Rc<Seen>,
+    /// When something was last written to it.
+    spoken: Cell<Option<Instant>>,
     _place: OwnedSemaphorePermit,
 }
 
+impl Guest {
+    /// Whether something has come that nobody has read. Asks the system, not the runtime, which may not have looked yet.
+    fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|bytes| bytes > 0)
+    }
+
+    /// Whether its server is to read on. A connection that was closed between requests stays open if the next one has
+    /// come before that; of one that came too slowly, what is here is taken into account.
+    fn reads_on(&self) -> bool {
+        let Some(closed) = self.seen.closed.get() else { return true };
+        if closed.elapsed() >= FAREWELL || !self.has_unread() {
+            return false;
+        }
+        if self.seen.phase.get() == Phase::Waiting {
+            self.seen.closed.set(None);
+        }
+        true
+    }
+
+    /// Ends the connection. Where something was answered a moment ago, writing ends first, and what still comes is read
+    /// away, and by nobody taken for a request, until the client has closed as well or has had its time. Guards against a
+    /// close over unread bytes, which resets the connection and may take the answer with it.
+    async fn part(self) {
+        let Guest { stream, seen, spoken, _place } = self;
+        let mut stream = stream.into_inner();
+        if spoken.get().is_none_or(|at| at.elapsed() >= LINGER) || stream.shutdown().await.is_err() {
+            return;
+        }
+        seen.closed.set(Some(Instant::now()));
+        seen.parting.set(true);
+        let mut read = 0;
+        let rest = poll_fn(|cx| {
+            loop {
+                if seen.hurried.get() || read > LINGER_BYTES {
+                    return Poll::Ready(());
+                }
+                *seen.waker.borrow_mut() = Some(cx.waker().clone());
+                let mut room = [0; 4096];
+                let mut part = ReadBuf::new(&mut room);
+                match ready!(Pin::new(&mut stream).poll_read(cx, &mut part)) {
+                    Ok(()) if !part.filled().is_empty() => read += part.filled().len(),
+                    _ => return Poll::Ready(()),
+                }
+            }
+        });
+        let _ = timeout(LINGER, rest).await;
+    }
+}
+
+/// A submitter's connection, as the server sees it.
+pub struct Gate(Rc<Guest>);
+
 impl Gate {
     pub fn seen(&self) -> Rc<Seen> {
-        self.seen.clone()
+        self.0.seen.clone()
     }
 
     fn wake_with(&self, cx: &Context<'_>) {
-        *self.seen.waker.borrow_mut() = Some(cx.waker().clone());
+        *self.0.seen.waker.borrow_mut() = Some(cx.waker().clone());
     }
 
     fn gone(&self) -> bool {
-        self.seen.closed.get().is_some_and(|closed| closed.elapsed() >= FAREWELL)
+        self.0.seen.closed.get().is_some_and(|closed| closed.elapsed() >= FAREWELL)
+    }
+
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
+        act(Pin::new(&mut *self.0.stream.borrow_mut()))
     }
 }
 
 impl AsyncRead for Gate {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         self.wake_with(cx);
-        if self.seen.closed.get().is_some() {
+        if !self.0.reads_on() {
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = self.with(|stream| stream.poll_read(cx, buf));
         if read.is_ready() && buf.filled().len() > before {
-            self.seen.came();
+            self.0.seen.came();
         }
         read
     }
 }
 
 impl AsyncWrite for Gate {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.wake_with(cx);
         if self.gone() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = self.with(|stream| stream.poll_write(cx, buf));
+        if written.is_ready() {
+            self.0.spoken.set(Some(Instant::now()));
+        }
+        written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(|stream| stream.poll_flush(cx))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
@@ -321,7 +414,7 @@
             sleep(LOOK).await;
             let now = Instant::now();
             let leaving = places.leaving.get().is_some_and(|from| now >= from);
-            guests.look(now, &manners, leaving);
+            guests.look(now, &manners, leaving, places.ending.get());
         }
     };
     let taking = async {
@@ -338,12 +431,17 @@
             match listener.accept().await {
                 Ok((stream, address)) => {
                     let _ = stream.set_nodelay(true);
-                    let gate = Gate { stream, seen: guests.add(), _place: place };
+                    let (stream, seen) = (RefCell::new(stream), guests.add());
+                    let guest = Rc::new(Guest { stream, seen, spoken: Cell::new(None), _place: place });
                     let service = service.clone();
                     actix_rt::spawn(async move {
-                        if let Err(error) = service.call((gate, Some(address))).await {
+                        if let Err(error) = service.call((Gate(guest.clone()), Some(address))).await {
                             tracing::debug!(?error, "submitter's connection");
                         }
+                        // Its server has let it go.
+                        if let Some(guest) = Rc::into_inner(guest) {
+                            guest.part().await;
+                        }
                     });
                 }
                 Err(error) => {
@@ -359,28 +457,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn where_unfinished_calls_yield_the_oldest_goes_first_and_an_answer_is_never_cut() {
-        let guests = Guests::default();
-        let start = Instant::now();
-        let [first, second, serving] = [0, 10, 20].map(|ms| {
-            let seen = guests.add();
-            seen.since.set(start + Duration::from_millis(ms));
-            seen.came();
-            seen
-        });
-        serving.serving();
-        let later = start + Duration::from_secs(9);
-        let closed = || [&first, &second, &serving].map(|seen| seen.closed.get().is_some());
-        guests.make_room(later, Yields::Silent);
-        assert_eq!(closed(), [false, false, false]);
-        guests.make_room(later, Yields::Unfinished);
-        assert_eq!(closed(), [true, false, false]);
-        guests.make_room(later, Yields::Unfinished);
-        guests.make_room(later, Yields::Unfinished);
-        assert_eq!(closed(), [true, true, false]);
-    }
-}
+mod tests;
--- /dev/null
+++ b/relay/src/door/tests.rs
@@ -0,0 +1,159 @@
+use super::*;
+use std::io::{Read, Write};
+use tokio::io::AsyncReadExt;
+
+#[test]
+fn where_unfinished_calls_yield_the_oldest_goes_first_and_an_answer_is_never_cut() {
+    let guests = Guests::default();
+    let start = Instant::now();
+    let [first, second, serving] = [0, 10, 20].map(|ms| {
+        let seen = guests.add();
+        seen.since.set(start + Duration::from_millis(ms));
+        seen.came();
+        seen
+    });
+    serving.serving();
+    let later = start + Duration::from_secs(9);
+    let closed = || [&first, &second, &serving].map(|seen| seen.closed.get().is_some());
+    guests.make_room(later, Yields::Silent);
+    assert_eq!(closed(), [false, false, false]);
+    guests.make_room(later, Yields::Unfinished);
+    assert_eq!(closed(), [true, false, false]);
+    guests.make_room(later, Yields::Unfinished);
+    guests.make_room(later, Yields::Unfinished);
+    assert_eq!(closed(), [true, true, false]);
+}
+
+/// A connection as a front has it, and the client's end of it. Nothing is read on either but by the test.
+async fn connected() -> (Rc<Guest>, std::net::TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
+    let stream = RefCell::new(listener.accept().await.expect("accepted").0);
+    let place = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a place");
+    let guest = Guest { stream, seen: Seen::new(), spoken: Cell::new(None), _place: place };
+    (Rc::new(guest), client)
+}
+
+/// What the server reads next; nothing where it reads an end.
+async fn next(gate: &mut Gate) -> String {
+    let mut room = [0; 64];
+    let read = gate.read(&mut room).await.expect("no error");
+    String::from_utf8_lossy(&room[..read]).into_owned()
+}
+
+#[test]
+fn a_request_that_came_before_its_idle_connection_is_closed_is_served_and_the_connection_stays() {
+    actix_rt::System::new().block_on(async {
+        let (guest, mut client) = connected().await;
+        let mut gate = Gate(guest.clone());
+        guest.seen.answered();
+        // In this order: the client writes, the front closes, the server looks.
+        client.write_all(b"next").expect("written");
+        guest.seen.close(Instant::now());
+        assert_eq!(next(&mut gate).await, "next");
+        assert_eq!((guest.seen.phase.get(), guest.seen.closed.get()), (Phase::Reading, None));
+        // The other way round nothing of it is read.
+        guest.seen.answered();
+        guest.seen.close(Instant::now());
+        assert_eq!(next(&mut gate).await, "");
+        client.write_all(b"late").expect("written");
+        drop(gate);
+        let guest = Rc::into_inner(guest).expect("nobody else has it");
+        assert!(guest.has_unread(), "read by nobody");
+    });
+}
+
+#[test]
+fn a_request_that_came_too_slowly_is_read_as_far_as_it_is_here_and_no_further() {
+    actix_rt::System::new().block_on(async {
+        let (guest, mut client) = connected().await;
+        let mut gate = Gate(guest.clone());
+        guest.seen.came();
+        client.write_all(b"the rest").expect("written");
+        guest.seen.close(Instant::now());
+        assert_eq!(next(&mut gate).await, "the rest");
+        assert_eq!(next(&mut gate).await, "");
+        // Nor for ever, however much comes.
+        client.write_all(b"and more").expect("written");
+        guest.seen.closed.set(Instant::now().checked_sub(FAREWELL));
+        assert_eq!(next(&mut gate).await, "");
+    });
+}
+
+/// What a future is after one look at it.
+async fn poll_once<F: Future<Output = ()>>(mut future: Pin<&mut F>) -> Poll<()> {
+    poll_fn(|cx| Poll::Ready(future.as_mut().poll(cx))).await
+}
+
+/// A connection on which an answer is just written over bytes that nobody has read, and the client's end of it.
+async fn answered_over_unread() -> (Guest, std::net::TcpStream) {
+    let (guest, mut client) = connected().await;
+    client.write_all(b"read and unread").expect("written");
+    let mut gate = Gate(guest.clone());
+    gate.read_exact(&mut [0; 4]).await.expect("read");
+    gate.write_all(b"answer").await.expect("written");
+    drop(gate);
+    (Rc::into_inner(guest).expect("nobody else has it"), client)
+}
+
+#[test]
+fn a_close_over_unread_bytes_takes_no_answer_with_it() {
+    actix_rt::System::new().block_on(async {
+        let (guest, mut client) = answered_over_unread().await;
+        let seen = guest.seen.clone();
+        let parting = actix_rt::spawn(guest.part());
+        let reading = tokio::task::spawn_blocking(move || {
+            let mut answer = [0; 6];
+            client.read_exact(&mut answer).expect("the answer");
+            let end = client.read(&mut [0]);
+            // It takes the close in, and closes too.
+            (answer, end)
+        });
+        let (answer, end) = reading.await.expect("read");
+        assert_eq!((&answer, end.expect("an end, no reset")), (b"answer", 0));
+        parting.await.expect("no panic");
+        assert!(seen.closed.get().is_some());
+    });
+}
+
+#[test]
+fn connections_that_only_wait_for_their_client_make_room_first_and_at_once() {
+    let guests = Guests::default();
+    let [idle, parting] = [guests.add(), guests.add()];
+    idle.answered();
+    parting.parting.set(true);
+    parting.closed.set(Some(Instant::now()));
+    let later = Instant::now() + Duration::from_secs(9);
+    guests.make_room(later, Yields::Silent);
+    assert!(parting.hurried.get() && idle.closed.get().is_none());
+    guests.make_room(later, Yields::Silent);
+    assert!(idle.closed.get().is_some());
+    actix_rt::System::new().block_on(async {
+        let (guest, _client) = answered_over_unread().await;
+        let seen = guest.seen.clone();
+        let mut part = std::pin::pin!(guest.part());
+        assert!(poll_once(part.as_mut()).await.is_pending(), "the client is still there");
+        seen.hurried.set(true);
+        assert!(poll_once(part.as_mut()).await.is_ready());
+    });
+}
+
+#[test]
+fn a_process_that_ends_closes_all_but_what_it_owes_an_answer() {
+    let guests = Guests::default();
+    let [waiting, reading, serving] = [guests.add(), guests.add(), guests.add()];
+    reading.came();
+    serving.came();
+    serving.serving();
+    let manners = Manners {
+        first: Duration::from_secs(9),
+        whole: Some(Duration::from_secs(9)),
+        idle: Duration::from_secs(9),
+        yields: Yields::Silent,
+    };
+    let closed = || [&waiting, &reading, &serving].map(|seen| seen.closed.get().is_some());
+    guests.look(Instant::now(), &manners, true, false);
+    assert_eq!(closed(), [false; 3]);
+    guests.look(Instant::now(), &manners, true, true);
+    assert_eq!(closed(), [true, true, false]);
+}
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -27,6 +27,8 @@
 const STILL_SENDING: Duration = Duration::from_millis(2000);
 /// And what is out may come home for so long.
 const COMING_HOME: Duration = Duration::from_millis(800);
+/// Then what was answered last is let go: a process that ends resets connections that it has not closed.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 /// A successor takes over at once: what is out may come home until just before SIGKILL, and the last word is told.
 const LAST_HOME: Duration = Duration::from_millis(3350);
 const LAST_WORD: Duration = Duration::from_millis(30);
@@ -144,18 +146,28 @@
     sleep(STILL_SENDING).await;
     let first = async {
         if let Some(platform) = &platform {
-            platform.core.wind_down(COMING_HOME).await;
+            wind_down(&platform.core, &platform.places).await;
         }
     };
     let second = async {
         if let Some(push) = &push {
-            push.core.wind_down(COMING_HOME).await;
+            wind_down(&push.core, &push.places).await;
         }
     };
     tokio::join!(first, second);
     Ok(())
 }
 
+/// Ends a front: requests that are whole by now are still answered, and what is out comes home.
+async fn wind_down<C: Carrier>(core: &Core<C>, places: &Places) {
+    places.end();
+    core.wind_down(COMING_HOME).await;
+    let end = Instant::now() + LAST_ANSWERS;
+    while !places.is_empty() && Instant::now() < end {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// What the process is to submitters, and the places that follow it.
 #[derive(Default)]
 struct Standing {
