A silent watch is noticed in time whatever the settings, and a lower generation is seen

Seen: relay/src/discovery.rs held a watch for a fifth of must_ask_in and gave it up 2 s later. What a watch misses counts as told 6 s after its silence began, or 2 s after its wait. With 20 s or more it was given up at the very moment at which the change counts as told (read, and seen in a scenario: wait=12s at 60 s). A discovery that answers watches at once was asked in a busy loop (seen in the same scenario: a thousand calls in 8 s). Ruled out: silence behind the head, in the middle of an answer and where lists are pushed (scenarios passed before), a reload during the silence (it leaves the old place at once). Tests: relay/tests/platform.rs; the limit and the lower generation were seen to fail with their mends taken out, the others hold moments that held before.

--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -307,6 +307,8 @@
 
     /// Goes on with a job that outlived its process.
     pub fn resume(self: &Rc<Self>, open: Open) {
+        let (id, tries, left) = (&open.job.id, open.tries, open.job.left());
+        tracing::debug!(id, dest = open.job.dest, tries, ?left, "goes on from the journal");
         self.state.borrow_mut().ids.insert(open.job.id.clone(), true);
         let (job, course) = Course::resumed(open);
         actix_rt::spawn(self.clone().life(job, course, None));
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::spawn_blocking;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::core::{Carrier, Core};
 use crate::instances::Sharing;
@@ -20,9 +20,17 @@
 const WAIT_PART: u32 = 5;
 /// The same where lists pass between instances: few hold watches, and what they say is the older the longer these are.
 const SHARED_PART: u32 = 10;
+/// However long that is, a watch is held no longer. Guards against hearing of a drain too late from one that fell silent:
+/// six seconds later, what it would have told counts as told. After its wait, [`PATIENCE`] goes by before it is given
+/// up, and as much is left in which discovery can answer anew.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
 /// How long an answer may take beyond that: discovery handles calls one after another.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// A watch that is answered at once though nothing changed is asked anew after so long: soon enough for it to go on.
+/// Guards against a discovery that holds no watch keeping both sides busy.
+const EMPTY_PAUSE: Duration = Duration::from_millis(50);
+
 /// Where discovery is, and a client whose connections lead there.
 #[derive(Clone)]
 pub struct Place {
@@ -117,8 +125,9 @@
         let shared = sharing.and_then(|sharing| Some((sharing, sharing.asks()?)));
         let index = shared.as_ref().map_or(*held, |(_, index)| *index);
         let began = Instant::now();
-        tracing::debug!(held = ?index, "discovery is asked");
         let wait = core.rules().must_ask_in() / if shared.is_some() { SHARED_PART } else { WAIT_PART };
+        let wait = wait.min(LONGEST_WAIT);
+        tracing::debug!(held = ?index, ?wait, "discovery is asked");
         let answer = match index {
             Some(index) => {
                 let watch = format!("{base}?index={index}&wait={}", wait.as_millis());
@@ -140,6 +149,8 @@
             }
             continue;
         }
+        // What a service that lost its memory calls changes does not lead from the list that is held to its own.
+        let lower = !whole && held.is_some_and(|held| generation < held);
         if held.replace(generation).is_none() {
             tracing::info!(generation, nodes = changes, "list of execute nodes");
         } else if whole || changes > 0 {
@@ -150,6 +161,16 @@
             core.lists_taken().await;
             take(core, list);
         }
+        if changes == 0 && began.elapsed() < EMPTY_PAUSE {
+            sleep(EMPTY_PAUSE).await;
+        }
+        if lower {
+            tracing::warn!(
+                generation,
+                "discovery has a lower generation than before; the whole list is asked for"
+            );
+            *held = None;
+        }
     }
 }
 
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -160,17 +160,40 @@
                     } else {
                         let word = |key: &str| path.split(key).nth(1)?.split('&').next()?.parse::<u64>().ok();
                         let (known, wait) = (word("index="), word("wait=").unwrap_or(0));
-                        let hangs = list.borrow().1.contains("HANG");
+                        let says = |word: &str| list.borrow().1.contains(word);
+                        // It lost its memory, and answers watches by changes from there.
+                        let lower = says("LOWER");
+                        let hangs = says("HANG") || lower && known == Some(1);
                         let wait = std::time::Duration::from_millis(wait);
                         tokio::select! {
                             () = tokio::time::sleep(wait), if known.is_some() && !hangs => {}
-                            _ = list.wait_for(|(generation, _)| Some(*generation) != known) => {}
+                            _ = list.wait_for(|(generation, _)| Some(*generation) != known), if !hangs => {}
                             _ = broken.changed() => return,
                         }
                         let (generation, entries) = list.borrow_and_update().clone();
-                        let text =
-                            format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
-                        format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{text}", text.len())
+                        let text = match known {
+                            Some(_) if lower => r#"{"generation":1,"reset":false,"instances":[]}"#.to_owned(),
+                            _ => {
+                                let generation = if lower { 1 } else { generation };
+                                format!(
+                                    r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#
+                                )
+                            }
+                        };
+                        let head = format!("HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n", text.len());
+                        let whole = format!("{head}{text}");
+                        // Then it says no more, and nobody is told so.
+                        let told = match known {
+                            Some(_) if entries.contains("HEAD") => Some(head.len()),
+                            Some(_) if entries.contains("HALF") => Some(head.len() + text.len() / 2),
+                            _ => None,
+                        };
+                        if let Some(told) = told {
+                            let _ = stream.write_all(&whole.as_bytes()[..told]).await;
+                            let _ = tell.send(Got::new("silent", []));
+                            return drop(broken.changed().await);
+                        }
+                        whole
                     };
                     if stream.write_all(reply.as_bytes()).await.is_err() {
                         return;
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -6,7 +6,8 @@
 //!   expect log=PART or exit.
 //! - `list`: discovery; `list2` (discovery=list2 in the settings) is another with the same list. Send
 //!   NODE:DEST[:STATE] ...: it is up, and these are all nodes; with a STATE of HANG, no watch is
-//!   answered. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
+//!   answered; with HEAD or HALF, its answer ends behind the head or in the middle (expect silent); with LOWER, its generation is 1,
+//!   and watches from a later one are answered by no changes. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1 (half=yes: more is to follow before an answer); `p...`: over HTTP/2. Send a request, expect a status.
 //! - `a...` to `d...`: a caller at the second address of the process started last; send half is a call that it never finishes.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
@@ -325,6 +326,7 @@
         let sockets = of("sockets", "256");
         let (bundle, mode) = (of("bundle", "1"), of("mode", "subscribe"));
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
+        let must_ask = of("must_ask", "10");
         let discovery = self.party(&of("discovery", "list")).address.expect("it listens");
         let known = said(words, "known").map_or(String::new(), |generation| {
             let list = &self.list.borrow().1;
@@ -338,7 +340,7 @@
             "extra":{{"max_calls":{slots},"own_limits":[false],"bundle_max":[{bundle}]}},"zone":"z","zones":["z"],"shapes":["k"],"replicas_of_me":1,
             "membership_mode":"{mode}","report":{{"columns":["x0","x1"]}},"weights":"nominal",
             "policy_limits":{{"most_tries":8,"most_held":{held},"max_retry_after":3000000000,"idle_close":{idle}000000,"dial_timeout":1500000000,"retry_after":true}},
-            "rules":{{"cold":14000000000,"cold_share":0.18,"fall":3000000000,"fall_multiple":2.0,"must_ask_in":10000000000}}}}}}"#
+            "rules":{{"cold":14000000000,"cold_share":0.18,"fall":3000000000,"fall_multiple":2.0,"must_ask_in":{must_ask}000000000}}}}}}"#
         )
     }
 }
