--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -1,8 +1,8 @@
 //! What was taken on outlasts the process: an append-only, checksummed file in the folder that lasts.
 //!
-//! A record is its length, its CRC-32 and its text (postcard). Nothing is synced: the platform promises
-//! that what was written outlasts the process. The file is rewritten with what is still open before it and
-//! its successor together could outgrow the folder.
+//! A record is its length, its CRC-32 and its text (postcard); the first tells the format. Nothing is synced: the
+//! platform promises that what was written outlasts the process. The file is rewritten with what is still open before
+//! it and its successor together could outgrow the folder.
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -95,6 +95,11 @@
 const JOBS_PART: f64 = 0.4;
 /// A longer record is none: it is the torn end of the file.
 const LONGEST: usize = 1024 * 1024;
+/// The format of the records that are written here, and read at most.
+const FORMAT: u64 = 1;
+/// The format stands first in the file, as the end of a job with a number from here on, which no job ever has: programs
+/// from before there was a format pass over it.
+const FORMATS: Key = u64::MAX - 0xffff;
 
 pub struct Journal {
     path: PathBuf,
@@ -135,18 +140,8 @@
             live_size: 0,
             next: 1,
         };
-        let mut open = BTreeMap::new();
-        let whole = journal.replay(&Bytes::from(text), &mut open);
-        if whole < journal.size {
-            tracing::warn!(torn = journal.size - whole, "journal ends in a torn record; it is dropped");
-        }
+        let open = journal.replay(&Bytes::from(text))?;
         journal.rewrite()?;
-        let open = open.into_iter().filter_map(|(key, job)| {
-            let live = journal.live.get(&key)?;
-            let Claims { tries, risk, .. } = live.claims.clone();
-            Some(Open { key, job, tries, risk, ending: live.ending.clone() })
-        });
-        let open = open.collect();
         Ok((journal, open))
     }
 
@@ -171,10 +166,26 @@
         self.limit = limit;
     }
 
-    /// Takes in all whole records; gives the length up to the first that is torn.
-    fn replay(&mut self, text: &Bytes, open: &mut BTreeMap<Key, Job>) -> u64 {
+    /// Takes in all whole records, and tells what is open. A torn end is dropped; damage in the middle is passed over, and
+    /// what is behind it is read.
+    fn replay(&mut self, text: &Bytes) -> io::Result<Vec<Open>> {
+        let mut open = BTreeMap::new();
         let mut at = 0;
-        while let Some((frame, record)) = next_record(text, at) {
+        while at < text.len() {
+            let Some((frame, record)) = next_record(text, at) else {
+                let Some(next) = behind_damage(text, at) else {
+                    tracing::warn!(torn = text.len() - at, "journal ends in a torn record; it is dropped");
+                    break;
+                };
+                tracing::error!(
+                    offset = at,
+                    bytes = next - at,
+                    "the journal is damaged; what stood there is lost"
+                );
+                self.doubt();
+                at = next;
+                continue;
+            };
             at += frame.len();
             match record {
                 Record::Job(key, job) => {
@@ -186,10 +197,30 @@
                 Record::NeverRan(key) => self.with(key, |live| live.claims.never_ran()),
                 Record::Claims(key, claims) => self.with(key, |live| live.claims = claims),
                 Record::Ending(key, notice) => self.with(key, |live| live.ending = Some(notice)),
+                Record::End(key) if key > FORMATS + FORMAT => {
+                    let format = key - FORMATS;
+                    let fault = format!("it has format {format}, and this program reads up to {FORMAT}");
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
+                }
                 Record::End(key) => self.remove_live(key),
             }
         }
-        at as u64
+        let open = open.into_iter().filter_map(|(key, job)| {
+            let live = self.live.get(&key)?;
+            let Claims { tries, risk, .. } = live.claims.clone();
+            Some(Open { key, job, tries, risk, ending: live.ending.clone() })
+        });
+        Ok(open.collect())
+    }
+
+    /// Records are missing: any job from before may have had a claim there. Guards against sending again, as never
+    /// sent, what has run.
+    fn doubt(&mut self) {
+        let unknown = MayHaveRun { sent: SystemTime::UNIX_EPOCH, node: String::new(), zone: None };
+        for live in self.live.values_mut() {
+            live.claims.risk.get_or_insert_with(|| unknown.clone());
+            live.claims.latest = false;
+        }
     }
 
     fn with(&mut self, key: Key, change: impl FnOnce(&mut Live)) {
@@ -274,6 +305,7 @@
     /// Writes a new file with what is open, and puts it in the old one's place.
     fn rewrite(&mut self) -> io::Result<()> {
         let mut text = Vec::with_capacity(self.live_size as usize);
+        text.extend(encode(&Record::End(FORMATS + FORMAT)));
         for (key, live) in &self.live {
             text.extend_from_slice(&live.frame);
             if live.claims.tries > 0 {
@@ -318,108 +350,19 @@
     Some((text.slice(at..at + 8 + length), record))
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::job::NoticeEnd;
-
-    fn job(id: &str, size: usize) -> Job {
-        Job {
-            id: id.into(),
-            class: "c".into(),
-            dest: 7,
-            deadline: SystemTime::UNIX_EPOCH + Duration::from_secs(9),
-            retry: false,
-            reconnect: true,
-            label: Some("l".into()),
-            fields: vec![("key".into(), Bytes::from_static(b"\xff\x00"))],
-            body: Bytes::from(vec![3; size]),
-        }
-    }
-
-    fn claim(at: u64) -> MayHaveRun {
-        let sent = SystemTime::UNIX_EPOCH + Duration::from_secs(at);
-        MayHaveRun { sent, node: "n1".into(), zone: None }
-    }
-
-    fn disk_use(folder: &Path) -> u64 {
-        let files = std::fs::read_dir(folder).expect("a folder").map(|f| f.expect("a file"));
-        files.map(|f| f.metadata().expect("a file").len().div_ceil(512) * 512).sum()
-    }
-
-    #[test]
-    fn what_is_open_comes_back_as_it_was() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
-        let keys = ["a", "b", "c", "d"].map(|id| journal.job(&job(id, 9)).expect("written").expect("room"));
-        journal.claim(keys[0], claim(1)).expect("written");
-        journal.never_ran(keys[0]).expect("written");
-        journal.claim(keys[0], claim(2)).expect("written");
-        journal.claim(keys[0], claim(3)).expect("written");
-        journal.never_ran(keys[0]).expect("written");
-        journal.end(keys[1]).expect("written");
-        let notice = Notice { id: "c".into(), end: NoticeEnd::Returned { after: None } };
-        journal.ending(keys[2], &notice).expect("written");
-        // Once as it was appended, once as it was rewritten.
-        for _ in 0..2 {
-            let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
-            let ids: Vec<_> = open.iter().map(|o| o.job.id.as_str()).collect();
-            assert_eq!(ids, ["a", "c", "d"]);
-            assert_eq!((open[0].tries, open[0].risk.clone()), (3, Some(claim(2))));
-            assert_eq!(open[1].ending, Some(notice.clone()));
-            assert_eq!(open[2].job, job("d", 9));
-        }
-    }
-
-    #[test]
-    fn a_claim_from_the_future_is_remembered_by_nobody() {
-        assert_eq!(claim(9).ago(claim(7).sent), Duration::MAX);
-        assert_eq!(claim(7).ago(claim(9).sent), Duration::from_secs(2));
-    }
-
-    #[test]
-    fn a_torn_tail_is_dropped_and_what_follows_is_kept() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
-        for id in ["a", "b"] {
-            journal.job(&job(id, 50)).expect("written");
-        }
-        drop(journal);
-        let file = folder.path().join("journal");
-        let text = std::fs::read(&file).expect("it is there");
-        for cut in 1..text.len() / 2 {
-            std::fs::write(&file, &text[..text.len() - cut]).expect("written");
-            let (mut journal, open) = Journal::open(folder.path(), 100_000).expect("it opens");
-            assert_eq!(open.len(), 1, "{cut} bytes are missing");
-            journal.job(&job("z", 5)).expect("written");
-            let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
-            assert_eq!(open.last().map(|o| o.job.id.as_str()), Some("z"));
-        }
-    }
-
-    #[test]
-    fn the_folder_never_holds_more_than_its_limit() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let limit = 200_000;
-        let (mut journal, _) = Journal::open(folder.path(), limit).expect("it opens");
-        let mut open = std::collections::VecDeque::new();
-        let mut refused = 0;
-        for round in 0..3000 {
-            match journal.job(&job(&format!("j{round}"), (round * 37) % 3000)).expect("written") {
-                Some(key) => open.push_back(key),
-                None => refused += 1,
-            }
-            for key in &open {
-                journal.claim(*key, claim(round as u64)).expect("written");
-            }
-            if round % 3 > 0 {
-                open.pop_front().into_iter().for_each(|key| journal.end(key).expect("written"));
-            }
-            // The successor is there for a moment only: what both take is bounded by what is live.
-            assert!(disk_use(folder.path()) + journal.live_size <= limit, "round {round}");
-        }
-        assert!(refused > 0, "the folder was never full");
-        let (_, recovered) = Journal::open(folder.path(), limit).expect("it opens");
-        assert_eq!(recovered.len(), open.len());
-    }
+/// Where the next whole record begins behind one that is not whole: where that one says that it ends, else the first
+/// place from which two in a row can be read, or one up to the end. `None` if nothing follows: then it is the torn end.
+fn behind_damage(text: &Bytes, at: usize) -> Option<usize> {
+    let length = text.get(at..at + 4).and_then(|four| four.try_into().ok()).map(u32::from_le_bytes);
+    let told = length.and_then(|length| at.checked_add(8 + length as usize));
+    let is_record = |at: usize| next_record(text, at).is_some();
+    // Guards against what a body holds, which may look like a record, being taken for one.
+    let leads_on = |at: usize| {
+        let next = next_record(text, at).map(|(frame, _)| at + frame.len());
+        next.is_some_and(|next| next == text.len() || is_record(next))
+    };
+    told.filter(|at| is_record(*at)).or_else(|| (at + 1..text.len()).find(|at| leads_on(*at)))
 }
+
+#[cfg(test)]
+mod tests;
