What a restart finds untried goes first and is given up only when its time is over

At fault: src/choice.rs, rank, hopeless and admit, which do not know that a message was taken on before the restart. Ruled out: missing lists (known in each), told waits (none), slots (free).

--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -196,6 +196,7 @@
                         reconnect: false,
                         tries: 0,
                         risk: None,
+                        kept: false,
                     }),
                 );
             }
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -1,5 +1,5 @@
 //! The life of one job, and its place at the module.
-use slatethread::{ClassId, DestId, Effect, EndpointId, Event, Group, MsgId, Report, Request, Risk, ZoneId};
+use slatethread::{ClassId, DestId, EndpointId, Event, MsgId, Report, Request, Risk, ZoneId};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot};
@@ -26,6 +26,8 @@
     tries: u32,
     /// The first claim that may have run.
     risk: Option<MayHaveRun>,
+    /// Its process has ended: a planned or unplanned restart lies between.
+    kept: bool,
     /// Its end was decided by an earlier process.
     ending: Option<Notice>,
     /// A plug-in lets it live no longer, and what it tells then.
@@ -34,6 +36,10 @@
 }
 
 impl Course {
+    pub fn tries(&self) -> u32 {
+        self.tries
+    }
+
     pub fn set_risk(&mut self, risk: Option<MayHaveRun>) {
         self.risk = risk;
     }
@@ -42,6 +48,12 @@
         let Open { key, job, tries, risk, ending } = open;
         (job, Course { key, tries, risk, ending, ..Course::default() })
     }
+
+    /// The same after a restart.
+    pub fn kept(open: Open) -> (Job, Course) {
+        let (job, course) = Course::resumed(open);
+        (job, Course { kept: true, ..course })
+    }
 }
 
 impl<C: Carrier> Core<C> {
@@ -352,12 +364,7 @@
     fn may_return(&self, job: &Job, course: &Course) -> bool {
         let rules = self.rules();
         let class = &rules.settings.classes[course.class];
-        let repeatable = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => course.risk.is_none() || class.group == Group::All,
-            Effect::Unsafe => course.risk.is_none(),
-        };
-        repeatable && !job.left().is_zero()
+        (course.risk.is_none() || class.may_come_again()) && !job.left().is_zero()
     }
 
     fn record(&self, job: &Job) -> Option<Key> {
@@ -379,12 +386,7 @@
         let rules = self.rules();
         let class = &rules.settings.classes[class];
         let ago = risk.ago(SystemTime::now());
-        let memory = match class.effect {
-            Effect::Safe => return None,
-            Effect::Keyed => Duration::from_nanos(class.window.unwrap_or(0)),
-            Effect::Unsafe => Duration::ZERO,
-        };
-        Some(Instant::now() + memory.saturating_sub(ago))
+        Some(Instant::now() + Duration::from_nanos(class.memory()?).saturating_sub(ago))
     }
 
     fn take_seat(&self, job: &Job, course: &Course) -> Seat<'_, C> {
@@ -420,6 +422,7 @@
             reconnect: job.reconnect,
             tries: course.tries,
             risk,
+            kept: course.kept,
         }));
         self.wake.notify_one();
         Seat { core: self, msg, orders, next_attempt: course.tries, kept: None }
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -306,11 +306,19 @@
     }
 
     /// Goes on with a job that outlived its process.
-    pub fn resume(self: &Rc<Self>, open: Open) {
-        let (id, tries, left) = (&open.job.id, open.tries, open.job.left());
-        tracing::debug!(id, dest = open.job.dest, tries, ?left, "goes on from the journal");
-        self.state.borrow_mut().ids.insert(open.job.id.clone(), true);
-        let (job, course) = Course::resumed(open);
+    pub fn recover(self: &Rc<Self>, open: Open) {
+        self.go_on(Course::kept(open));
+    }
+
+    /// Goes on with a job that another process had.
+    fn resume(self: &Rc<Self>, open: Open) {
+        self.go_on(Course::resumed(open));
+    }
+
+    fn go_on(self: &Rc<Self>, (job, course): (Job, Course)) {
+        let (id, left) = (&job.id, job.left());
+        tracing::debug!(id, dest = job.dest, tries = course.tries(), ?left, "goes on from the journal");
+        self.state.borrow_mut().ids.insert(job.id.clone(), true);
         actix_rt::spawn(self.clone().life(job, course, None));
     }
 
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -321,7 +321,7 @@
             }));
         }
         None => {
-            open.into_iter().for_each(|open| core.resume(open));
+            open.into_iter().for_each(|open| core.recover(open));
             // Where lists pass between instances, what is known waits for a better one; the first round is played all the same.
             let nothing = NodeList::default();
             core.take_list(if sharing.is_some() { &nothing } else { &config.known }).await;
@@ -441,7 +441,7 @@
     let rules = config.rules.clone();
     let (core, open) = new_core(gateways, rules, hooks, seed, &config.state, config.disk, None, figures)
         .map_err(|e| format!("push.state: {e}"))?;
-    open.into_iter().for_each(|open| core.resume(open));
+    open.into_iter().for_each(|open| core.recover(open));
     begin(&core, "push");
     core.take_list(&config.gateways).await;
     actix_rt::spawn(crate::push::gateways::tend(core.clone()));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,6 +68,8 @@
 const KEEP_CUT: Nanos = 8;
 /// Part by which a success lengthens the time that idle connections are kept: far less than a failure takes.
 const KEEP_GAIN: f64 = 0.02;
+/// A try that is owed is made once no more than so many times of silence are left: others may go first.
+const OWED_LAST: f64 = 3.0;
 /// Rounds kept free before a deadline, for the last answer to be in time.
 const GUARD_STEPS: u64 = 3;
 /// Time between looks at the hold when nothing happens.
@@ -157,9 +159,9 @@
         self.pace = (base * PACE_CUT).max((base / 2.0).clamp(least, LEAST_RATE));
     }
 
-    fn may_call(&self, now: Nanos, cap: f64) -> bool {
+    fn may_call(&self, now: Nanos, most: f64) -> bool {
         let paced = self.ramp.as_ref().is_none_or(|ramp| ramp.may_send(now)) && self.tokens >= 1.0;
-        now >= self.wait_until && f64::from(self.calls) < self.window.min(cap) && paced
+        now >= self.wait_until && f64::from(self.calls) < most && paced
     }
 }
 
@@ -498,7 +500,7 @@
             let wait = unit.map_or(0.0, |u| self.expected(now, u, self.ahead(now, u, message)));
             let room = f64::from(self.settings.max_held.unwrap_or(u32::MAX));
             let crowded = unit.is_some_and(|u| self.ailing(u)) && f64::from(held) > room * HOLD_ILL;
-            if wait > self.left(now, message) || crowded {
+            if (wait > self.left(now, message) || crowded) && !message.owed() {
                 self.give_up(now, id, wait, actions);
             } else {
                 self.hold_in(now, id, unit);
@@ -538,11 +540,13 @@
         units.min_by_key(|u| (self.ailing(*u), nanos(self.expected(now, *u, held(*u))), *u))
     }
 
-    /// The most urgent worth first: what meets its aim before what is late by then, by worth, then aim.
+    /// What a try is owed to, then the most urgent worth: what meets its aim before what is late by then, by
+    /// worth, then aim.
     pub(crate) fn rank(&self, now: Nanos, message: &Message) -> Rank {
         let done = self.done(now, message.lane.and_then(|lane| lane.unit));
         let late = if done > message.aim_at { STALE_RANK } else { 1.0 };
-        (-(message.worth * self.weights[message.class] * late * 1e6) as i64, message.aim_at)
+        let factor = if message.owed() { f64::INFINITY } else { late };
+        (-(message.worth * self.weights[message.class] * factor * 1e6) as i64, message.aim_at)
     }
 
     /// Drops what no longer fits its time and sends the rest, best first, as far as slots, windows, pace,
@@ -611,7 +615,7 @@
 
     /// Gives up what cannot be served in time at a destination any more.
     fn drop_hopeless(&mut self, now: Nanos, dest: DestId, actions: &mut Vec<Action>) {
-        let left = self.guard + nanos(self.soonest(now, dest, false));
+        let left = self.guard + nanos(self.soonest(now, dest, Nanos::MAX));
         for id in self.hold.due_by(dest, now, left) {
             if let Some(wait) = self.hopeless(now, &self.messages[&id]) {
                 self.give_up(now, id, wait, actions);
@@ -623,22 +627,19 @@
     fn hopeless(&self, now: Nanos, message: &Message) -> Option<f64> {
         let left = self.left(now, message);
         let tired = self.settings.max_tries.is_some_and(|most| message.tries >= most);
-        let forgotten = message.risk.is_some_and(|risk| {
-            let class = &self.settings.classes[message.class];
-            let memory = class.window.unwrap_or(0).saturating_sub(self.guard);
-            class.effect == Effect::Unsafe || class.effect == Effect::Keyed && now >= risk.sent + memory
-        });
+        let ran = message.risk.zip(self.settings.classes[message.class].memory());
+        let forgotten = ran.is_some_and(|(risk, memory)| now + self.guard >= risk.sent + memory);
         let rest = secs(message.full.unwrap_or(0).saturating_sub(now));
-        let soonest = self.soonest(now, message.dest, self.is_fresh(now, message));
-        let lost = left <= 0.0 || tired || forgotten || self.outlasted(now, message);
-        (lost || soonest + rest > left).then_some(soonest + rest)
+        let soonest = self.soonest(now, message.dest, self.rested(now, message)) + rest;
+        let hopeless = tired || forgotten || self.outlasted(now, message) || soonest > left;
+        (left <= 0.0 || hopeless && !message.owed()).then_some(soonest)
     }
 
     /// Least time in which a destination would have served a message that is sent now, in seconds.
-    pub(crate) fn soonest(&self, now: Nanos, dest: DestId, fresh: bool) -> f64 {
+    pub(crate) fn soonest(&self, now: Nanos, dest: DestId, rested: Nanos) -> f64 {
         let time = |p: &Peer| {
             let done = self.units.get(&p.unit)?.predictor.predict(now, self.load).unwrap_or(0.0);
-            Some(done + secs(self.trial_wait(now, p, fresh)))
+            Some(done + secs(self.trial_wait(now, p, rested)))
         };
         let soonest = self.listed(dest).filter_map(time).min_by(f64::total_cmp);
         soonest.unwrap_or_else(|| secs(self.asking.awaited(now)))
@@ -649,18 +650,31 @@
         message.tries == 0 && now < message.came + LOOK
     }
 
-    /// Time until a message may go to an endpoint as far as health goes. One that has just come may always go
-    /// where nothing was sent for as long as a cold start lasts: what is known is that old by then.
-    pub(crate) fn trial_wait(&self, now: Nanos, peer: &Peer, fresh: bool) -> Nanos {
-        let fresh = fresh && now >= peer.called + self.cold;
-        if fresh || !self.suspect(peer) { 0 } else { peer.next_trial.saturating_sub(now) }
+    /// How long an endpoint must not have been called for a message to go there whatever its health. One that
+    /// has just come may go after as long as a cold start lasts: what is known is that old by then. One that a
+    /// try is owed to may go in any case towards its end (exception 12).
+    fn rested(&self, now: Nanos, message: &Message) -> Nanos {
+        let last = |unit| self.left(now, message) < OWED_LAST * self.silence(unit);
+        match message.owed() && self.best_unit(now, message).is_some_and(last) {
+            true => 0,
+            false if self.is_fresh(now, message) => self.cold,
+            false => Nanos::MAX,
+        }
+    }
+
+    /// Time until a message may go to an endpoint as far as health goes.
+    pub(crate) fn trial_wait(&self, now: Nanos, peer: &Peer, rested: Nanos) -> Nanos {
+        let free = now >= peer.called.saturating_add(rested) || !self.suspect(peer);
+        if free { 0 } else { peer.next_trial.saturating_sub(now) }
     }
 
     /// The endpoint to call: allowed, open, least busy, near, connected; by lot, lest all couriers fill one.
     fn choose(&self, now: Nanos, message: MsgId, open: &Opened, salt: u64) -> Option<EndpointId> {
         let message = &self.messages[&message];
         let free = self.calls.len() < self.slots;
-        let may_try = self.trials < self.lost_slots;
+        // Where a repeat matters, the endpoint has to be one that drops it.
+        let bound = message.lane.and_then(|lane| lane.bound);
+        let (may_try, rested) = (self.trials < self.lost_slots, self.rested(now, message));
         let shuns = |p: &Peer| p.shun.get(&message.class).is_some_and(|until| now < *until);
         let other = self.listed(message.dest).any(|p| !shuns(p));
         let mut best = None;
@@ -668,9 +682,10 @@
             let Some(unit) = self.units.get(&peer.unit) else { continue };
             let joins = open.get(&peer.entry.id).is_some_and(|(_, room)| *room > 0);
             let known = matches!(peer.health, Health::Returning(_)) || !self.suspect(peer);
-            let open_now = self.trial_wait(now, peer, self.is_fresh(now, message)) == 0 && (may_try || known);
-            let may = joins || free && open_now && unit.may_call(now, self.cap(peer.unit));
-            if !may || !self.remembers(peer, message) || other && shuns(peer) {
+            let open_now = self.trial_wait(now, peer, rested) == 0 && (may_try || known);
+            let window = if rested == 0 { f64::INFINITY } else { unit.window };
+            let may = joins || free && open_now && unit.may_call(now, window.min(self.cap(peer.unit)));
+            if !may || bound.is_some_and(|bound| !bound.allows(&peer.entry)) || other && shuns(peer) {
                 continue;
             }
             let far = if self.settings.zone.is_some_and(|z| z != peer.entry.zone) { FAR } else { 0.0 };
@@ -683,19 +698,6 @@
         best.map(|(_, _, id)| id)
     }
 
-    /// Whether the endpoint drops a repeat of the message, where that matters.
-    fn remembers(&self, peer: &Peer, message: &Message) -> bool {
-        let class = &self.settings.classes[message.class];
-        match message.risk {
-            Some(risk) if class.effect == Effect::Keyed => match class.group {
-                Group::All => true,
-                Group::Zone => risk.zone == Some(peer.entry.zone),
-                Group::Endpoint => risk.endpoint == peer.entry.id,
-            },
-            _ => true,
-        }
-    }
-
     fn send(&mut self, now: Nanos, id: MsgId, to: EndpointId, open: &mut Opened, actions: &mut Vec<Action>) {
         let unit_id = self.peers[&to].unit;
         let suspect = self.suspect(&self.peers[&to]);
@@ -938,11 +940,7 @@
     fn give_up(&mut self, now: Nanos, id: MsgId, wait: f64, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id).filter(|m| !m.ended) else { return };
         let class = &self.settings.classes[message.class];
-        let repeatable = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => message.risk.is_none() || class.group == Group::All,
-            Effect::Unsafe => message.risk.is_none(),
-        };
+        let repeatable = message.risk.is_none() || class.may_come_again();
         if repeatable && message.out.is_none() && now < message.deadline {
             let most = self.settings.max_backoff.unwrap_or(SECOND);
             let backoff = self.settings.backoff_told.then(|| nanos(wait).clamp(most / 2, most));
--- a/src/hold.rs
+++ b/src/hold.rs
@@ -27,6 +27,8 @@
     /// Where a copy of them may have run, if that binds where they may go.
     pub bound: Option<Bound>,
     pub turn: Turn,
+    /// A try is owed to them.
+    pub owed: bool,
 }
 
 /// Whether a message may go as far as its order and its own rest are concerned.
@@ -46,6 +48,15 @@
     Endpoint(EndpointId),
 }
 
+impl Bound {
+    pub fn allows(self, endpoint: &Endpoint) -> bool {
+        match self {
+            Bound::Zone(zone) => zone == Some(endpoint.zone),
+            Bound::Endpoint(id) => id == endpoint.id,
+        }
+    }
+}
+
 /// A message in a lane. They are in the order in which they run out of time, then of their ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Waiting {
@@ -191,7 +202,7 @@
     use proptest::prelude::*;
 
     fn lane(class: usize) -> Lane {
-        Lane { unit: None, class, worth: 0, bound: None, turn: Turn::Ready }
+        Lane { unit: None, class, worth: 0, bound: None, turn: Turn::Ready, owed: false }
     }
 
     fn waiting(due: Nanos, id: u32) -> Waiting {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,6 +75,26 @@
     pub credit: Option<f64>,
 }
 
+impl Class {
+    /// For how long after it may have run a message may be sent again; none if for ever.
+    pub fn memory(&self) -> Option<Nanos> {
+        match self.effect {
+            Effect::Safe => None,
+            Effect::Keyed => Some(self.window.unwrap_or(0)),
+            Effect::Unsafe => Some(0),
+        }
+    }
+
+    /// Whether its client may hand a message in again that may have run.
+    pub fn may_come_again(&self) -> bool {
+        match self.effect {
+            Effect::Safe => true,
+            Effect::Keyed => self.group == Group::All,
+            Effect::Unsafe => false,
+        }
+    }
+}
+
 /// How worth falls after the aim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fade {
@@ -269,6 +289,8 @@
     pub tries: u32,
     /// The first of those attempts that may have run.
     pub risk: Option<Risk>,
+    /// It outlived its courier's process.
+    pub kept: bool,
 }
 
 /// The first attempt of a message that may have run.
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,8 @@
     pub aim_at: Nanos,
     pub deadline: Nanos,
     pub tries: u32,
+    /// It outlived its courier's process.
+    pub kept: bool,
     pub ended: bool,
     pub out: Option<Attempt>,
     pub risk: Option<Risk>,
@@ -242,6 +244,7 @@
             aim_at: deadline,
             deadline,
             tries: request.tries,
+            kept: request.kept,
             ended: false,
             out: None,
             risk: request.risk,
@@ -251,6 +254,11 @@
         }
     }
 
+    /// It outlived its courier's process untried: a try is owed to it (exception 12).
+    pub fn owed(&self) -> bool {
+        self.kept && self.tries == 0
+    }
+
     /// What the hold keeps of it in such a lane.
     pub fn waiting(&self, id: MsgId, lane: &Lane) -> Waiting {
         let rest = self.full.filter(|_| lane.turn == Turn::Resting).unwrap_or(0);
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -69,15 +69,16 @@
         });
         let rested = message.full.filter(|until| now < *until);
         let settled = message.key.and_then(|k| self.keys.get(&k)).map(|line| line.rest_until);
-        let memory = class.window.unwrap_or(0).saturating_sub(self.guard);
-        let forgotten = risk.filter(|_| class.effect == Effect::Keyed).map(|risk| risk.sent + memory);
+        let forgotten =
+            risk.zip(class.memory()).map(|(risk, memory)| (risk.sent + memory).saturating_sub(self.guard));
         let alarm = [rested, settled, forgotten].into_iter().flatten().filter(|at| *at > now).min();
         let turn = match (turn, rested) {
             (true, None) => Turn::Ready,
             (_, Some(_)) => Turn::Resting,
             (false, None) => Turn::Behind,
         };
-        let lane = Lane { unit, class: message.class, worth: message.worth.to_bits(), bound, turn };
+        let (worth, owed) = (message.worth.to_bits(), message.owed());
+        let lane = Lane { unit, class: message.class, worth, bound, turn, owed };
         self.hold.put(message.dest, lane, message.waiting(id, &lane), message.deadline);
         self.hold.set_alarm(id, None, alarm);
         let message = self.messages.get_mut(&id).expect("just found");
@@ -113,10 +114,10 @@
         let Some(deadline) = self.hold.first_deadline_for(dest) else { return };
         let opens = |p: &Peer| {
             let unit = self.units.get(&p.unit)?;
-            Some(unit.opens_at(now).max(now + self.trial_wait(now, p, false)))
+            Some(unit.opens_at(now).max(now + self.trial_wait(now, p, Nanos::MAX)))
         };
         let opens = self.listed(dest).filter_map(opens).min();
-        let lost = deadline.saturating_sub(self.guard + nanos(self.soonest(now, dest, false)));
+        let lost = deadline.saturating_sub(self.guard + nanos(self.soonest(now, dest, Nanos::MAX)));
         let due = opens.into_iter().chain([lost]).filter(|at| *at > now).min();
         let waits = opens.is_some_and(|at| at <= now) && self.calls.len() >= self.slots;
         let mut heads = BTreeSet::new();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -70,6 +70,7 @@
         reconnect: false,
         tries: 0,
         risk: None,
+        kept: false,
     }
 }
 
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -206,6 +206,7 @@
                     reconnect: r.reconnect,
                     tries: 0,
                     risk: None,
+                    kept: false,
                 };
                 self.push(r.courier, Event::Request(request))
             }
