A claim begins with its first byte, and an answer counts by whole lines

Now Ticket::begin puts it down right before the first byte; at an upgrade the claims that have not begun are put down first, since the newcomer is told of each what became of it. - platform/line.rs took 'HTTP/1.1 200 ' for a delivery before its line's end; an endpoint that breaks off there may not count it, and the message would be neither delivered nor ended. It binds from the head on, and the module hears it at once (tries were used up against it otherwise, seen in the scenario's log). - the rest of a call that a full socket held back was written whatever had been told meanwhile; its last byte is the one that counts for waits and memories. Ruled out: drains (a send counts from its first byte), the push front (h2 hands the head over at once). Tests: relay/tests/platform.rs, upgrade.rs and platform/line.rs; each mend was taken out by itself and its test seen to fail.

--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -206,34 +206,24 @@
         seat.next_attempt += 1;
         let limit = share.as_ref().map_or(limit, Share::limit);
         let limit = course.cut.map_or(limit, |cut| limit.min(cut.saturating_duration_since(sent)));
-        let this = MayHaveRun {
-            sent: SystemTime::now(),
-            node: node.name.to_string(),
-            zone: self.rules().names.zones.get(node.zone().0).cloned(),
-        };
         let not_after = course.risk.as_ref().and_then(|risk| self.memory_ends(course.class, risk));
-        let ticket = self.ticket(node, not_after);
-        let recorded = self.journal.borrow_mut().claim(course.key, this.clone());
-        let outcome = if let Err(e) = recorded {
-            tracing::error!(id = job.id, error = %e, "journal cannot record a claim; it is not sent");
-            Outcome::NotSent
-        } else {
-            self.state.borrow_mut().out.insert(course.key);
-            let outcome = tokio::select! {
-                biased;
-                outcome = self.call(job, node, limit, &ticket, share) => outcome,
-                () = sleep(limit) => if ticket.is_sent() { Outcome::TimedOut } else { Outcome::Unconnected },
-                () = seat.cancelled(attempt) => {
-                    if ticket.is_sent() { Outcome::Cancelled } else { Outcome::NotSent }
-                }
-                // What is not out yet is its new owner's to send, or not: a drain may be told there.
-                () = self.handed_unsent(&ticket) => Outcome::NotSent,
-                () = self.ended.cancelled() => Outcome::Cancelled,
-            };
-            self.state.borrow_mut().out.remove(&course.key);
-            // Guards against a time-out or a cancellation between the node's word and the end of its answer.
-            if ticket.is_delivered() { Outcome::Delivered } else { outcome }
+        let ticket = self.ticket(course.key, node, not_after);
+        self.state.borrow_mut().out.insert(course.key, ticket.clone());
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.call(job, node, limit, &ticket, share) => outcome,
+            () = sleep(limit) => if ticket.is_sent() { Outcome::TimedOut } else { Outcome::Unconnected },
+            () = seat.cancelled(attempt) => {
+                if ticket.is_sent() { Outcome::Cancelled } else { Outcome::NotSent }
+            }
+            // What is not out yet is its new owner's to send, or not: a drain may be told there.
+            () = self.handed_unsent(&ticket) => Outcome::NotSent,
+            never = self.hear_wait(node, &ticket) => never,
+            () = self.ended.cancelled() => if ticket.is_sent() { Outcome::Cancelled } else { Outcome::NotSent },
         };
+        self.state.borrow_mut().out.remove(&course.key);
+        // Guards against a time-out or a cancellation between the node's word and the end of its answer.
+        let outcome = if ticket.is_delivered() { Outcome::Delivered } else { outcome };
         let label = job.label.as_deref().unwrap_or("");
         let (took, dest) = (sent.elapsed(), job.dest);
         let told = ticket.report().limit;
@@ -242,17 +232,20 @@
             successor.home(Home { key: course.key, outcome, node: node.name.to_string() });
             return outcome;
         }
-        if outcome.never_ran() {
-            if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
-                tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
+        match ticket.recorded() {
+            Some(_) if outcome.never_ran() => {
+                if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
+                    tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
+                }
             }
-        } else {
-            course.risk.get_or_insert(this);
+            Some(this) => _ = course.risk.get_or_insert(this),
+            // It has not begun.
+            None => {}
         }
         if let Outcome::Full { wait: Some(wait) } = outcome {
             self.begin_wait(node, wait);
-        } else if let Some(wait) = ticket.told_wait() {
-            // For others of its call, and so for all that goes there.
+        } else if let Some(wait) = ticket.take_told_wait() {
+            // With an answer that was not of itself one, or was spoilt behind its head.
             self.heard_wait(&node.name, wait);
         }
         self.count(|tally| {
@@ -278,6 +271,14 @@
         }
     }
 
+    /// Takes up a wait as soon as the head of the answer tells it. Guards against rounds that send there while the rest
+    /// of the answer is waited for, which would use up the tries of what they send. Has no end of its own.
+    async fn hear_wait(&self, node: &Node, ticket: &Ticket) -> Outcome {
+        ticket.wait_is_told().await;
+        ticket.take_told_wait().into_iter().for_each(|wait| self.heard_wait(&node.name, wait));
+        std::future::pending().await
+    }
+
     async fn handed_unsent(&self, ticket: &Ticket) {
         self.handed.cancelled().await;
         if ticket.is_sent() {
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -9,7 +9,7 @@
 use slatethread::{Courier, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -83,7 +83,7 @@
     /// Open jobs that a later one may replace.
     replaceable: HashMap<String, MsgId>,
     /// Jobs whose claims are out.
-    out: BTreeSet<Key>,
+    out: BTreeMap<Key, Rc<Ticket>>,
 }
 
 /// Answers given a moment ago, by id.
@@ -131,7 +131,7 @@
     rules: RefCell<Rc<Rules>>,
     hooks: Option<Hooks>,
     state: RefCell<State>,
-    journal: RefCell<Journal>,
+    journal: Rc<RefCell<Journal>>,
     outs: RefCell<Outs>,
     /// Among how many relays limits are divided, where that follows who is there.
     divided: Cell<Option<u32>>,
@@ -190,14 +190,14 @@
             ids: HashMap::new(),
             recent: Recent::default(),
             replaceable: HashMap::new(),
-            out: BTreeSet::new(),
+            out: BTreeMap::new(),
         };
         Rc::new(Core {
             carrier,
             rules: RefCell::new(Rc::new(rules)),
             hooks,
             state: RefCell::new(state),
-            journal: RefCell::new(journal),
+            journal: Rc::new(RefCell::new(journal)),
             outs: RefCell::new(outs),
             divided: Cell::default(),
             figures,
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -3,18 +3,20 @@
 use prometheus::IntCounter;
 use slatethread::{Condition, DestId, Endpoint, EndpointId, Event, KindId, ListScope, Report, ZoneId};
 use std::borrow::Borrow;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 
 use super::{Carrier, Core, State};
 use crate::config::Rules;
 use crate::estate::ListedNode;
 use crate::job::nanos;
+use crate::journal::{Journal, Key, MayHaveRun};
 use crate::list::{Lifecycle, NodeEntry, NodeList};
 use crate::outs::Refused;
 
@@ -171,17 +173,45 @@
     }
 }
 
+/// A claim as it is put down in the journal, right before its first byte.
+pub(super) struct ClaimRecord {
+    journal: Rc<RefCell<Journal>>,
+    key: Key,
+    node: String,
+    zone: Option<String>,
+    written: RefCell<Option<MayHaveRun>>,
+}
+
+impl ClaimRecord {
+    /// False if it cannot be put down.
+    fn write(&self) -> bool {
+        let mut written = self.written.borrow_mut();
+        if written.is_none() {
+            let claim =
+                MayHaveRun { sent: SystemTime::now(), node: self.node.clone(), zone: self.zone.clone() };
+            if let Err(error) = self.journal.borrow_mut().claim(self.key, claim.clone()) {
+                tracing::error!(key = self.key, %error, "journal cannot record a claim; it is not sent");
+                return false;
+            }
+            *written = Some(claim);
+        }
+        true
+    }
+}
+
 /// The leave to send one claim, asked for right before its first byte.
 pub struct Ticket {
     node: Rc<Node>,
     /// End of the wait told by its destination.
     wait: Rc<Cell<Instant>>,
     not_after: Option<Instant>,
+    record: Option<ClaimRecord>,
     sent: Cell<bool>,
     delivered: Cell<bool>,
     /// What the answer tells of the node's limit, and a wait that it tells whatever became of the message.
     report: Cell<Report>,
     told: Cell<Option<Duration>>,
+    tells: Notify,
     tries: IntCounter,
 }
 
@@ -189,8 +219,31 @@
     /// Guards against claims that were decided on, waited for their connection, and would be sent to a
     /// node that drains by now, into a wait told by now, or past the memory of an earlier claim.
     pub fn may_begin(&self) -> bool {
+        self.node.is_open() && self.may_go_on()
+    }
+
+    /// Whether the rest of what has begun may be written. Guards against a last byte that a full socket holds back into
+    /// a told wait or past the memory of an earlier claim; a claim counts from that byte. For drains its first counts.
+    pub fn may_go_on(&self) -> bool {
         let now = Instant::now();
-        self.node.is_open() && now >= self.wait.get() && self.not_after.is_none_or(|end| now < end)
+        now >= self.wait.get() && self.not_after.is_none_or(|end| now < end)
+    }
+
+    /// To be called right before the first byte, and nothing is to be sent without its leave: the journal has the claim
+    /// from here on. Guards against a claim that waits for its connection counting as one that may have run, should the
+    /// process end.
+    pub fn begin(&self) -> bool {
+        self.may_begin() && self.record.as_ref().is_none_or(ClaimRecord::write)
+    }
+
+    /// The claim as the journal has it, if it has begun.
+    pub(super) fn recorded(&self) -> Option<MayHaveRun> {
+        self.record.as_ref().and_then(|record| record.written.borrow().clone())
+    }
+
+    /// Puts the claim down though it has not begun: who has the journal next is told by this process what became of it.
+    pub(super) fn record_unsent(&self) {
+        self.record.iter().for_each(|record| _ = record.write());
     }
 
     /// To be called once the last byte is on its way: from here on the claim may run.
@@ -213,12 +266,21 @@
         self.report.set(report);
     }
 
+    /// To be called as soon as an answer's head tells of a wait, whatever follows it: others are not sent from then on.
     pub fn tell_wait(&self, wait: Duration) {
         self.told.set(Some(wait));
+        self.tells.notify_one();
+        self.wait.set(self.wait.get().max(Instant::now() + wait));
+    }
+
+    /// The wait that was told, once.
+    pub(super) fn take_told_wait(&self) -> Option<Duration> {
+        self.told.take()
     }
 
-    pub(super) fn told_wait(&self) -> Option<Duration> {
-        self.told.get()
+    /// Done when a wait has been told.
+    pub(super) async fn wait_is_told(&self) {
+        self.tells.notified().await;
     }
 
     pub(super) fn report(&self) -> Report {
@@ -444,16 +506,25 @@
         self.state.borrow().courier.list_patience().map(Duration::from_nanos)
     }
 
-    /// A claim's leave to be sent to a node, before that time if one is given.
-    pub(super) fn ticket(&self, node: &Rc<Node>, not_after: Option<Instant>) -> Rc<Ticket> {
+    /// The leave of a job's claim to be sent to a node, before that time if one is given.
+    pub(super) fn ticket(&self, key: Key, node: &Rc<Node>, not_after: Option<Instant>) -> Rc<Ticket> {
+        let record = ClaimRecord {
+            journal: self.journal.clone(),
+            key,
+            node: node.name.to_string(),
+            zone: self.rules().names.zones.get(node.zone().0).cloned(),
+            written: RefCell::default(),
+        };
         Rc::new(Ticket {
             node: node.clone(),
             wait: self.wait_of(node),
             not_after,
+            record: Some(record),
             sent: Cell::new(false),
             delivered: Cell::new(false),
             report: Cell::default(),
             told: Cell::default(),
+            tells: Notify::new(),
             tries: self.figures.tries(),
         })
     }
@@ -550,7 +621,6 @@
     use super::*;
     use crate::figures::Figures;
     use crate::job::{Job, Notice, Outcome};
-    use crate::journal::Journal;
     use crate::outs::Outs;
 
     /// A ticket for a node of its own.
@@ -573,10 +643,12 @@
             node: Rc::new(node),
             wait: Rc::new(Cell::new(now + wait)),
             not_after: memory.map(|left| now + left),
+            record: None,
             sent: Cell::new(false),
             delivered: Cell::new(false),
             report: Cell::default(),
             told: Cell::default(),
+            tells: Notify::new(),
             tries: Figures::new(&[]).tries(),
         })
     }
--- a/relay/src/core/succession.rs
+++ b/relay/src/core/succession.rs
@@ -35,6 +35,8 @@
     pub fn hand_over(&self, successor: Rc<dyn Successor>) -> Estate {
         self.winding_down.set(true);
         let estate = self.estate();
+        // The newcomer hears of each claim that is out what became of it, also of those that have not begun.
+        self.state.borrow().out.values().for_each(|ticket| ticket.record_unsent());
         *self.successor.borrow_mut() = Some(successor);
         self.journal.borrow_mut().close();
         self.handed.cancel();
@@ -89,7 +91,7 @@
             waits: waits.collect(),
             learned: learned.collect(),
             recent,
-            out: state.out.iter().copied().collect(),
+            out: state.out.keys().copied().collect(),
             drained: false,
         }
     }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -159,6 +159,7 @@
     /// its answer's head means, and the body if that came whole.
     fn call(&self, node: &Node, call: Call, trace: Rc<Trace>) -> impl Future<Output = Answered> + 'static {
         let exit = self.exit(node);
+        let several = call.path == SEVERAL;
         let Call { path, headers, body } = call;
         let mut request = exit.client.post(format!("http://{}{path}", node.address)).no_decompress();
         for (name, value) in headers {
@@ -177,6 +178,10 @@
             let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
             let outcome = outcome(response.status(), header);
             let wait = header("retry-after").and_then(told_seconds);
+            // Told by the head, whatever becomes of the rest: others are not sent while that is waited for.
+            let tells = matches!(outcome, Outcome::Full { wait: Some(_) })
+                || several && outcome == Outcome::Delivered;
+            wait.filter(|_| tells).into_iter().for_each(|wait| trace.tell_wait(wait));
             header(LOAD).into_iter().for_each(|text| trace.tell_report(load(text)));
             let keeps = !header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
             let chunked =
@@ -199,6 +204,9 @@
     }
 }
 
+/// Where calls with several messages go.
+const SEVERAL: &str = "/v1/messages:batch";
+
 /// What goes out in one call.
 struct Call {
     path: &'static str,
@@ -354,12 +362,10 @@
         let tickets: Vec<_> = within.iter().map(|part| part.ticket.clone()).collect();
         let mut outcomes = if tickets.iter().all(|ticket| ticket.may_begin()) && count > 0 {
             let trace = Trace::new(tickets);
-            let call = Call { path: "/v1/messages:batch", headers: vec![waits(limit)], body };
+            let call = Call { path: SEVERAL, headers: vec![waits(limit)], body };
             let answered = CLAIM.scope(trace.clone(), self.call(node, call, trace.clone())).await;
             match answered {
                 Answered { outcome: Outcome::Delivered, body: Some(body), wait, .. } => {
-                    wait.into_iter()
-                        .for_each(|wait| within.iter().for_each(|part| part.ticket.tell_wait(wait)));
                     super::batch::decode(&body, within, wait)
                 }
                 Answered { unread: true, .. } => {
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -69,8 +69,19 @@
         self.tickets.iter().for_each(|ticket| ticket.tell_report(report));
     }
 
-    fn may_begin(&self) -> bool {
+    /// A wait told by the answer's head.
+    pub fn tell_wait(&self, wait: Duration) {
+        self.tickets.iter().for_each(|ticket| ticket.tell_wait(wait));
+    }
+
+    /// Whether the call may go out now; its tickets are put down if so.
+    fn begin(&self) -> bool {
         self.tickets.iter().all(|ticket| ticket.may_begin())
+            && self.tickets.iter().all(|ticket| ticket.begin())
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.is_sent() || self.tickets.iter().all(|ticket| ticket.may_go_on())
     }
 
     /// The ticket gave no leave to send.
@@ -182,6 +193,7 @@
             }
         }
         let place = self.rack.place();
+        tracing::debug!(%address, "connecting to an execute node");
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(Line::new(stream, self, place))
@@ -316,12 +328,15 @@
 impl AsyncWrite for Line {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let trace = CLAIM.try_with(Rc::clone).ok();
-        if let Some(trace) = trace.as_ref().filter(|t| t.socket.borrow().is_none()) {
-            if !trace.may_begin() {
+        if let Some(trace) = &trace {
+            let begun = trace.socket.borrow().is_some();
+            if !(if begun { trace.may_go_on() } else { trace.begin() }) {
                 trace.refused.set(true);
                 return Poll::Ready(Err(io::Error::other("the claim may no longer be sent")));
             }
-            *trace.socket.borrow_mut() = Some(self.0.clone());
+            if !begun {
+                *trace.socket.borrow_mut() = Some(self.0.clone());
+            }
         }
         let written = self.with(|stream| stream.poll_write(cx, buf), Err(broken()));
         // awc gathers a call's head and body and hands all that is left to each write, or (a head of over
@@ -382,10 +397,11 @@
         self.prelude.extend_from_slice(part);
         loop {
             let text = &self.prelude[..];
-            let status = match text.get(..13) {
-                Some(line) => status(line).unwrap_or(0),
-                None if ended || text.contains(&b'\n') => 0,
-                None => return,
+            // A line that broke off says nothing: whoever wrote it may not count it as an answer.
+            let status = match text.contains(&b'\n') {
+                true => text.get(..13).and_then(status).unwrap_or(0),
+                false if ended || text.len() > LONGEST_PRELUDE => 0,
+                false => return,
             };
             if !(100..200).contains(&status) || status == 101 || self.skipped > LONGEST_PRELUDE {
                 self.status = Some(status);
@@ -435,7 +451,7 @@
     }
 }
 
-/// The status in the first bytes of an answer.
+/// The status in the first bytes of an answer's first line.
 fn status(line: &[u8]) -> Option<u16> {
     let rest = line.strip_prefix(b"HTTP/1.")?;
     let (minor, rest) = rest.split_first()?;
@@ -483,6 +499,30 @@
         });
     }
 
+    #[test]
+    fn the_rest_of_a_claim_is_not_written_into_a_wait_told_meanwhile() {
+        actix_rt::System::new().block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_send_buffer_size(4096).expect("a small buffer");
+            let stream = socket.connect(listener.local_addr().expect("an address")).await.expect("connected");
+            let mut other = listener.accept().await.expect("accepted").0;
+            let mut line = Line::new(stream, home(), home().rack.place());
+            let ticket = ticket(true, Duration::ZERO, None);
+            let trace = Trace::new(vec![ticket.clone()]);
+            let text = vec![0; 16 * 1024 * 1024];
+            let part = CLAIM.scope(trace.clone(), line.write(&text)).await.expect("a part of it");
+            assert!(part < text.len());
+            let mut room = vec![0; 4 * part];
+            other.read_exact(&mut room[..part]).await.expect("it came");
+            let more = CLAIM.scope(trace.clone(), line.write(&text[part..])).await.expect("room again");
+            other.read_exact(&mut room[..more]).await.expect("it came");
+            ticket.tell_wait(Duration::from_secs(9));
+            CLAIM.scope(trace.clone(), line.write(&text[part + more..])).await.expect_err("it waits");
+            assert!(trace.refused() && !trace.is_sent(), "it never ran");
+        });
+    }
+
     /// Writes on a fresh line as a claim; gives its trace, and how much of `size` bytes was written.
     async fn write(open: bool, size: usize) -> (Rc<Trace>, usize) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -572,6 +612,31 @@
         });
     }
 
+    #[test]
+    fn a_first_line_that_breaks_off_delivers_nothing() {
+        actix_rt::System::new().block_on(async {
+            for part in ["HTTP/1.1 2", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r"]
+            {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let address = listener.local_addr().expect("an address");
+                let mut line = home().lease(address).await.expect("connected");
+                let mut other = listener.accept().await.expect("accepted").0;
+                let trace = Trace::new(vec![ticket(true, Duration::ZERO, None)]);
+                let text = CLAIM.scope(trace.clone(), async {
+                    line.write_all(b"call").await.expect("written");
+                    other.read_exact(&mut [0; 4]).await.expect("it came");
+                    other.write_all(part.as_bytes()).await.expect("written");
+                    drop(other);
+                    let mut text = String::new();
+                    line.read_to_string(&mut text).await.expect("text");
+                    text
+                });
+                assert_eq!(text.await, part);
+                assert!(trace.is_sent() && trace.answered() && !trace.is_delivered(), "{part}");
+            }
+        });
+    }
+
     #[test]
     fn a_connection_on_which_something_came_while_idle_is_not_used_again() {
         actix_rt::System::new().block_on(async {
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -445,7 +445,7 @@
         let call = self.gateway(node.address).call(
             request,
             job.body.clone(),
-            || ticket.may_begin(),
+            || ticket.begin(),
             || ticket.mark_sent(),
         );
         match call.await {
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -823,3 +823,73 @@
          expect n1 POST",
     );
 }
+
+#[test]
+fn half_a_first_line_is_no_answer() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start window=1
+         send s1 POST /notice id=j1 dest=7 left=5000
+         expect n1 POST
+         send n1 raw=HTTP/1.1_200_O
+         close n1 call
+         expect relay log=Error
+         expect n1 POST                       # may have run, but is safe to repeat
+         send n1 200
+         send s1 POST /order id=j2 dest=8 left=5000
+         expect n2 POST
+         send n2 raw=HTTP/1.1_503_Ser         # says that it never ran, but not to the end
+         close n2 call
+         expect relay log=Error
+         expect list returned id=j2           # past its memory
+         expect n2 nothing 100",
+    );
+}
+
+#[test]
+fn a_wait_binds_from_the_head_of_its_answer_on_though_the_rest_never_comes() {
+    play(
+        None,
+        "send list n1:7
+         send relay start slots=12
+         send s1 POST /notice id=j0 dest=7 left=9000
+         expect n1 POST body=j0
+         send n1 200
+         expect relay log=Delivered           # the window is two now
+         send s1 POST /notice id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST body=j1
+         send n1 raw=HTTP/1.1_429_x|retry-after:_1.7|content-length:_50||ab
+         wait 50                              # so that the head is read
+         send s1 POST /notice id=j2 dest=7 left=9000
+         expect s1 202
+         expect n1 nothing 1500
+         expect n1 POST
+         send n1 200
+         expect n1 POST
+         send n1 200
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn a_claim_whose_connection_never_came_up_has_not_run_when_the_process_is_killed() {
+    play(
+        None,
+        "send list x1:7
+         send relay start window=1
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect s1 202
+         expect relay log=connecting
+         send relay kill
+         expect relay exit
+         send list n1:7
+         send relay start window=1            # were it sent, its memory would be over
+         expect relay log=recovered=1
+         expect n1 POST body=j1
+         send n1 200
+         expect relay log=Delivered
+         expect list nothing 50",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -58,6 +58,19 @@
     }
 }
 
+/// An address where connections never come up: what may wait to be taken is there already.
+pub fn unreachable() -> SocketAddr {
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("an address").as_socket().expect("an IP address");
+    let waiting = std::net::TcpStream::connect(address).expect("the one that may wait");
+    // For as long as the test runs.
+    std::mem::forget((listener, waiting));
+    address
+}
+
 /// Reads a head and its body; the first word of the head is what came, `None` the end.
 async fn read(stream: &mut TcpStream, first: usize) -> Option<Got> {
     let mut text = Vec::new();
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -10,6 +10,7 @@
 //!   and watches from a later one are answered by no changes. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1 (half=yes: more is to follow before an answer); `p...`: over HTTP/2. Send a request, expect a status.
 //! - `a...` to `d...`: a caller at the second address of the process started last; send half is a call that it never finishes.
+//! - `x...`: an execute node to which connections never come up.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
 //!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
@@ -180,6 +181,7 @@
             };
             match &name[..1] {
                 "n" => address = Some(http1::node(tell, words)),
+                "x" => address = Some(http1::unreachable()),
                 "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
                 "g" => address = Some(http2::gateway(tell, words, if name == "g3" { 1 } else { 200 })),
                 "a" | "b" | "c" | "d" => http1::caller(front(self, "admin"), tell, words),
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -254,3 +254,29 @@
     );
     play(None, &scenario);
 }
+
+#[test]
+fn a_claim_that_has_not_begun_at_an_upgrade_makes_nobody_forget_an_earlier_one() {
+    play(
+        None,
+        "send list n1:7
+         send relay start passed=yes window=3000
+         expect relay log=list_of_execute_nodes
+         send s1 POST /order id=j1 dest=7 left=20000 key=k
+         expect s1 202
+         expect n1 POST
+         send list x1:7
+         expect relay log=list_of_execute_nodes_changed
+         close n1 call
+         expect relay log=Reset                        # it may have run
+         expect relay log=connecting                   # to where no connection comes up
+         send relay2 start passed=yes window=3000
+         send b GET /-/ready
+         expect b 200
+         send relay term
+         expect relay2 log=came_home
+         expect list returned id=j1                    # its memory has ended
+         send list n2:7
+         expect n2 nothing 300",
+    );
+}
