--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -197,6 +197,7 @@
                         tries: 0,
                         risk: None,
                         kept: false,
+                        rules: None,
                     }),
                 );
             }
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -1,5 +1,5 @@
 //! The life of one job, and its place at the module.
-use slatethread::{ClassId, DestId, EndpointId, Event, MsgId, Report, Request, Risk, ZoneId};
+use slatethread::{Class, ClassId, DestId, EndpointId, Event, MsgId, Report, Request, Risk, ZoneId};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, oneshot};
@@ -22,10 +22,14 @@
 pub(super) struct Course {
     key: Key,
     class: usize,
+    /// The rules of its class under which it was taken on, whatever the settings say by now.
+    rules: Class,
     /// Claims made by an earlier process.
     tries: u32,
     /// The first claim that may have run.
     risk: Option<MayHaveRun>,
+    /// As the journal has them.
+    taken_under: Option<Class>,
     /// Its process has ended: a planned or unplanned restart lies between.
     kept: bool,
     /// Its end was decided by an earlier process.
@@ -45,8 +49,8 @@
     }
 
     pub fn resumed(open: Open) -> (Job, Course) {
-        let Open { key, job, tries, risk, ending } = open;
-        (job, Course { key, tries, risk, ending, ..Course::default() })
+        let Open { key, job, rules, tries, risk, ending } = open;
+        (job, Course { key, taken_under: rules, tries, risk, ending, ..Course::default() })
     }
 
     /// The same after a restart.
@@ -75,6 +79,8 @@
             return self.finish(&job, &course, Some(job.failed(None))).await;
         };
         course.class = class;
+        course.rules =
+            course.taken_under.take().unwrap_or_else(|| self.rules().settings.classes[class].clone());
         if let (Some(hooks), Some(_)) = (&self.hooks, &answer) {
             let ruling = hooks.admit(&job, job.left());
             if ruling.refuse {
@@ -98,7 +104,7 @@
             let taken_on = match order {
                 Order::Refuse { after } => Err(Answer::Refused { after }),
                 Order::Fail => Err(Answer::Failed),
-                _ => self.record(&job).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
+                _ => self.record(&job, &course.rules).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
             };
             match taken_on {
                 Ok(key) => {
@@ -206,7 +212,7 @@
         seat.next_attempt += 1;
         let limit = share.as_ref().map_or(limit, Share::limit);
         let limit = course.cut.map_or(limit, |cut| limit.min(cut.saturating_duration_since(sent)));
-        let not_after = course.risk.as_ref().and_then(|risk| self.memory_ends(course.class, risk));
+        let not_after = course.risk.as_ref().and_then(|risk| memory_ends(&course.rules, risk));
         let ticket = self.ticket(course.key, node, not_after);
         self.state.borrow_mut().out.insert(course.key, ticket.clone());
         let outcome = tokio::select! {
@@ -363,13 +369,11 @@
 
     /// Whether handing the job in again is harmless, as the rules have it.
     fn may_return(&self, job: &Job, course: &Course) -> bool {
-        let rules = self.rules();
-        let class = &rules.settings.classes[course.class];
-        (course.risk.is_none() || class.may_come_again()) && !job.left().is_zero()
+        (course.risk.is_none() || course.rules.may_come_again()) && !job.left().is_zero()
     }
 
-    fn record(&self, job: &Job) -> Option<Key> {
-        match self.journal.borrow_mut().job(job) {
+    fn record(&self, job: &Job, rules: &Class) -> Option<Key> {
+        match self.journal.borrow_mut().job(job, rules) {
             Ok(Some(key)) => Some(key),
             Ok(None) => {
                 tracing::warn!(id = job.id, size = job.body.len(), "journal is full; the job is refused");
@@ -382,14 +386,6 @@
         }
     }
 
-    /// Until when an earlier claim is surely remembered, where a repeat matters.
-    fn memory_ends(&self, class: usize, risk: &MayHaveRun) -> Option<Instant> {
-        let rules = self.rules();
-        let class = &rules.settings.classes[class];
-        let ago = risk.ago(SystemTime::now());
-        Some(Instant::now() + Duration::from_nanos(class.memory()?).saturating_sub(ago))
-    }
-
     fn take_seat(&self, job: &Job, course: &Course) -> Seat<'_, C> {
         let now = SystemTime::now();
         let mut state = self.state.borrow_mut();
@@ -424,12 +420,19 @@
             tries: course.tries,
             risk,
             kept: course.kept,
+            rules: Some(course.rules.clone()),
         }));
         self.wake.notify_one();
         Seat { core: self, msg, orders, next_attempt: course.tries, kept: None }
     }
 }
 
+/// Until when an earlier claim is surely remembered, where a repeat matters.
+fn memory_ends(rules: &Class, risk: &MayHaveRun) -> Option<Instant> {
+    let memory = Duration::from_nanos(rules.memory()?);
+    Some(Instant::now() + memory.saturating_sub(risk.ago(SystemTime::now())))
+}
+
 /// A job's place at the module. Leaving it frees the place.
 struct Seat<'a, C> {
     core: &'a Core<C>,
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -11,6 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
+use slatethread::{Class, Effect, Group};
+
 use crate::job::{Job, Notice};
 
 /// A job's number in the journal.
@@ -37,6 +39,8 @@
 pub struct Open {
     pub key: Key,
     pub job: Job,
+    /// The rules of its class under which it was taken on; none where an earlier program did that.
+    pub rules: Option<Class>,
     pub tries: u32,
     pub risk: Option<MayHaveRun>,
     /// Its end was decided, but the notice of it may not have arrived.
@@ -53,6 +57,56 @@
     Claims(Key, Claims),
     Ending(Key, Notice),
     End(Key),
+    /// The rules under which a job was taken on; stands right behind it.
+    Rules(Key, TakenUnder),
+}
+
+/// The rules of a class, as they are written.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct TakenUnder {
+    effect: u8,
+    group: u8,
+    window: Option<u64>,
+    aim: u64,
+    give_up: u64,
+    ordered: bool,
+    late_worth: Option<f64>,
+    credit: Option<f64>,
+}
+
+const EFFECTS: [Effect; 3] = [Effect::Safe, Effect::Keyed, Effect::Unsafe];
+const GROUPS: [Group; 3] = [Group::All, Group::Zone, Group::Endpoint];
+
+impl From<&Class> for TakenUnder {
+    fn from(class: &Class) -> Self {
+        let place = |found: Option<usize>| found.expect("all are listed") as u8;
+        TakenUnder {
+            effect: place(EFFECTS.iter().position(|effect| *effect == class.effect)),
+            group: place(GROUPS.iter().position(|group| *group == class.group)),
+            window: class.window,
+            aim: class.aim,
+            give_up: class.give_up,
+            ordered: class.ordered,
+            late_worth: class.late_worth,
+            credit: class.credit,
+        }
+    }
+}
+
+impl TakenUnder {
+    /// None if it has what this program does not know.
+    fn class(&self) -> Option<Class> {
+        Some(Class {
+            effect: *EFFECTS.get(usize::from(self.effect))?,
+            group: *GROUPS.get(usize::from(self.group))?,
+            window: self.window,
+            aim: self.aim,
+            give_up: self.give_up,
+            ordered: self.ordered,
+            late_worth: self.late_worth,
+            credit: self.credit,
+        })
+    }
 }
 
 /// What is known of a job's claims.
@@ -80,8 +134,9 @@
 }
 
 struct Live {
-    /// The job's record as it stands in the file.
+    /// The job's record as it stands in the file, and the rules behind it.
     frame: Bytes,
+    rules: Option<Class>,
     claims: Claims,
     ending: Option<Notice>,
 }
@@ -190,9 +245,10 @@
             match record {
                 Record::Job(key, job) => {
                     self.next = self.next.max(key + 1);
-                    self.add_live(key, frame);
+                    self.add_live(key, frame, None);
                     open.insert(key, job);
                 }
+                Record::Rules(key, rules) => self.take_rules(key, &frame, &rules),
                 Record::Claim(key, claim) => self.with(key, |live| live.claims.add(claim)),
                 Record::NeverRan(key) => self.with(key, |live| live.claims.never_ran()),
                 Record::Claims(key, claims) => self.with(key, |live| live.claims = claims),
@@ -208,7 +264,7 @@
         let open = open.into_iter().filter_map(|(key, job)| {
             let live = self.live.get(&key)?;
             let Claims { tries, risk, .. } = live.claims.clone();
-            Some(Open { key, job, tries, risk, ending: live.ending.clone() })
+            Some(Open { key, job, rules: live.rules.clone(), tries, risk, ending: live.ending.clone() })
         });
         Ok(open.collect())
     }
@@ -229,9 +285,17 @@
         }
     }
 
-    fn add_live(&mut self, key: Key, frame: Bytes) {
+    fn add_live(&mut self, key: Key, frame: Bytes, rules: Option<Class>) {
         self.live_size += frame.len() as u64 + BESIDE_JOB;
-        self.live.insert(key, Live { frame, claims: Claims::default(), ending: None });
+        self.live.insert(key, Live { frame, rules, claims: Claims::default(), ending: None });
+    }
+
+    /// What is read of the rules under which a job was taken on.
+    fn take_rules(&mut self, key: Key, frame: &Bytes, rules: &TakenUnder) {
+        let Some(live) = self.live.get_mut(&key) else { return };
+        live.rules = rules.class();
+        live.frame = [&live.frame[..], frame].concat().into();
+        self.live_size += frame.len() as u64;
     }
 
     fn remove_live(&mut self, key: Key) {
@@ -241,16 +305,18 @@
     }
 
     /// Records a job before it is answered; `None` if there is no room for it.
-    pub fn job(&mut self, job: &Job) -> io::Result<Option<Key>> {
+    pub fn job(&mut self, job: &Job, rules: &Class) -> io::Result<Option<Key>> {
         let key = self.next;
-        let frame = Bytes::from(encode(&Record::Job(key, job.clone())));
+        let mut frame = encode(&Record::Job(key, job.clone()));
+        frame.extend(encode(&Record::Rules(key, rules.into())));
+        let frame = Bytes::from(frame);
         let with_it = self.live_size + frame.len() as u64 + BESIDE_JOB;
         if with_it as f64 > (self.limit.saturating_sub(RESERVE)) as f64 * JOBS_PART || frame.len() > LONGEST {
             return Ok(None);
         }
         self.append(&frame)?;
         self.next += 1;
-        self.add_live(key, frame);
+        self.add_live(key, frame, Some(rules.clone()));
         Ok(Some(key))
     }
 
--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -15,6 +15,16 @@
     }
 }
 
+fn rules() -> Class {
+    Class {
+        effect: Effect::Keyed,
+        group: Group::Zone,
+        window: Some(7),
+        credit: Some(1.5),
+        ..Class::default()
+    }
+}
+
 fn claim(at: u64) -> MayHaveRun {
     let sent = SystemTime::UNIX_EPOCH + Duration::from_secs(at);
     MayHaveRun { sent, node: "n1".into(), zone: None }
@@ -29,7 +39,8 @@
 fn what_is_open_comes_back_as_it_was() {
     let folder = tempfile::tempdir().expect("a folder");
     let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
-    let keys = ["a", "b", "c", "d"].map(|id| journal.job(&job(id, 9)).expect("written").expect("room"));
+    let keys =
+        ["a", "b", "c", "d"].map(|id| journal.job(&job(id, 9), &rules()).expect("written").expect("room"));
     journal.claim(keys[0], claim(1)).expect("written");
     journal.never_ran(keys[0]).expect("written");
     journal.claim(keys[0], claim(2)).expect("written");
@@ -60,18 +71,20 @@
     let folder = tempfile::tempdir().expect("a folder");
     let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
     for id in ["a", "b"] {
-        journal.job(&job(id, 50)).expect("written");
+        journal.job(&job(id, 50), &rules()).expect("written");
     }
     drop(journal);
     let file = folder.path().join("journal");
     let text = std::fs::read(&file).expect("it is there");
     let begins = records(&text);
-    // Up to the whole of the last one.
-    for cut in 1..=text.len() - begins[begins.len() - 2] {
+    // Up to the whole of the last one, and of the rules behind it.
+    let last = begins[begins.len() - 3];
+    for cut in 1..=text.len() - last {
         std::fs::write(&file, &text[..text.len() - cut]).expect("written");
         let (mut journal, open) = Journal::open(folder.path(), 100_000).expect("it opens");
-        assert_eq!(open.len(), 1, "{cut} bytes are missing");
-        journal.job(&job("z", 5)).expect("written");
+        let whole = begins[begins.len() - 2] <= text.len() - cut;
+        assert_eq!(open.len(), if whole { 2 } else { 1 }, "{cut} bytes are missing");
+        journal.job(&job("z", 5), &rules()).expect("written");
         let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
         assert_eq!(open.last().map(|o| o.job.id.as_str()), Some("z"));
     }
@@ -85,7 +98,7 @@
     let mut open = std::collections::VecDeque::new();
     let mut refused = 0;
     for round in 0..3000 {
-        match journal.job(&job(&format!("j{round}"), (round * 37) % 3000)).expect("written") {
+        match journal.job(&job(&format!("j{round}"), (round * 37) % 3000), &rules()).expect("written") {
             Some(key) => open.push_back(key),
             None => refused += 1,
         }
@@ -108,7 +121,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
     let keys: Vec<_> =
-        ids.iter().map(|id| journal.job(&job(id, 50)).expect("written").expect("room")).collect();
+        ids.iter().map(|id| journal.job(&job(id, 50), &rules()).expect("written").expect("room")).collect();
     then(&mut journal, &keys);
     let file = folder.path().join("journal");
     let text = std::fs::read(&file).expect("it is there");
@@ -145,28 +158,33 @@
 fn damage_at_any_byte_hides_no_record_behind_it_and_leaves_no_claim_forgotten() {
     let (_folder, _file, text) = written(&["a", "b", "c"], |journal, keys| {
         journal.claim(keys[0], claim(1)).expect("written");
-        journal.job(&job("d", 9)).expect("written");
+        journal.job(&job("d", 9), &rules()).expect("written");
     });
     let at = records(&text);
-    // The format, three jobs, a claim, a fourth job.
-    assert_eq!(at.len(), 7);
-    for spoilt in at[1]..at[5] {
+    // The format, three jobs with their rules, a claim, a fourth job with its own.
+    assert_eq!(at.len(), 11);
+    let ids = ["a", "b", "c", "d"];
+    // By record from the first job on: whose it is, and whether the job itself stands there.
+    let whose = [(0, true), (0, false), (1, true), (1, false), (2, true), (2, false), (0, false), (3, true)];
+    for spoilt in at[1]..at[9] {
         let mut damaged = text.clone();
         damaged[spoilt] ^= 0x55;
         let open = read(&damaged);
         let record = at.iter().rposition(|begin| *begin <= spoilt).expect("one of them") - 1;
-        let expected: Vec<_> =
-            (0..4).filter(|job| *job != record).map(|job| ["a", "b", "c", "d"][job]).collect();
-        let ids: Vec<_> = open.iter().map(|open| open.job.id.as_str()).collect();
-        assert_eq!(ids, if record == 3 { vec!["a", "b", "c", "d"] } else { expected }, "byte {spoilt}");
+        let (job, lost) = whose[record];
+        let left: Vec<_> = (0..4).filter(|this| !lost || *this != job).map(|this| ids[this]).collect();
+        assert_eq!(open.iter().map(|open| open.job.id.as_str()).collect::<Vec<_>>(), left, "byte {spoilt}");
         for open in &open {
             // Those from before the damage may have run, and nobody knows when; those behind it have not.
-            let before = ["a", "b", "c", "d"].iter().position(|id| *id == open.job.id) < Some(record);
-            let claimed = open.job.id == "a" && record != 3;
+            let this = ids.iter().position(|id| *id == open.job.id).expect("one of them");
+            let before = this < whose[..record].iter().filter(|(_, begins)| *begins).count();
+            let claimed = this == 0 && record != 6 && record != 0;
             assert_eq!(open.risk.is_some(), before || claimed, "byte {spoilt}, {}", open.job.id);
-            if before && record == 3 {
-                assert_eq!(open.risk.as_ref().map(|risk| risk.sent), Some(SystemTime::UNIX_EPOCH));
-            }
+            let unknown = open.risk.as_ref().is_some_and(|risk| risk.sent == SystemTime::UNIX_EPOCH);
+            // A claim that was read before the damage says when.
+            assert_eq!(unknown, before && !(this == 0 && record > 6), "byte {spoilt}, {}", open.job.id);
+            let ruled = open.rules == Some(rules());
+            assert_eq!(ruled, lost || this != job || record == 6, "byte {spoilt}, {}", open.job.id);
         }
     }
 }
@@ -177,12 +195,12 @@
     let mut holder = job("b", 0);
     holder.body = Bytes::from([&[0; 40][..], &forged, &[0; 40]].concat());
     let (folder, file, text) = written(&["a"], |journal, _| {
-        journal.job(&holder).expect("written");
-        journal.job(&job("c", 9)).expect("written");
+        journal.job(&holder, &rules()).expect("written");
+        journal.job(&job("c", 9), &rules()).expect("written");
     });
     let mut damaged = text.clone();
     // The length of the record that holds it.
-    damaged[records(&text)[2] + 3] = 0xff;
+    damaged[records(&text)[3] + 3] = 0xff;
     std::fs::write(&file, &damaged).expect("written");
     let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
     let ids: Vec<_> = open.iter().map(|open| open.job.id.as_str()).collect();
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -893,3 +893,41 @@
          expect list nothing 50",
     );
 }
+
+#[test]
+fn a_message_keeps_the_rules_under_which_it_was_taken_through_a_reload_and_a_restart() {
+    play(
+        None,
+        "send list n1:7
+         send relay start window=700
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect n1 POST
+         send relay hup window=60000          # for those that come from now on
+         expect relay log=configuration_read_anew
+         wait 800                             # its own memory has ended by now
+         close n1 call
+         expect relay log=Reset
+         expect list returned id=j1
+         expect n1 nothing 300
+         send s1 POST /order id=j2 dest=7 left=9000
+         expect n1 POST body=j2
+         wait 800
+         close n1 call
+         expect n1 POST body=j2
+         send n1 200
+         expect relay log=Delivered",
+    );
+    play(
+        None,
+        "send list n1:7
+         send relay start window=700
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect n1 POST
+         send relay kill
+         expect relay exit
+         wait 700
+         send relay start window=60000
+         expect list returned id=j1
+         expect n1 nothing 300",
+    );
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -467,17 +467,18 @@
         // Guards against an id that comes twice: what it stood for before is over.
         self.end(request.msg);
         self.wake(now, request.dest, actions);
-        let class = self.settings.classes.get(request.class.0).cloned().unwrap_or_default();
+        let known = || self.settings.classes.get(request.class.0).cloned();
+        let class = request.rules.clone().or_else(known).unwrap_or_default();
         let over = request.tenant.is_some_and(|t| self.over_share(now, t));
         let kept = self.settings.over_share_worth.filter(|_| over).unwrap_or(1.0);
         let key = request.key.filter(|_| class.ordered);
         if let Some(key) = key {
             self.keys.entry(key).or_default().line.push_back(request.msg);
         }
-        let mut message = Message::new(request, key, now);
-        message.worth = class.credit.unwrap_or(1.0) * kept;
+        let mut message = Message::new(request, class, key, now);
+        message.worth = message.rules.credit.unwrap_or(1.0) * kept;
         self.service.asked(request.class.0, message.worth);
-        message.aim_at = (message.deadline + class.aim).saturating_sub(class.give_up);
+        message.aim_at = (message.deadline + message.rules.aim).saturating_sub(message.rules.give_up);
         self.messages.insert(request.msg, message);
         self.open += 1;
         fresh.push(request.msg);
@@ -627,7 +628,7 @@
     fn hopeless(&self, now: Nanos, message: &Message) -> Option<f64> {
         let left = self.left(now, message);
         let tired = self.settings.max_tries.is_some_and(|most| message.tries >= most);
-        let ran = message.risk.zip(self.settings.classes[message.class].memory());
+        let ran = message.risk.zip(message.rules.memory());
         let forgotten = ran.is_some_and(|(risk, memory)| now + self.guard >= risk.sent + memory);
         let rest = secs(message.full.unwrap_or(0).saturating_sub(now));
         let soonest = self.soonest(now, message.dest, self.rested(now, message)) + rest;
@@ -755,7 +756,7 @@
     /// counts as silent, doubled with each try, since a message may itself be a long one.
     fn limit(&self, now: Nanos, message: &Message, unit: UnitId) -> Nanos {
         let left = message.deadline.saturating_sub(now + self.guard).max(1);
-        match self.settings.classes[message.class].effect {
+        match message.rules.effect {
             Effect::Unsafe => left,
             _ => left.min(nanos(self.silence(unit) * f64::from(1 << message.tries.min(4)))),
         }
@@ -787,7 +788,7 @@
             }
         }
         let class = message.class;
-        let late = self.settings.classes[class].late_worth.unwrap_or(0.0);
+        let late = message.rules.late_worth.unwrap_or(0.0);
         let share = if outcome == Outcome::Ok { message.share_at(now, late) } else { 0.0 };
         self.service.earned(class, message.worth * share);
         self.learn_rest(now, id, &out, outcome);
@@ -939,8 +940,7 @@
     /// Gives the final answer at once: refused with a backoff where a repeat is safe, else failed.
     fn give_up(&mut self, now: Nanos, id: MsgId, wait: f64, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id).filter(|m| !m.ended) else { return };
-        let class = &self.settings.classes[message.class];
-        let repeatable = message.risk.is_none() || class.may_come_again();
+        let repeatable = message.risk.is_none() || message.rules.may_come_again();
         if repeatable && message.out.is_none() && now < message.deadline {
             let most = self.settings.max_backoff.unwrap_or(SECOND);
             let backoff = self.settings.backoff_told.then(|| nanos(wait).clamp(most / 2, most));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,7 +55,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// Delivered within this time, a message earns its full worth.
     pub aim: Nanos,
@@ -291,6 +291,8 @@
     pub risk: Option<Risk>,
     /// It outlived its courier's process.
     pub kept: bool,
+    /// The rules of its class under which it was taken on; those of the settings if none.
+    pub rules: Option<Class>,
 }
 
 /// The first attempt of a message that may have run.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! let list = Event::List { scope: ListScope::Whole, entries: vec![endpoint] };
 //! let request = Event::Request(Request {
 //!     msg: MsgId(9), dest: DestId(5), class: ClassId(0), tenant: None, key: None,
-//!     patience: 20 * SECOND, retry: false, reconnect: false, tries: 0, risk: None, kept: false,
+//!     patience: 20 * SECOND, retry: false, reconnect: false, tries: 0, risk: None, kept: false, rules: None,
 //! });
 //! let mut actions = Vec::new();
 //! courier.on_round(SECOND, &[list, request], &mut actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -212,6 +212,8 @@
 pub struct Message {
     pub dest: DestId,
     pub class: usize,
+    /// Its class as it was taken on. Guards against settings that change meanwhile.
+    pub rules: Class,
     pub key: Option<OrderKey>,
     pub worth: f64,
     /// When it came.
@@ -233,11 +235,12 @@
 }
 
 impl Message {
-    pub fn new(request: &Request, key: Option<OrderKey>, came: Nanos) -> Self {
+    pub fn new(request: &Request, rules: Class, key: Option<OrderKey>, came: Nanos) -> Self {
         let deadline = came.saturating_add(request.patience);
         Message {
             dest: request.dest,
             class: request.class.0,
+            rules,
             key,
             worth: 1.0,
             came,
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -60,7 +60,7 @@
     pub(crate) fn hold_in(&mut self, now: Nanos, id: MsgId, unit: Option<UnitId>) {
         self.unhold(id);
         let Some(message) = self.messages.get(&id).filter(|m| !m.ended && m.out.is_none()) else { return };
-        let class = &self.settings.classes[message.class];
+        let class = &message.rules;
         let (risk, turn) = (message.risk.as_ref(), self.has_turn(now, id, message));
         let bound = risk.filter(|_| class.effect == Effect::Keyed).and_then(|risk| match class.group {
             Group::All => None,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,6 +71,7 @@
         tries: 0,
         risk: None,
         kept: false,
+        rules: None,
     }
 }
 
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -123,3 +123,22 @@
     assert_eq!(play(true), (0, true));
     assert!(play(false).0 > 0);
 }
+
+#[test]
+fn a_message_keeps_the_rules_under_which_it_was_taken() {
+    let settings = |effect| Settings { classes: vec![class(effect)], ..settings() };
+    // How often it is sent, where its class becomes another while the first call is out.
+    let play = |first, then, rules: Option<Effect>| {
+        let mut world = World::new(settings(first), vec![endpoint(1, 5)]);
+        let asked = Request { rules: rules.map(class), ..request(1, 5, 0) };
+        let mut sent = sends(&world.round(0, &[Event::Request(asked)])).len();
+        world.courier.settle(settings(then));
+        sent += sends(&world.close(100 * MS, 1, 0, Outcome::Reset)).len();
+        (0..40).for_each(|_| sent += sends(&world.round(100 * MS, &[])).len());
+        sent
+    };
+    assert_eq!(play(Effect::Unsafe, Effect::Safe, None), 1);
+    assert_eq!(play(Effect::Safe, Effect::Unsafe, None), 2);
+    // What came from before the start brings its own.
+    assert_eq!(play(Effect::Safe, Effect::Safe, Some(Effect::Unsafe)), 1);
+}
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -207,6 +207,7 @@
                     tries: 0,
                     risk: None,
                     kept: false,
+                    rules: None,
                 };
                 self.push(r.courier, Event::Request(request))
             }
