The list has a connection of its own, so that a silent one is followed by a new one

Seen by reading, then in a scenario: watches and posts of notices shared awc's pool (relay/src/platform/carrier.rs, place). Where all connections to the platform fall silent at once, the whole list that is asked for after a silent watch went out on a connection that a notice had left resting, as silent as the first: two more seconds for each such connection, past the six after which what was missed counts as told. Likewise a notice was tried on one silent connection after another, 1.5 s each. Change: the list has its own client, whose one connection is left when it is silent; posts go with another client after one that nobody answered. Also: what is faulty in a configuration ends a start with exit code 2 (it was 1). Ruled out: connections that are reset (noticed at once), reloads (a new place has new clients). Tests: relay/tests/platform.rs (close list quiet), seen to fail with each half taken out; command_line.rs.

--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -34,6 +34,8 @@
 /// Where discovery is, and a client whose connections lead there.
 #[derive(Clone)]
 pub struct Place {
+    /// For the list alone: one call at a time, so that after a silent one, whose connection is left, none rests here that
+    /// may be as silent.
     pub client: awc::Client,
     pub address: SocketAddr,
     /// The longest list that is read, in bytes.
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -98,7 +98,11 @@
     }
     match actix_rt::System::new().block_on(run::run(told.config)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
+        Err(run::Fault::Configuration(fault)) => {
+            tracing::error!("{fault}");
+            ExitCode::from(2)
+        }
+        Err(run::Fault::Other(fault)) => {
             tracing::error!("{fault}");
             ExitCode::FAILURE
         }
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -49,6 +49,8 @@
     /// Notices that wait to be told, and who waits for that.
     outbox: RefCell<VecDeque<(Vec<u8>, Teller)>>,
     posts: Semaphore,
+    /// What notices are posted with; another one after a post that nobody answered.
+    poster: RefCell<Client>,
     rack: Rc<Rack>,
     dial_timeout: Cell<Duration>,
     /// Connections idle for so long are closed.
@@ -95,12 +97,15 @@
 
 /// The platform at an address, with a client whose connections awc keeps.
 fn place(rules: &Rules, address: SocketAddr, list_limit: usize) -> Place {
-    let client = client(rules.dial_timeout(), idle(rules), |address| async move {
+    Place { client: to_platform(rules.dial_timeout(), idle(rules)), address, list_limit }
+}
+
+fn to_platform(dial_timeout: Duration, idle: Duration) -> Client {
+    client(dial_timeout, idle, |address| async move {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         Ok(stream)
-    });
-    Place { client, address, list_limit }
+    })
 }
 
 /// Connections idle for so long are closed: before the node does, with time for both ways.
@@ -116,6 +121,7 @@
             exits: RefCell::new(HashMap::new()),
             outbox: RefCell::default(),
             posts: Semaphore::new(POSTS),
+            poster: RefCell::new(to_platform(rules.dial_timeout(), idle(rules))),
             platform: watch::Sender::new(place(rules, discovery, list_limit)),
             dial_timeout: Cell::new(rules.dial_timeout()),
             idle: Cell::new(idle(rules)),
@@ -275,8 +281,8 @@
 
     async fn post(&self, body: Vec<u8>) -> Result<(), Unheard> {
         let call = async {
-            let Place { client, address, .. } = self.platform.borrow().clone();
-            let request = client.post(format!("http://{address}/reports")).no_decompress();
+            let address = self.platform.borrow().address;
+            let request = self.poster.borrow().post(format!("http://{address}/reports")).no_decompress();
             let mut response = request.send_body(body).await.map_err(|e| Unheard::Failed(e.to_string()))?;
             let _ = response.body().limit(LONGEST_ANSWER).await;
             match response.status().as_u16() {
@@ -288,7 +294,14 @@
                 other => Err(Unheard::Failed(format!("status {other}"))),
             }
         };
-        timeout(NOTICE_TIME, call).await.unwrap_or_else(|_| Err(Unheard::Failed("no answer".into())))
+        match timeout(NOTICE_TIME, call).await {
+            Ok(heard) => heard,
+            Err(_) => {
+                // Guards against trying one silent connection after another: those that rest may be as silent.
+                *self.poster.borrow_mut() = to_platform(self.dial_timeout.get(), self.idle.get());
+                Err(Unheard::Failed("no answer".into()))
+            }
+        }
     }
 }
 
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -41,23 +41,36 @@
 /// Of them, callers' at the second address. Guards against those that finish no call keeping others out.
 const CALLERS: usize = 12;
 
+/// Why the relay does not run, or no longer.
+#[derive(Debug)]
+pub enum Fault {
+    /// What it was told cannot be used; the text names the key. Nothing mends it but other words.
+    Configuration(String),
+    Other(String),
+}
+
+impl From<String> for Fault {
+    fn from(text: String) -> Self {
+        Fault::Other(text)
+    }
+}
+
 /// Runs the fronts that are configured until SIGTERM.
-pub async fn run(file: Option<PathBuf>) -> Result<(), String> {
+pub async fn run(file: Option<PathBuf>) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let platform = config::platform()?;
-    let own = file.as_deref().map(config::own).transpose()?;
+    let platform = config::platform().map_err(Fault::Configuration)?;
+    let own = file.as_deref().map(config::own).transpose().map_err(Fault::Configuration)?;
     let own =
         own.unwrap_or(Own { push: None, hook: None, idle: Idle::default(), admin: None, instances: None });
     if platform.is_none() && own.push.is_none() {
-        return Err(
-            "no front is configured: set BALANCER_CONFIG or name a file with [push] (--config FILE)".into()
-        );
+        let fault = "no front is configured: set BALANCER_CONFIG or name a file with [push] (--config FILE)";
+        return Err(Fault::Configuration(fault.into()));
     }
     // Each front has its own, read from the same script.
-    let hooks = || own.hook.as_ref().map(Hooks::load).transpose();
+    let hooks = || own.hook.as_ref().map(Hooks::load).transpose().map_err(Fault::Configuration);
     let told = platform.as_ref().and_then(|platform| platform.admin);
-    let admin = config::admin()?.or(told).or(own.admin);
+    let admin = config::admin().map_err(Fault::Configuration)?.or(told).or(own.admin);
     let rules = platform.as_ref().map(|p| &p.rules).into_iter().chain(own.push.as_ref().map(|p| &p.rules));
     let figures = Figures::new(rules.flat_map(|rules| &rules.names.classes));
     let process = Rc::new(Standing::default());
--- a/relay/tests/command_line.rs
+++ b/relay/tests/command_line.rs
@@ -77,3 +77,24 @@
     assert_eq!((&lines[0]["level"], &lines[0]["filter"]), (&"WARN".into(), &"no=such=filter".into()));
     assert!(lines[1]["message"].as_str().is_some_and(|m| m.contains("no front is configured")), "{json}");
 }
+
+#[test]
+fn a_faulty_configuration_ends_the_start_with_its_key_and_the_code_2() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("own.toml");
+    std::fs::write(&file, "[idle]\ncold_after_s = 5\n").expect("written");
+    let faulty = run(&["--config", file.to_str().expect("text")]);
+    assert_eq!(faulty.status.code(), Some(2));
+    assert!(text(&faulty.stdout).contains("idle.cold_after_s"), "{}", text(&faulty.stdout));
+    let platform = folder.path().join("config.json");
+    let start = |text: &str| {
+        std::fs::write(&platform, text).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxglade"));
+        command.env_clear().env("BALANCER_CONFIG", &platform).env("BALANCER_STATE", folder.path());
+        command.output().expect("it runs")
+    };
+    let faulty = start(r#"{"name":"n","listen":"nowhere","limits":{},"settings":{"categories":[]}}"#);
+    assert_eq!(faulty.status.code(), Some(2));
+    assert!(text(&faulty.stdout).contains("listen"), "{}", text(&faulty.stdout));
+    assert_eq!(run(&["run"]).status.code(), Some(2));
+}
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -931,3 +931,47 @@
          expect n1 nothing 300",
     );
 }
+
+#[test]
+fn a_list_that_went_quiet_is_asked_for_on_a_connection_of_its_own() {
+    play(
+        None,
+        "send list n1:7
+         send relay start must_ask=5
+         expect relay log=list_of_execute_nodes
+         send s1 POST /notice id=j1 dest=7 left=400
+         expect s1 202
+         expect n1 POST
+         expect list returned id=j1           # the notice's connection rests by now
+         close list quiet                     # all connections there are, the watch's too
+         send list n2:8
+         expect relay log=discovery_cannot_be_followed
+         expect relay log=list_of_execute_nodes_generation=3
+         send s1 POST /notice id=j2 dest=8 left=2000
+         expect s1 202
+         expect n2 POST
+         send n2 200
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn a_notice_that_nobody_answers_is_not_told_on_one_silent_connection_after_another() {
+    play(
+        None,
+        "send list n1:7 n2:8 n3:9
+         send relay start
+         expect relay log=list_of_execute_nodes
+         send s1 POST /notice id=j1 dest=7 left=600
+         send s2 POST /notice id=j2 dest=8 left=600
+         send s3 POST /notice id=j3 dest=9 left=600
+         expect list returned id=j1
+         expect list returned id=j2
+         expect list returned id=j3
+         close list quiet
+         send s1 POST /notice id=j4 dest=7 left=600
+         expect list unheard path=/reports
+         expect list returned id=j4           # at the second try
+         expect list nothing 50",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -22,6 +22,9 @@
     (listener, address)
 }
 
+/// Added to what connections look at: those that there are say nothing more, and stay open.
+const QUIET: u32 = 1_000_000;
+
 /// Takes connections until told to close; `serve` ends with each change of its last argument.
 pub async fn listen<F, S>(listener: TcpListener, mut words: Words, serve: F)
 where
@@ -42,6 +45,7 @@
             }
             word = words.recv() => match word {
                 None => return,
+                Some(word) if word[0].1 == "quiet" => broken.send_modify(|n| *n += QUIET),
                 Some(word) if word[0].0 == "close" => {
                     broken.send_modify(|n| *n += 1);
                     connections.clear();
@@ -157,9 +161,15 @@
     tokio::spawn(async move {
         let serve = |mut stream: TcpStream, mut broken: watch::Receiver<u32>, _| {
             let (tell, mut list) = (tell.clone(), list.clone());
+            let opened = *broken.borrow();
+            let is_quiet = move |broken: &watch::Receiver<u32>| *broken.borrow() >= opened + QUIET;
             async move {
                 while let Some(got) = read(&mut stream, 0).await {
                     let path = got.fields["path"].clone();
+                    if is_quiet(&broken) {
+                        let _ = tell.send(Got::new("unheard", [("path", path.as_str())]));
+                        return std::future::pending().await;
+                    }
                     let reply = if got.what == "POST" {
                         for line in got.fields["body"].lines() {
                             let notice: serde_json::Value = serde_json::from_str(line).expect("JSON");
@@ -178,10 +188,17 @@
                         let lower = says("LOWER");
                         let hangs = says("HANG") || lower && known == Some(1);
                         let wait = std::time::Duration::from_millis(wait);
-                        tokio::select! {
-                            () = tokio::time::sleep(wait), if known.is_some() && !hangs => {}
-                            _ = list.wait_for(|(generation, _)| Some(*generation) != known), if !(lower && known == Some(1)) => {}
-                            _ = broken.changed() => return,
+                        let is_over = tokio::select! {
+                            biased;
+                            _ = broken.changed() => true,
+                            () = tokio::time::sleep(wait), if known.is_some() && !hangs => false,
+                            _ = list.wait_for(|(generation, _)| Some(*generation) != known), if !(lower && known == Some(1)) => false,
+                        };
+                        if is_over {
+                            if is_quiet(&broken) {
+                                std::future::pending::<()>().await;
+                            }
+                            return;
                         }
                         let (generation, entries) = list.borrow_and_update().clone();
                         let text = match known {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -14,7 +14,8 @@
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
 //!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
-//!   connections it has.
+//!   connections it has. `close list quiet`: nothing more is heard on those that there are, which stay open (what comes on them
+//!   is told as `unheard`).
 //!
 //! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
 //! `expect X nothing` and `wait` take milliseconds.
@@ -139,7 +140,10 @@
                 let what = rest.first().unwrap_or(&"all").to_string();
                 let party = self.party(name);
                 party.say.send(vec![("close".into(), what)]).map_err(|_| "nobody listens")?;
-                party.calls.clear();
+                // What goes quiet stays as it is.
+                if rest.first() != Some(&"quiet") {
+                    party.calls.clear();
+                }
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
             ("expect", name) => {
