--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -221,3 +221,48 @@
     let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
     assert_eq!(open.len(), 1);
 }
+
+#[test]
+fn a_process_killed_at_any_write_leaves_what_was_written_before() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let key = journal.job(&job("a", 9), &rules()).expect("written").expect("room");
+    journal.claim(key, claim(1)).expect("written");
+    journal.never_ran(key).expect("written");
+    journal.claim(key, claim(2)).expect("written");
+    journal.claim(key, claim(3)).expect("written");
+    journal.never_ran(key).expect("written");
+    let notice = Notice { id: "a".into(), end: NoticeEnd::Failed { status: None } };
+    journal.ending(key, &notice).expect("written");
+    journal.end(key).expect("written");
+    let text = std::fs::read(folder.path().join("journal")).expect("it is there");
+    let at = records(&text);
+    // After each whole record: whether the job is open, its tries, when its first claim was sent that may have run,
+    // whether its end is decided.
+    let after = [
+        (false, 0, None, false), // the format
+        (true, 0, None, false),
+        (true, 0, None, false), // its rules
+        (true, 1, Some(1), false),
+        (true, 1, None, false),
+        (true, 2, Some(2), false),
+        (true, 3, Some(2), false),
+        (true, 3, Some(2), false),
+        (true, 3, Some(2), true),
+        (false, 0, None, false),
+    ];
+    assert_eq!(at.len(), after.len() + 1);
+    for cut in at[1]..=text.len() {
+        let whole = at.iter().filter(|end| **end <= cut).count() - 2;
+        let open = read(&text[..cut]);
+        let found = open.first().map_or((false, 0, None, false), |open| {
+            let sent = open.risk.as_ref().map(|risk| claim_time(risk));
+            (true, open.tries, sent, open.ending.is_some())
+        });
+        assert_eq!(found, after[whole], "{cut} bytes");
+    }
+}
+
+fn claim_time(risk: &MayHaveRun) -> u64 {
+    risk.sent.duration_since(SystemTime::UNIX_EPOCH).expect("after it").as_secs()
+}
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -72,6 +72,11 @@
                     seen.iter().for_each(|seen| seen.serving());
                     told(self.core.admit(job).await)
                 }
+                // Its connection was closed from this side before its last byte came. Guards against a request that is to
+                // be handed in elsewhere counting as one that failed.
+                Err(Unfit { why: BROKEN_OFF, .. }) if self.presence.get().sends_away() => {
+                    answer(StatusCode::SERVICE_UNAVAILABLE)
+                }
                 Err(Unfit { status, why }) => {
                     tracing::debug!(why, path = request.path(), "request is no job");
                     Response::with_body(status, why)
@@ -134,6 +139,9 @@
     why: &'static str,
 }
 
+/// Said of a body whose end does not come.
+const BROKEN_OFF: &str = "body cannot be read";
+
 fn bad(why: &'static str) -> Unfit {
     Unfit { status: StatusCode::BAD_REQUEST, why }
 }
@@ -149,7 +157,7 @@
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| bad("body cannot be read"))?;
+        let chunk = chunk.map_err(|_| bad(BROKEN_OFF))?;
         if body.len() + chunk.len() > LONGEST_BODY {
             return Err(too_large);
         }
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -975,3 +975,273 @@
          expect list nothing 50",
     );
 }
+
+#[test]
+fn a_request_that_is_half_read_as_the_relay_ends_may_be_handed_in_elsewhere() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 GET /ready
+         expect s1 200
+         send relay term
+         expect relay log=SIGTERM
+         send s2 raw=POST_/order_HTTP/1.1|host:_x|x-request-id:_j1|x-timeout-ms:_9000|x-envelope:_dest=7|content-length:_9||abc
+         expect s1 closed
+         expect s2 503
+         expect relay exit
+         expect n1 nothing 1",
+    );
+}
+
+#[test]
+fn a_second_sigterm_and_a_reload_change_nothing_once_the_relay_ends() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send relay term
+         expect relay log=SIGTERM
+         send relay term
+         send relay hup held=0
+         send s2 POST /order id=j2 dest=8 left=9000   # not by the new settings: nothing is read any more
+         expect s2 202
+         expect n2 POST
+         send n2 200
+         send n1 200
+         expect relay log=no_connections_are_taken
+         expect relay exit
+         send relay start
+         expect relay log=recovered=0
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn sigterm_during_the_start_ends_it_and_leaves_the_journal_as_it_was() {
+    play(
+        None,
+        "send list n1:7
+         send relay start passed=yes
+         send s1 POST /order id=j1 dest=7 left=9000
+         expect s1 202
+         expect n1 POST
+         send relay2 start passed=yes         # waits for the first, and has not begun
+         send b GET /-/ready
+         expect b 200
+         send relay2 term
+         expect relay2 exit
+         send n1 500
+         expect n1 POST body=j1               # the first goes on
+         send n1 200
+         expect relay log=Delivered
+         send s1 GET /ready                   # so that it has been put down
+         expect s1 200
+         send relay kill
+         expect relay exit
+         send relay start passed=yes
+         expect relay log=recovered=0",
+    );
+}
+
+#[test]
+fn the_same_id_twice_at_the_same_time_is_one_job() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=5000
+         send s2 POST /order id=j1 dest=7 left=5000
+         send s3 POST /order id=j1 dest=7 left=5000
+         expect s1 202
+         expect s2 202
+         expect s3 202
+         expect n1 POST
+         send n1 200
+         expect n1 nothing 200
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn clients_that_leave_while_their_answers_are_due_leave_nothing_behind() {
+    let mut scenario =
+        String::from("send list n1:7\nsend relay start held=400\nexpect relay log=list_of_execute_nodes\n");
+    for client in 0..30 {
+        scenario +=
+            &format!("send s{client} POST /notice id=j{client} dest=7 left=1500 half=yes\nclose s{client}\n");
+    }
+    // What was taken on all the same is owed its end.
+    scenario += "send s99 POST /order id=last dest=7 left=5000
+         expect s99 202
+         wait 1800
+         send a GET /-/metrics
+         expect a 200 edge_balancer_in_progress<2";
+    play(None, &scenario);
+}
+
+#[test]
+fn what_is_read_and_not_decided_on_as_the_relay_ends_is_refused() {
+    play(
+        None,
+        "send list n1:7
+         send relay start step=4000           # the next round would be after the end
+         send s1 GET /ready
+         expect s1 200
+         send s1 POST /order id=j1 dest=7 left=9000
+         send relay term
+         expect s1 429 retry-after>0
+         expect relay exit
+         send relay start
+         expect relay log=recovered=0
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn what_a_restart_finds_untried_is_tried_where_its_node_hangs() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=6000
+         expect s1 202
+         expect n1 POST body=j1
+         send s1 POST /notice id=j2 dest=7 left=6000
+         expect s1 202
+         send s1 POST /notice id=j3 dest=7 left=6000
+         expect s1 202
+         send s1 POST /order id=j4 dest=7 left=6000
+         expect s1 202
+         send relay kill
+         expect relay exit
+         send relay start
+         expect relay log=recovered=4
+         expect n1 POST body=j2               # none is ever answered
+         expect n1 POST body=j3
+         expect n1 POST body=j4",
+    );
+}
+
+#[test]
+fn a_connection_that_comes_up_after_its_message_went_elsewhere_carries_nothing() {
+    play(
+        None,
+        "send list x1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 left=6000
+         expect s1 202
+         expect relay log=connecting
+         send list n1:7 x1:7:DRAINING
+         expect relay log=Unconnected
+         expect n1 POST body=j1
+         send x1 open                         # a second later the system comes again
+         send n1 200
+         expect relay log=Delivered
+         expect x1 nothing 1200",
+    );
+}
+
+#[test]
+fn half_a_head_counts_as_run_whatever_it_says() {
+    play(
+        None,
+        "send list n1:7
+         send relay start window=1
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect n1 POST
+         send n1 raw=HTTP/1.1_503_x|retry-after:_1|
+         close n1 call
+         expect relay log=Error
+         expect list returned id=j1           # past its memory
+         expect n1 nothing 100",
+    );
+}
+
+#[test]
+fn a_connection_that_the_node_closed_while_it_rested_carries_nothing() {
+    play(
+        None,
+        "send list n1:7
+         send relay start window=1
+         send s1 POST /order id=j1 dest=7 left=5000
+         expect n1 POST connection=0
+         send n1 200
+         expect relay log=Delivered
+         close n1 call
+         send s1 POST /order id=j2 dest=7 left=5000
+         expect n1 POST connection=1          # sent on the other it would count as run
+         send n1 200
+         expect relay log=Delivered
+         expect list nothing 50",
+    );
+}
+
+#[test]
+fn requests_in_one_piece_are_answered_each_and_share_nothing() {
+    let post = |id: &str, key: &str| {
+        format!(
+            "POST_/order_HTTP/1.1|host:_x|x-request-id:_{id}|x-timeout-ms:_9000|x-envelope:_dest=7|{key}content-length:_2||{id}"
+        )
+    };
+    play(
+        None,
+        &format!(
+            "send list n1:7
+             send relay start slots=12
+             send s1 raw={}{} answers=2
+             expect s1 202
+             expect s1 202
+             expect n1 POST x-request-id=j1 body=j1 idempotency-key=k1
+             send n1 200
+             expect n1 POST x-request-id=j2 body=j2 !idempotency-key    # on the same connections, both ways
+             send n1 200
+             expect list nothing 50",
+            post("j1", "idempotency-key:_k1|"),
+            post("j2", "")
+        ),
+    );
+}
+
+#[test]
+fn heads_and_bodies_without_end_are_cut_off_and_others_served_meanwhile() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 raw=POST_/order_HTTP/1.1|host:_x|long:_ flood=400000
+         expect s1 431
+         expect s1 closed
+         send s2 raw=POST_/order_HTTP/1.1|host:_x|x-request-id:_j1|x-timeout-ms:_900|x-envelope:_dest=7|transfer-encoding:_chunked||fffff| flood=400000
+         expect s2 413
+         expect s2 closed
+         send s3 POST /order id=j2 dest=7 left=5000
+         expect s3 202
+         expect n1 POST body=j2
+         send n1 200
+         expect n1 nothing 50",
+    );
+}
+
+#[test]
+fn a_message_handed_in_again_under_another_id_is_another_message() {
+    play(
+        None,
+        "send list n1:7
+         send relay start slots=12
+         send s1 POST /order id=j1 dest=7 left=5000 key=k half=yes
+         expect n1 POST x-request-id=j1 idempotency-key=k
+         expect s1 closed                     # it leaves without reading its answer
+         send s2 POST /order id=j2 dest=7 left=5000 key=k x-retried=again
+         expect s2 202
+         expect n1 nothing 100                # one call at a time there at first
+         send n1 200
+         expect n1 POST x-request-id=j2 idempotency-key=k
+         send n1 200
+         expect n1 nothing 50
+         expect list nothing 50",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -62,16 +62,29 @@
     }
 }
 
-/// An address where connections never come up: what may wait to be taken is there already.
-pub fn unreachable() -> SocketAddr {
+/// An address where connections do not come up: what may wait to be taken is there already. Once it is told to, it takes
+/// them, and tells what comes.
+pub fn late(tell: Tell, mut words: Words) -> SocketAddr {
     let listener =
         socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
     listener.listen(0).expect("it listens");
     let address = listener.local_addr().expect("an address").as_socket().expect("an IP address");
     let waiting = std::net::TcpStream::connect(address).expect("the one that may wait");
-    // For as long as the test runs.
-    std::mem::forget((listener, waiting));
+    tokio::spawn(async move {
+        let _waiting = waiting;
+        let _ = words.recv().await;
+        listener.set_nonblocking(true).expect("a socket");
+        let listener = TcpListener::from_std(listener.into()).expect("a socket");
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let tell = tell.clone();
+            tokio::spawn(async move {
+                while let Some(got) = read(&mut stream, 0).await {
+                    let _ = tell.send(Got::new("came", [("body", got.fields["body"].as_str())]));
+                }
+            });
+        }
+    });
     address
 }
 
@@ -238,7 +251,8 @@
 
 fn request(words: &Said) -> Vec<u8> {
     if let Some(word) = said(words, "raw") {
-        return raw(word).into_bytes();
+        let flood = said(words, "flood").map_or(0, |size| size.parse().expect("a size"));
+        return [raw(word).into_bytes(), vec![b'a'; flood]].concat();
     }
     let id = said(words, "id").unwrap_or("");
     let mut text = format!("{} {} HTTP/1.1\r\nhost: relay\r\n", words[0].0, words[1].0);
@@ -301,9 +315,12 @@
             if said(&words, "half").is_some() {
                 continue;
             }
-            match read(&mut stream, 1).await {
-                Some(got) => drop(tell.send(got)),
-                None => break,
+            let answers = said(&words, "answers").map_or(1, |count| count.parse().expect("a number"));
+            for _ in 0..answers {
+                match read(&mut stream, 1).await {
+                    Some(got) => drop(tell.send(got)),
+                    None => return drop(tell.send(Got::new("closed", []))),
+                }
             }
         }
         let _ = tell.send(Got::new("closed", []));
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -8,16 +8,17 @@
 //!   NODE:DEST[:STATE] ...: it is up, and these are all nodes; with a STATE of HANG, no watch is
 //!   answered; with HEAD or HALF, its answer ends behind the head or in the middle (expect silent); with LOWER, its generation is 1,
 //!   and watches from a later one are answered by no changes. Close: it is down. Expect returned or failed: a notice. On the second front, notices go to `ends`.
-//! - `s...`: a submitter's connection over HTTP/1.1 (half=yes: more is to follow before an answer); `p...`: over HTTP/2. Send a request, expect a status.
+//! - `s...`: a submitter's connection over HTTP/1.1 (half=yes: more is to follow before an answer; answers=N: so many are
+//!   due; flood=N: so many bytes behind it); `p...`: over HTTP/2. Send a request, expect a status.
 //! - `a...` to `d...`: a caller at the second address of the process started last; send half is a call that it never finishes.
-//! - `x...`: an execute node to which connections never come up.
+//! - `x...`: an execute node to which connections do not come up before it is sent `open`; what comes then is told as `came`.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream on a connection). Expect POST, send a
 //!   status (to=BODY of the call meant), raw=TEXT in its place (_ is a space, | a line's end), reset=CODE or
 //!   goaway=LAST_STREAM. Close: breaks its connections and refuses new ones; `close n1 call` only breaks the
 //!   connections it has. `close list quiet`: nothing more is heard on those that there are, which stay open (what comes on them
 //!   is told as `unheard`).
 //!
-//! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`.
+//! `expect` waits for something that fits all its words: `key=value`, `key=*`, `key<number`, `key>number`, `!key` (it has none).
 //! `expect X nothing` and `wait` take milliseconds.
 mod http1;
 mod http2;
@@ -185,7 +186,7 @@
             };
             match &name[..1] {
                 "n" => address = Some(http1::node(tell, words)),
-                "x" => address = Some(http1::unreachable()),
+                "x" => address = Some(http1::late(tell, words)),
                 "l" => address = Some(http1::discovery(tell, words, self.list.subscribe())),
                 "g" => address = Some(http2::gateway(tell, words, if name == "g3" { 1 } else { 200 })),
                 "a" | "b" | "c" | "d" => http1::caller(front(self, "admin"), tell, words),
@@ -332,7 +333,7 @@
         let sockets = of("sockets", "256");
         let (bundle, mode) = (of("bundle", "1"), of("mode", "subscribe"));
         let (window, idle, listen) = (of("window", "7500"), of("idle", "10000"), of("listen", "127.0.0.1:0"));
-        let must_ask = of("must_ask", "10");
+        let (must_ask, step) = (of("must_ask", "10"), of("step", "5"));
         let discovery = self.party(&of("discovery", "list")).address.expect("it listens");
         let known = said(words, "known").map_or(String::new(), |generation| {
             let list = &self.list.borrow().1;
@@ -340,7 +341,7 @@
         });
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}",{known}"seed":"8c1f","limits":{{"sockets":{sockets},"disk_mb":{disk}}},
-            "settings":{{"step":5000000,"categories":[
+            "settings":{{"step":{step}000000,"categories":[
               {{"name":"notice","aim":1000000000,"give_up":6000000000,"effect":"read_like","late_worth":0.0,"credit":1.0}},
               {{"name":"order","aim":4000000000,"give_up":28000000000,"effect":"idempotency_key","group":"all","window":{window}000000,"late_worth":0.3,"credit":2.0}}],
             "extra":{{"max_calls":{slots},"own_limits":[false],"bundle_max":[{bundle}]}},"zone":"z","zones":["z"],"shapes":["k"],"replicas_of_me":1,
@@ -379,6 +380,9 @@
 /// Whether something fits all words of an `expect`.
 fn fits(got: &Got, words: &[&str]) -> bool {
     words.iter().all(|word| {
+        if let Some(absent) = word.strip_prefix('!') {
+            return !got.fields.contains_key(absent);
+        }
         let Some(at) = word.find(['=', '<', '>']) else { return got.what == *word };
         let Some(value) = got.fields.get(&word[..at]) else { return false };
         let wanted = &word[at + 1..];
