--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -256,7 +256,7 @@
         let whole = at.iter().filter(|end| **end <= cut).count() - 2;
         let open = read(&text[..cut]);
         let found = open.first().map_or((false, 0, None, false), |open| {
-            let sent = open.risk.as_ref().map(|risk| claim_time(risk));
+            let sent = open.risk.as_ref().map(claim_time);
             (true, open.tries, sent, open.ending.is_some())
         });
         assert_eq!(found, after[whole], "{cut} bytes");
