--- a/src/choice.rs
+++ b/src/choice.rs
@@ -651,9 +651,9 @@
         message.tries == 0 && now < message.came + LOOK
     }
 
-    /// How long an endpoint must not have been called for a message to go there whatever its health. One that
-    /// has just come may go after as long as a cold start lasts: what is known is that old by then. One that a
-    /// try is owed to may go in any case towards its end (exception 12).
+    /// How long an endpoint must not have been called for a message to go there whatever its health. What has
+    /// just come may go after as long as a cold start lasts: what is known is that old by then. What a try is
+    /// owed to may go in any case towards its end (exception 12).
     fn rested(&self, now: Nanos, message: &Message) -> Nanos {
         let last = |unit| self.left(now, message) < OWED_LAST * self.silence(unit);
         match message.owed() && self.best_unit(now, message).is_some_and(last) {
