--- /dev/null
+++ b/relay/src/figures/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+#[test]
+fn all_names_are_there_from_the_start_and_no_class_is_made_up() {
+    let figures = Figures::new(&["order".to_owned(), "notice".to_owned()]);
+    figures.ended("order", Ended::Delivered);
+    figures.ended("nobody's", Ended::Failed);
+    figures.tries().inc();
+    figures.loaded(true);
+    figures.loaded(false);
+    let text = figures.text(Census { in_progress: 3, known: 9, skipped: 2 });
+    let lines: Vec<_> = text.lines().filter(|line| !line.starts_with('#')).collect();
+    assert_eq!(
+        lines,
+        [
+            "edge_balancer_handled_total{category=\"notice\",outcome=\"bad_gateway\"} 0",
+            "edge_balancer_handled_total{category=\"notice\",outcome=\"dropped\"} 0",
+            "edge_balancer_handled_total{category=\"notice\",outcome=\"passed\"} 0",
+            "edge_balancer_handled_total{category=\"order\",outcome=\"bad_gateway\"} 0",
+            "edge_balancer_handled_total{category=\"order\",outcome=\"dropped\"} 0",
+            "edge_balancer_handled_total{category=\"order\",outcome=\"passed\"} 1",
+            "edge_balancer_in_progress 3",
+            "edge_balancer_known_endpoints 9",
+            "edge_balancer_load_errors_total 1",
+            "edge_balancer_loads_total 1",
+            "edge_balancer_skipped_endpoints 2",
+            "edge_balancer_upstream_tries_total 1",
+        ]
+    );
+    assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 7);
+    assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 7);
+}
--- /dev/null
+++ b/relay/src/hook/tests.rs
@@ -0,0 +1,59 @@
+use super::*;
+use std::time::{Instant, SystemTime};
+
+fn job() -> Job {
+    Job {
+        id: "j".into(),
+        class: "order".into(),
+        dest: 7,
+        deadline: SystemTime::now(),
+        retry: false,
+        reconnect: false,
+        label: None,
+        fields: Vec::new(),
+        body: vec![0; 10].into(),
+    }
+}
+
+fn admit(body: &str) -> Ruling {
+    let hooks = Hooks::new(&format!("fn admit(job) {{ {body} }}"), 20_000).expect("it compiles");
+    hooks.admit(&job(), Duration::from_secs(2))
+}
+
+#[test]
+fn a_hook_refuses_shortens_and_labels() {
+    let said = admit(r##"if job.size == 10 && job.left_ms == 2000 { #{ left_ms: 500, label: job.class } }"##);
+    let wanted =
+        Ruling { left: Some(Duration::from_millis(500)), label: Some("order".into()), ..Ruling::default() };
+    assert_eq!(said, wanted);
+    assert!(admit("#{ refuse: true }").refuse);
+    assert_eq!(admit(""), Ruling::default());
+}
+
+#[test]
+fn a_failing_or_greedy_hook_rules_nothing() {
+    let began = Instant::now();
+    let faulty = [
+        "throw \"no\"",
+        "job.nothing.size",
+        "#{ send: true }",
+        "#{ left_ms: -1 }",
+        "3",
+        "loop {}",
+        "let s = \"x\"; loop { s += s; }",
+        "let a = []; loop { a.push(a); }",
+        "let m = #{}; for i in 0..100000 { m[`${i}`] = i; }",
+        "admit(job)",
+    ];
+    for body in faulty {
+        assert_eq!(admit(body), Ruling::default(), "{body}");
+    }
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn a_script_without_hooks_or_with_eval_is_no_plug_in() {
+    for text in ["fn other() {}", "fn admit(job) { eval(\"1\") }", "fn admit(job) {"] {
+        assert!(Hooks::new(text, 1000).is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/relay/src/list/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+fn read(text: &str) -> Result<NodeList, String> {
+    NodeList::read(text.as_bytes().to_vec().into())
+}
+
+#[test]
+fn an_entry_is_the_same_once_passed_on_and_its_text_whatever_the_service_wrote_round_it() {
+    let text = |space: &str, weight: &str| {
+        format!(
+            r#"{{"generation":1,"reset":false,"instances":[{{{space}"hostPort":"h:1",{space}"instanceId":"a\u0062","zone":"z","machineType":"k",
+                "cell":7,"lifecycle":"DRAINING","weight":{weight},"startedAtMs":1e3}},{{"instanceId":"g","hostPort":"h","zone":"z",
+                "machineType":"k","cell":7,"lifecycle":"DELETED","weight":1,"startedAtMs":0}}]}}"#
+        )
+    };
+    let plain = read(&text("", "1.5")).expect("sound");
+    let texts = plain.texts();
+    assert_eq!(texts, read(&text("\n  ", "1.50")).expect("sound").texts());
+    let passed = NodeEntry::read(texts[0].1.as_deref().expect("listed")).expect("its own form");
+    assert_eq!(passed, plain.part(0)[0]);
+    assert_eq!(texts[1], ("g".to_owned(), None));
+    assert_eq!(NodeEntry::gone("g".into()).lifecycle, Lifecycle::Deleted);
+    assert!(NodeEntry::read("{}").is_err());
+}
+
+fn text(count: usize) -> String {
+    let one = |n: usize| {
+        format!(
+            r#" {{"instanceId":"a\u0062{n}","hostPort":"h","zone":"z","machineType":"k","cell":{n},"lifecycle":"NEW","weight":1.0,
+                "startedAtMs":-4,"more":[1,{{}}]}}"#
+        )
+    };
+    let all: Vec<_> = (0..count).map(one).collect();
+    format!(r#"{{"instances":[{}],"reset":false,"generation":2}}"#, all.join(" ,\n"))
+}
+
+#[test]
+fn faults_name_their_path() {
+    let cases = [
+        (r#"{"generation":1,"reset":true,"instances":[{"instanceId":4}]}"#, "instances[0].instanceId"),
+        (r#"{"generation":1,"reset":7,"instances":[]}"#, "reset"),
+        (r#"{"generation":1,"reset":true,"instances":7}"#, "instances"),
+        (r#"{"generation":1,"reset":true,"instances":[{},"#, "EOF"),
+    ];
+    for (text, path) in cases {
+        let fault = read(text).err().unwrap_or_default();
+        assert!(fault.contains(path), "{text}: {fault}");
+    }
+}
+
+#[test]
+fn a_list_comes_in_parts_whatever_its_length() {
+    for count in [0, 1, PART - 1, PART, PART + 1, 2 * PART + 5] {
+        let list = read(&text(count)).expect("sound");
+        assert_eq!((list.len(), list.generation, list.reset), (count, 2, false));
+        let all: Vec<_> = (0..list.parts()).flat_map(|part| list.part(part)).collect();
+        assert_eq!(all.iter().map(|e| e.cell).collect::<Vec<_>>(), (0..count as u64).collect::<Vec<_>>());
+        assert!(all.iter().all(|e| e.instance_id == format!("ab{}", e.cell) && e.started_at_ms == 0));
+        assert!(all.iter().all(|e| e.lifecycle == Lifecycle::Other && matches!(e.zone, Cow::Borrowed("z"))));
+    }
+}
+
+#[test]
+fn a_long_text_stands_in_a_mapping_and_one_too_long_is_refused() {
+    let all = text(3000);
+    let mut long = ListText::default();
+    for part in all.as_bytes().chunks(5000) {
+        assert!(long.add(part, all.len()).expect("mapped"));
+    }
+    assert!(long.is_long() && !long.add(b" ", all.len()).expect("mapped"));
+    assert_eq!(NodeList::read(long).expect("sound").part(2).len(), PART);
+}
--- a/relay/src/outs.rs
+++ b/relay/src/outs.rs
@@ -97,35 +97,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_out_outlasts_the_process_until_it_is_taken_back() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let mut outs = Outs::open(folder.path());
-        for name in ["a", "b", "a"] {
-            outs.set(name, true).expect("written");
-        }
-        outs.set("b", false).expect("written");
-        outs.set("c", false).expect("nothing to do");
-        let mut outs = Outs::open(folder.path());
-        assert_eq!(["a", "b", "c"].map(|name| outs.contains(name)), [true, false, false]);
-        outs.set("a", false).expect("written");
-        assert!(!Outs::open(folder.path()).contains("a"));
-        std::fs::write(folder.path().join("out-by-hand"), r#"{"version":2,"out":["a"]}"#).expect("written");
-        assert!(!Outs::open(folder.path()).contains("a"), "another form is not guessed at");
-    }
-
-    #[test]
-    fn a_name_that_cannot_be_kept_is_not_out() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let mut outs = Outs::open(folder.path());
-        let taken = (0..).take_while(|n| outs.set(&format!("{n:0>200}"), true).is_ok()).count();
-        assert_eq!(taken, LARGEST / 204);
-        assert!(!outs.contains(&format!("{taken:0>200}")));
-        drop(folder);
-        assert!(matches!(outs.set(&format!("{:0>200}", 1), false), Err(Refused::Unwritten(_))));
-        assert!(outs.contains(&format!("{:0>200}", 1)), "the file was not written");
-    }
-}
+mod tests;
