--- a/src/state.rs
+++ b/src/state.rs
@@ -275,6 +275,13 @@
     }
 }
 
+/// A class whose share is under so much of all classes' counts the more the further it is behind, up to so many times.
+/// Guards against a class of little worth being starved by a dear one.
+const FAIR_SHARE: f64 = 0.5;
+const MOST_BEHIND: f64 = 8.0;
+/// Worth that is taken as served like all. Guards against the first few of a class speaking for it.
+const FEW: f64 = 20.0;
+
 /// Worth asked for and earned by class, of late: by it the worst served class is known.
 #[derive(Default)]
 pub struct Service(Vec<(f64, f64)>);
@@ -296,13 +303,18 @@
         self.0.iter_mut().for_each(|c| *c = (c.0 * part, c.1 * part));
     }
 
-    /// How much a unit of each class's worth counts where the worst served class counts `extra` times by itself.
+    /// How much a unit of each class's worth counts where the worst served class counts `extra` times by itself, and where
+    /// one that is served far less than all counts the more.
     pub fn weights(&self, extra: f64) -> Vec<f64> {
         let all: f64 = self.0.iter().map(|c| c.0).sum();
+        let mean = self.0.iter().map(|c| c.1).sum::<f64>() / all.max(1e-9);
         let share = |c: &(f64, f64)| if c.0 > 0.0 { c.1 / c.0 } else { f64::INFINITY };
         let worst = self.0.iter().map(share).fold(f64::INFINITY, f64::min);
-        let weight =
-            |c: &(f64, f64)| if share(c) <= worst && c.0 > 0.0 { 1.0 + extra * all / c.0 } else { 1.0 };
+        let weight = |c: &(f64, f64)| {
+            let had = (c.1 + FEW * mean) / (c.0 + FEW);
+            let behind = (FAIR_SHARE * mean / had.max(1e-9)).max(1.0).powi(6).min(MOST_BEHIND);
+            behind * if share(c) <= worst && c.0 > 0.0 { 1.0 + extra * all / c.0 } else { 1.0 }
+        };
         self.0.iter().map(weight).collect()
     }
 }
