--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -1245,3 +1245,33 @@
          expect list nothing 50",
     );
 }
+
+#[test]
+fn hundreds_that_say_nothing_or_much_and_go_keep_nobody_out() {
+    let mut scenario = String::from(
+        "send list n1:7
+         send relay start sockets=60          # twenty-four places
+         expect relay log=list_of_execute_nodes\n",
+    );
+    for round in 0..2 {
+        // Without room made for others the last would wait for 15 s.
+        for guest in 0..150 {
+            scenario += &format!("expect s{round}x{guest} nothing 1\n");
+        }
+        for guest in 0..10 {
+            let name = format!("s{round}y{guest}");
+            scenario += &format!(
+                "send {name} raw=POST_/order_HTTP/1.1|host:_x|content-length:_65000|| flood=60000 half=yes\n"
+            );
+            scenario += &format!("close {name}\n");
+        }
+        scenario += &format!(
+            "send s{round}z POST /order id=j{round} dest=7 left=9000
+             expect s{round}z 202
+             expect n1 POST body=j{round}
+             send n1 200\n"
+        );
+    }
+    scenario += "expect list nothing 50";
+    play(None, &scenario);
+}
