--- a/relay/src/shelf.rs
+++ b/relay/src/idle_pool.rs
@@ -14,7 +14,7 @@
 
 /// All connections of a front to its nodes.
 #[derive(Debug, Default)]
-pub struct Shelf {
+pub struct IdlePool {
     most: Option<usize>,
     open: usize,
     last: Number,
@@ -25,7 +25,7 @@
     surplus: BTreeSet<(Instant, Number, EndpointId)>,
 }
 
-impl Shelf {
+impl IdlePool {
     /// How many may be open at once; none for no limit.
     pub fn set_most(&mut self, most: Option<usize>) {
         self.most = most;
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -22,7 +22,7 @@
 
 use super::chunks::Chunks;
 use crate::core::Ticket;
-use crate::shelf::{Number, Shelf};
+use crate::idle_pool::{IdlePool, Number};
 
 /// A connection rests for so long after an answer. Guards against surplus that the node writes right behind an
 /// answer and that is not here yet when the next call would go out: it would be read as the next answer.
@@ -128,26 +128,26 @@
 /// All connections of the front to its nodes: how many there are, and whose the idle ones are.
 #[derive(Default)]
 pub struct Rack {
-    shelf: RefCell<Shelf>,
+    idle_pool: RefCell<IdlePool>,
     homes: RefCell<HashMap<EndpointId, Weak<Lines>>>,
 }
 
 impl Rack {
     /// How many connections may be open at once.
     pub fn set_most(&self, most: Option<usize>) {
-        self.shelf.borrow_mut().set_most(most);
+        self.idle_pool.borrow_mut().set_most(most);
     }
 
     /// A place for one more connection; an idle one is closed for it where there is no room.
     fn place(self: &Rc<Self>) -> Place {
-        let victim = self.shelf.borrow_mut().make_room();
+        let victim = self.idle_pool.borrow_mut().make_room();
         if let Some((node, number)) = victim {
             let home = self.homes.borrow().get(&node).and_then(Weak::upgrade);
             // Dropped only once nothing is borrowed: its place counts itself off.
             let closed = home.and_then(|home| home.remove(number));
             tracing::debug!(node = node.0, closed = closed.is_some(), "an idle connection makes room");
         }
-        self.shelf.borrow_mut().opened();
+        self.idle_pool.borrow_mut().opened();
         Place(self.clone())
     }
 }
@@ -157,7 +157,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.shelf.borrow_mut().closed();
+        self.0.idle_pool.borrow_mut().closed();
     }
 }
 
@@ -186,7 +186,7 @@
     pub async fn lease(self: Rc<Self>, address: SocketAddr) -> io::Result<Line> {
         loop {
             let Some(Idle { stream, since, number, place }) = self.idle.borrow_mut().pop() else { break };
-            self.rack.shelf.borrow_mut().take(self.node, number);
+            self.rack.idle_pool.borrow_mut().take(self.node, number);
             tokio::time::sleep_until((since + REST).into()).await;
             if silent(&stream) {
                 return Ok(Line::new(stream, self, place));
@@ -202,7 +202,7 @@
     fn put(&self, stream: TcpStream, place: Option<Place>) {
         let Some(place) = place else { return };
         let since = Instant::now();
-        let number = self.rack.shelf.borrow_mut().put(since, self.node);
+        let number = self.rack.idle_pool.borrow_mut().put(since, self.node);
         self.idle.borrow_mut().push(Idle { stream, since, number, place });
     }
 
@@ -224,7 +224,7 @@
         let keep = lines.partition_point(|line| line.since.elapsed() >= idle);
         let closed: Vec<_> = lines.drain(..keep).collect();
         drop(lines);
-        closed.iter().for_each(|line| self.rack.shelf.borrow_mut().take(self.node, line.number));
+        closed.iter().for_each(|line| self.rack.idle_pool.borrow_mut().take(self.node, line.number));
     }
 }
 
--- a/relay/src/platform/line/tests.rs
+++ b/relay/src/platform/line/tests.rs
@@ -20,16 +20,16 @@
             let (stream, place) = (line.0.stream.take().expect("open"), line.0.place.take());
             lines.put(stream, place);
             drop(line);
-            assert!(rack.shelf.borrow().open() <= 2);
+            assert!(rack.idle_pool.borrow().open() <= 2);
         }
         assert_eq!(homes.each_ref().map(|lines| lines.is_empty()), [true, false, false]);
         let (a, b) = (homes[1].clone().lease(address).await, homes[1].clone().lease(address).await);
         assert!(a.is_ok() && b.is_ok() && homes[2].is_empty());
         // Where nothing is idle, calls go out all the same.
         let c = homes[2].clone().lease(address).await;
-        assert_eq!(rack.shelf.borrow().open(), 3);
+        assert_eq!(rack.idle_pool.borrow().open(), 3);
         drop((a, b, c, homes));
-        assert_eq!(rack.shelf.borrow().open(), 0);
+        assert_eq!(rack.idle_pool.borrow().open(), 0);
         assert!(rack.homes.borrow().is_empty());
     });
 }
