What a process is to its clients is its availability

Mechanical: relay/src/presence.rs is availability.rs, Presence is Availability; nothing else changed. Why: readiness, draining and leaving are what the field calls so.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -15,12 +15,12 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::availability::Word;
 use crate::core::NotOut;
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::figures::{Census, Figures};
 use crate::instances::Instances;
 use crate::outs::Refused;
-use crate::presence::Word;
 use call::{Call, Unfit};
 
 /// A call is short: one that is not whole within this time is none.
--- a/relay/src/presence.rs
+++ b/relay/src/availability.rs
@@ -14,7 +14,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Presence {
+pub struct Availability {
     phase: Phase,
     /// Clients are sent away until somebody says otherwise.
     drained: bool,
@@ -29,10 +29,10 @@
     Terminate,
 }
 
-impl Presence {
+impl Availability {
     /// What it is after a word; `None` if that can't be had any more.
-    pub fn after(self, word: Word) -> Option<Presence> {
-        let Presence { phase, drained } = self;
+    pub fn after(self, word: Word) -> Option<Availability> {
+        let Availability { phase, drained } = self;
         let phase = match (phase, word) {
             (Phase::Leaving, Word::Resume) => return None,
             (_, Word::Terminate) => Phase::Leaving,
@@ -44,7 +44,7 @@
             Word::Resume => false,
             Word::Started | Word::Terminate => drained,
         };
-        Some(Presence { phase, drained })
+        Some(Availability { phase, drained })
     }
 
     /// The answer to `GET /ready`. A process that leaves goes on saying what it said: a successor may have the
--- a/relay/src/presence/tests.rs
+++ b/relay/src/availability/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn every_word_in_every_state_has_one_meaning() {
-    let of = |phase, drained| Presence { phase, drained };
+    let of = |phase, drained| Availability { phase, drained };
     let on = |phase| Some(of(phase, false));
     let off = |phase| Some(of(phase, true));
     // What it was, and what it is after being started, drained, resumed, terminated.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! The rooms, each importing only those before it: plain values ([`job`]), what is read and written ([`config`],
 //! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`outs`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts
-//! share ([`presence`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]), and the program that
+//! share ([`availability`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]), and the program that
 //! wires them ([`run`]).
 #![forbid(unsafe_code)]
 
 pub mod admin;
+pub mod availability;
 pub mod config;
 pub mod core;
 pub mod discovery;
@@ -26,7 +27,6 @@
 pub mod outs;
 pub mod passed;
 pub mod platform;
-pub mod presence;
 pub mod push;
 pub mod run;
 pub mod tls;
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -11,10 +11,10 @@
 use tokio::net::TcpListener;
 
 use super::KEY;
+use crate::availability::Availability;
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::job::{Answer, Job};
-use crate::presence::Presence;
 
 /// Largest body; the platform sends none larger.
 const LONGEST_BODY: usize = 64 * 1024;
@@ -34,12 +34,12 @@
 
 pub struct Server<C> {
     core: Rc<Core<C>>,
-    presence: Rc<Cell<Presence>>,
+    availability: Rc<Cell<Availability>>,
 }
 
 impl<C: Carrier> Server<C> {
-    pub fn new(core: Rc<Core<C>>, presence: Rc<Cell<Presence>>) -> Rc<Self> {
-        Rc::new(Server { core, presence })
+    pub fn new(core: Rc<Core<C>>, availability: Rc<Cell<Availability>>) -> Rc<Self> {
+        Rc::new(Server { core, availability })
     }
 
     /// Takes connections.
@@ -63,7 +63,7 @@
     async fn serve(&self, mut request: Request, places: &Places) -> Response<&'static str> {
         let seen = request.conn_data::<Rc<Seen>>().cloned();
         let mut response = match (request.method(), request.path()) {
-            (&Method::GET, "/ready") if self.presence.get().is_ready() => {
+            (&Method::GET, "/ready") if self.availability.get().is_ready() => {
                 Response::with_body(StatusCode::OK, "ready\n")
             }
             (&Method::GET, "/ready") => answer(StatusCode::SERVICE_UNAVAILABLE),
@@ -74,7 +74,7 @@
                 }
                 // Its connection was closed from this side before its last byte came. Guards against a request that is to
                 // be handed in elsewhere counting as one that failed.
-                Err(Unfit { why: BROKEN_OFF, .. }) if self.presence.get().sends_away() => {
+                Err(Unfit { why: BROKEN_OFF, .. }) if self.availability.get().sends_away() => {
                     answer(StatusCode::SERVICE_UNAVAILABLE)
                 }
                 Err(Unfit { status, why }) => {
@@ -85,7 +85,7 @@
             _ => answer(StatusCode::NOT_FOUND),
         };
         seen.iter().for_each(|seen| seen.answered());
-        if self.presence.get().sends_away() || places.crowded() {
+        if self.availability.get().sends_away() || places.crowded() {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         response
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::admin::{Admin, Front, Process};
+use crate::availability::{Availability, Word};
 use crate::config::{self, Idle, Limits, Own, Rules};
 use crate::core::{Carrier, Core, NotOut};
 use crate::door::Places;
@@ -19,7 +20,6 @@
 use crate::journal::{Journal, Open};
 use crate::list::NodeList;
 use crate::outs::Outs;
-use crate::presence::{Presence, Word};
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -144,7 +144,7 @@
         instances.leave().await;
     }
     if let Some(platform) = &platform
-        && platform.hand_over(process.presence.get().is_drained()).await
+        && platform.hand_over(process.availability.get().is_drained()).await
     {
         return Ok(());
     }
@@ -184,15 +184,15 @@
 /// What the process is to submitters, and the places that follow it.
 #[derive(Default)]
 struct Standing {
-    presence: Rc<Cell<Presence>>,
+    availability: Rc<Cell<Availability>>,
     places: RefCell<Option<Rc<Places>>>,
 }
 
 impl Process for Standing {
     fn turn(&self, word: Word) -> bool {
-        let before = self.presence.get();
+        let before = self.availability.get();
         let Some(after) = before.after(word) else { return false };
-        self.presence.set(after);
+        self.availability.set(after);
         if let Some(places) = &*self.places.borrow() {
             // Idle ones that were told to go before go on going.
             if before.sends_away() != after.sends_away() {
@@ -354,7 +354,7 @@
     });
     let listener = listen_to_submitters(config.listen).await?;
     let address = listener.local_addr().unwrap_or(config.listen);
-    let server = crate::platform::server::Server::new(core.clone(), process.presence.clone());
+    let server = crate::platform::server::Server::new(core.clone(), process.availability.clone());
     actix_rt::spawn(server.accept(listener, places.clone()));
     process.turn(Word::Started);
     tracing::info!(name = config.name, listen = %address, "platform front is ready");
