--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -17,10 +17,10 @@
 
 use crate::availability::Word;
 use crate::core::NotOut;
+use crate::disabled::Refused;
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::figures::{Census, Figures};
 use crate::instances::Instances;
-use crate::outs::Refused;
 use call::{Call, Unfit};
 
 /// A call is short: one that is not whole within this time is none.
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -25,11 +25,11 @@
 pub use succession::Successor;
 
 use crate::config::Rules;
+use crate::disabled::Disabled;
 use crate::figures::{Census, Ended, Figures};
 use crate::hook::Hooks;
 use crate::job::{Answer, Job, Notice, Outcome, nanos};
 use crate::journal::{Journal, Key, Open};
-use crate::outs::Outs;
 use life::Course;
 use rounds::Order;
 
@@ -132,7 +132,7 @@
     hooks: Option<Hooks>,
     state: RefCell<State>,
     journal: Rc<RefCell<Journal>>,
-    outs: RefCell<Outs>,
+    disabled: RefCell<Disabled>,
     /// Among how many relays limits are divided, where that follows who is there.
     divided: Cell<Option<u32>>,
     figures: Rc<Figures>,
@@ -175,7 +175,7 @@
         hooks: Option<Hooks>,
         seed: u64,
         journal: Journal,
-        outs: Outs,
+        disabled: Disabled,
         figures: Rc<Figures>,
     ) -> Rc<Self> {
         let state = State {
@@ -198,7 +198,7 @@
             hooks,
             state: RefCell::new(state),
             journal: Rc::new(RefCell::new(journal)),
-            outs: RefCell::new(outs),
+            disabled: RefCell::new(disabled),
             divided: Cell::default(),
             figures,
             listing: tokio::sync::Mutex::new(()),
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -14,11 +14,11 @@
 
 use super::{Carrier, Core, State};
 use crate::config::Rules;
+use crate::disabled::Refused;
 use crate::estate::ListedNode;
 use crate::job::nanos;
 use crate::journal::{Journal, Key, MayHaveRun};
 use crate::list::{Lifecycle, NodeEntry, NodeList};
-use crate::outs::Refused;
 
 /// Longest name of a node, and of a zone together with it, that fits into a journal record.
 const LONGEST_NODE_NAME: usize = 200;
@@ -413,7 +413,7 @@
             started_ms: Cell::new(entry.started_at_ms),
             back_ms: Cell::new(known.as_ref().map_or(0, |node| node.back_ms.get())),
             serving: Cell::new(serving),
-            out: Cell::new(self.outs.borrow().contains(&entry.instance_id)),
+            out: Cell::new(self.disabled.borrow().contains(&entry.instance_id)),
             seen: Cell::new(list),
         };
         let heard = self.endpoint(&node, node.condition());
@@ -477,12 +477,12 @@
         if self.is_handed() {
             return Err(NotOut::Handed);
         }
-        let was = self.outs.borrow().contains(name);
+        let was = self.disabled.borrow().contains(name);
         let node = self.state.borrow().nodes.named(name).cloned();
         if !was && node.is_none() {
             return Err(NotOut::Unknown);
         }
-        self.outs.borrow_mut().set(name, out).map_err(NotOut::Unkept)?;
+        self.disabled.borrow_mut().set(name, out).map_err(NotOut::Unkept)?;
         if was != out {
             tracing::info!(node = name, out, "an execute node is out by hand, or back");
         }
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
+use crate::disabled::Disabled;
 use crate::figures::Figures;
 use crate::job::{Job, Notice, Outcome};
-use crate::outs::Outs;
 
 /// A ticket for a node of its own.
 pub(crate) fn ticket(open: bool, wait: Duration, memory: Option<Duration>) -> Rc<Ticket> {
@@ -62,7 +62,7 @@
 fn core(folder: &std::path::Path) -> Rc<Core<Nowhere>> {
     let (journal, _) = Journal::open(folder, 1_000_000).expect("it opens");
     let rules = Rules { settings: slatethread::Settings::default(), names: Default::default() };
-    Core::new(Nowhere, rules, None, 1, journal, Outs::open(folder), Figures::new(&[]))
+    Core::new(Nowhere, rules, None, 1, journal, Disabled::open(folder), Figures::new(&[]))
 }
 
 fn entry(name: usize, port: u16, lifecycle: Lifecycle) -> NodeEntry<'static> {
--- a/relay/src/outs.rs
+++ b/relay/src/disabled.rs
@@ -21,7 +21,7 @@
     out: BTreeSet<String>,
 }
 
-pub struct Outs {
+pub struct Disabled {
     path: PathBuf,
     names: BTreeSet<String>,
 }
@@ -34,9 +34,9 @@
     Unwritten(io::Error),
 }
 
-impl Outs {
+impl Disabled {
     /// Those that an earlier process left in the folder.
-    pub fn open(folder: &Path) -> Outs {
+    pub fn open(folder: &Path) -> Disabled {
         let path = folder.join("out-by-hand");
         let names = match read(&path) {
             Ok(names) => names,
@@ -46,7 +46,7 @@
                 BTreeSet::new()
             }
         };
-        Outs { path, names }
+        Disabled { path, names }
     }
 
     pub fn contains(&self, name: &str) -> bool {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -1,7 +1,7 @@
 //! A relay that hands messages on to partner systems; `slatethread` decides, this program acts.
 //!
 //! The rooms, each importing only those before it: plain values ([`job`]), what is read and written ([`config`],
-//! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`outs`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts
+//! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`disabled`]), plug-ins ([`hook`]), jobs' lives ([`core`]), what fronts
 //! share ([`availability`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]), and the program that
 //! wires them ([`run`]).
 #![forbid(unsafe_code)]
@@ -10,6 +10,7 @@
 pub mod availability;
 pub mod config;
 pub mod core;
+pub mod disabled;
 pub mod discovery;
 pub mod door;
 pub mod estate;
@@ -24,7 +25,6 @@
 mod json;
 pub mod list;
 pub mod notice;
-pub mod outs;
 pub mod passed;
 pub mod platform;
 pub mod push;
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -12,6 +12,7 @@
 use crate::availability::{Availability, Word};
 use crate::config::{self, Idle, Limits, Own, Rules};
 use crate::core::{Carrier, Core, NotOut};
+use crate::disabled::Disabled;
 use crate::door::Places;
 use crate::figures::{Census, Figures};
 use crate::handover::{self, Elder};
@@ -19,7 +20,6 @@
 use crate::instances::{self, Instances, Sharing};
 use crate::journal::{Journal, Open};
 use crate::list::NodeList;
-use crate::outs::Outs;
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -249,7 +249,7 @@
         Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
     journal.guard(lock);
     tracing::info!(recovered = open.len(), "journal read");
-    let core = Core::new(carrier, rules, hooks, seed, journal, Outs::open(state), figures.clone());
+    let core = Core::new(carrier, rules, hooks, seed, journal, Disabled::open(state), figures.clone());
     Ok((core, open))
 }
 
