--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -266,7 +266,7 @@
 
 /// Where submitters connect: the socket that the platform passed on, if it says that it did.
 async fn listen_to_submitters(address: std::net::SocketAddr) -> Result<TcpListener, String> {
-    match crate::passed::listener() {
+    match crate::inherited_socket::listener() {
         Ok(None) => {}
         Ok(Some(passed)) => {
             let passed = passed.set_nonblocking(true).and_then(|()| TcpListener::from_std(passed));
