A reload that moves the platform renews what notices are posted with; SIGTERM within one is tested

Read again: since the list has a client of its own, the one for notices (relay/src/platform/carrier.rs, poster) kept its connections and its idle time when a reload moved the platform, where both were renewed before. One function renews it in both places now; what is under way goes on. Left: door.rs has_unread and line.rs silent both peek at a socket, but ask opposite things (something is there; nothing is, not even the end).

--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -140,9 +140,15 @@
         let Place { address, list_limit: limit, .. } = *self.platform.borrow();
         if (address, limit) != (discovery, list_limit) {
             self.platform.send_replace(place(rules, discovery, list_limit));
+            self.renew_poster();
         }
     }
 
+    /// Posts from now on leave the connections that rest alone.
+    fn renew_poster(&self) {
+        self.poster.replace(to_platform(self.dial_timeout.get(), self.idle.get()));
+    }
+
     /// How many connections to nodes may be open at once.
     pub fn set_connections(&self, most: usize) {
         self.rack.set_most(Some(most));
@@ -298,7 +304,7 @@
             Ok(heard) => heard,
             Err(_) => {
                 // Guards against trying one silent connection after another: those that rest may be as silent.
-                *self.poster.borrow_mut() = to_platform(self.dial_timeout.get(), self.idle.get());
+                self.renew_poster();
                 Err(Unheard::Failed("no answer".into()))
             }
         }
--- a/relay/tests/platform.rs
+++ b/relay/tests/platform.rs
@@ -1275,3 +1275,22 @@
     scenario += "expect list nothing 50";
     play(None, &scenario);
 }
+
+#[test]
+fn sigterm_in_the_middle_of_a_reload_loses_nothing() {
+    play(
+        None,
+        r#"send list n1:7
+         send relay start
+         send s1 POST /order id=j1 dest=7 left=20000
+         expect s1 202
+         expect n1 POST
+         send relay hup discovery=list2       # whichever is looked at first
+         send relay term
+         expect relay log=SIGTERM
+         expect relay exit
+         send relay start
+         expect relay log=recovered=1
+         expect relay log=goes_on_from_the_journal_id="j1""#,
+    );
+}
