--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -49,6 +49,16 @@
     Down,
 }
 
+/// An answer with a list or its changes, as it was written.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq)]
+pub struct ListAnswer {
+    /// Whose listener it went out from.
+    pub who: usize,
+    /// How far it counted.
+    pub generation: u64,
+    pub at: At,
+}
+
 /// Who calls: a listener of its own tells, else a connection of its own.
 #[derive(Clone)]
 struct Caller {
@@ -89,6 +99,8 @@
     service: RefCell<Service>,
     /// All calls, in the order in which they came.
     pub calls: RefCell<Vec<ListCall>>,
+    /// All answers with a list, those of watches that go on among them.
+    pub answers: RefCell<Vec<ListAnswer>>,
     /// Weights are told times this.
     scale: Cell<f64>,
     /// Texts are written one after another.
@@ -124,6 +136,7 @@
             costs,
             service: RefCell::default(),
             calls: RefCell::default(),
+            answers: RefCell::default(),
             scale: Cell::new(1.0),
             writing: Mutex::new(()),
             lists: Cell::new(0),
@@ -170,6 +183,11 @@
         self.down.borrow_mut().push((now, now + time.as_secs_f64()));
     }
 
+    /// The spans in which it is down, in seconds.
+    pub fn outages(&self) -> Vec<(f64, f64)> {
+        self.down.borrow().clone()
+    }
+
     /// Takes one of so many calls from now on, and turns the others away; 0 or 1 takes all.
     pub fn take_one_in(&self, calls: u32) {
         self.one_in.set(calls);
@@ -242,11 +260,20 @@
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(Some(got)) = reader.next().await {
-            let (status, body) = self.answer(&got, &caller).await;
+            // Nothing is written to who has gone meanwhile; what the call cost the service stays spent.
+            let (status, body) = tokio::select! {
+                answer = self.answer(&got, &caller) => answer,
+                () = reader.ended() => return,
+            };
             if reader.answer(status, &[], &body).await.is_err() {
                 return;
             }
             if got.path != "/reports" {
+                if status == 200 {
+                    let (who, generation) = (caller.who, *self.generation.borrow());
+                    let at = self.start.elapsed();
+                    self.answers.borrow_mut().push(ListAnswer { who, generation, at });
+                }
                 caller.last.set((status == 200).then(|| self.start.elapsed()));
             }
         }
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -11,7 +11,7 @@
 /// Calls that arrive so soon after a told wait began were on their way.
 const ON_THE_WAY: Duration = Duration::from_millis(100);
 /// Nothing new goes to a draining node so long after that was told.
-const DRAIN_HEARD: Duration = Duration::from_millis(500);
+pub const DRAIN_HEARD: Duration = Duration::from_millis(500);
 /// Ends may come so long after a deadline, measured where submitters are.
 const END_SLACK: Duration = Duration::from_millis(350);
 
@@ -63,9 +63,23 @@
     put_off: At,
 }
 
+/// A call that reached a node while the node was draining or gone, by the list service's word.
+#[derive(Clone, Copy, Debug, Serialize, PartialEq)]
+pub struct DrainedCall {
+    pub msg: u64,
+    pub node: u32,
+    /// When the list service told the drain.
+    pub drained: At,
+    /// When the call's first byte came.
+    pub first: At,
+}
+
 /// Watches an experiment.
 #[derive(Default)]
 pub struct Checker {
+    /// Calls to draining nodes are kept for a judge that knows what each relay was told, and are no breaches here.
+    drains_judged_elsewhere: bool,
+    drained_calls: Vec<DrainedCall>,
     messages: HashMap<u64, Message>,
     /// Begin and end of the waits told, by destination.
     waits: HashMap<u64, (At, At)>,
@@ -87,6 +101,16 @@
         }
     }
 
+    /// Keeps calls to draining nodes for another judge, in place of holding each drain to have been heard by all at once.
+    pub fn keep_drained_calls(&mut self) {
+        self.drains_judged_elsewhere = true;
+    }
+
+    /// Those that were kept.
+    pub fn drained_calls(&self) -> &[DrainedCall] {
+        &self.drained_calls
+    }
+
     /// A message is handed in.
     pub fn handed_in(&mut self, msg: u64, dest: u64, deadline: At, once: bool) {
         self.messages.insert(msg, Message { dest, deadline, once, ..Message::default() });
@@ -117,8 +141,14 @@
         {
             self.broken(Rule::InWait, now, format!("message {msg} at destination {dest}"));
         }
-        if self.drains.get(&node).is_some_and(|told| first > *told + DRAIN_HEARD) {
-            self.broken(Rule::Draining, now, format!("message {msg} at node {node}"));
+        if let Some(drained) =
+            self.drains.get(&node).copied().filter(|drained| first > *drained + DRAIN_HEARD)
+        {
+            if self.drains_judged_elsewhere {
+                self.drained_calls.push(DrainedCall { msg, node, drained, first });
+            } else {
+                self.broken(Rule::Draining, now, format!("message {msg} at node {node}"));
+            }
         }
         let Some(message) = self.messages.get_mut(&msg) else { return };
         let (astray, two, again) =
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -1,6 +1,7 @@
 //! What is promised of a fleet, each as a check of what was seen from outside. A check that fails says by which events.
 use onyxglade_lab::discovery::{CallFate, FALSE};
 
+use crate::drains;
 use crate::history::{History, What};
 
 /// A promise.
@@ -18,6 +19,8 @@
     NoOlderList,
     /// The list service's time goes into answers, at least two thirds of it.
     ServiceTimeIsUseful,
+    /// Nothing new goes to an endpoint that drains, by what each relay was told.
+    Drains,
     /// No endpoint has to open more connections in a second than it takes.
     EndpointsSpared,
 }
@@ -25,13 +28,14 @@
 /// Relays that a check names, at most.
 const TOLD: usize = 10;
 
-pub const ALL: [(Promise, &str); 7] = [
+pub const ALL: [(Promise, &str); 8] = [
     (Promise::Rules, "rules"),
     (Promise::NoneCrashes, "none-crashes"),
     (Promise::AllHoldTheList, "all-hold-the-list"),
     (Promise::AllSeeAll, "all-see-all"),
     (Promise::NoOlderList, "no-older-list"),
     (Promise::ServiceTimeIsUseful, "service-time-is-useful"),
+    (Promise::Drains, "drains"),
     (Promise::EndpointsSpared, "endpoints-spared"),
 ];
 
@@ -99,6 +103,7 @@
             (useful < 2.0 * useless)
                 .then(|| format!("{useful:.1} s answering, {useless:.1} s on {thrown} thrown away"))
         }
+        Promise::Drains => drains::broken(history),
         Promise::EndpointsSpared => {
             let (most, taken, refused) = (history.opens_most, history.opens_taken, history.opens_refused);
             (taken > 0 && (most > taken || refused > 0))
--- a/rig/src/check/tests.rs
+++ b/rig/src/check/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::history::Event;
-use onyxglade_lab::rules::{Breach, Rule};
+use onyxglade_lab::rules::{Breach, DrainedCall, Rule};
 use std::time::Duration;
 
 fn sound() -> History {
@@ -20,6 +20,7 @@
         ],
         answering: Duration::from_secs(2),
         throwing: Duration::from_secs(1),
+        must_ask_in: Duration::from_secs(10),
         opens_most: 5,
         opens_taken: 5,
         ..History::default()
@@ -55,6 +56,10 @@
         h.forgot = vec![(Duration::from_secs(8), 9)];
         h.events.extend([event(0, What::Listed(1)), event(0, What::Listed(9))]);
     });
+    only("drains", |h| {
+        let (drained, first) = (Duration::from_secs(2), Duration::from_secs(9));
+        h.drained_calls.push((0, DrainedCall { msg: 1, node: 1, drained, first }));
+    });
     only("service-time-is-useful", |h| h.throwing = Duration::from_millis(1001));
     only("endpoints-spared", |h| h.opens_most = 6);
     only("endpoints-spared", |h| h.opens_refused = 1);
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -243,7 +243,9 @@
 
     /// Has it read its configuration anew.
     pub fn hup(&self) {
-        self.signal(Signal::HUP);
+        if self.signal(Signal::HUP).is_some() {
+            self.tell(What::Reloaded);
+        }
     }
 }
 
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -1,7 +1,7 @@
 //! What was seen of a fleet from outside, in the order of time: by the stand-ins, and in what the processes logged. Knows nothing of
 //! how it came about.
-use onyxglade_lab::discovery::ListCall;
-use onyxglade_lab::rules::Breach;
+use onyxglade_lab::discovery::{ListAnswer, ListCall};
+use onyxglade_lab::rules::{Breach, DrainedCall};
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     Ended,
     Stopped,
     GoesOn,
+    /// It was told to read its configuration anew.
+    Reloaded,
     /// It has ended by itself, with such a code.
     Crashed(Option<i32>),
 }
@@ -46,6 +48,14 @@
     pub instances: bool,
     pub events: Vec<Event>,
     pub list_calls: Vec<ListCall>,
+    /// Answers that the list service wrote.
+    pub list_answers: Vec<ListAnswer>,
+    /// Spans in which the list service could not be reached by anybody.
+    pub outages: Vec<(At, At)>,
+    /// Longest that a relay may go without asking for the list, by the settings.
+    pub must_ask_in: Duration,
+    /// Calls to draining endpoints, and whose they were; kept only where relays learn the list each by itself.
+    pub drained_calls: Vec<(usize, DrainedCall)>,
     /// Changes that the list service told of: generations, and when.
     pub told: Vec<(u64, At)>,
     /// When the list service lost its memory, and how far it had counted then.
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,5 +1,5 @@
 //! The rig: many processes of the real relay, with faults between them. Plain values below, free of sockets
-//! ([`schedule`], [`draw`], [`shrink`], [`history`], [`check`]); above them what carries traffic ([`links`],
+//! ([`schedule`], [`draw`], [`shrink`], [`history`], [`check`], [`drains`]); above them what carries traffic ([`links`],
 //! [`datagrams`], [`clients`]) and processes ([`fleet`]); [`play`] puts them together round the laboratory's partners, list service
 //! and rules; [`report`] last. `docs/rig.md` tells how to write and play a schedule.
 #![forbid(unsafe_code)]
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod clients;
 pub mod datagrams;
+pub mod drains;
 pub mod draw;
 pub mod fleet;
 pub mod history;
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -5,6 +5,7 @@
 use onyxglade_lab::emulator::Emulator;
 use onyxglade_lab::experiment::Event as Partner;
 use onyxglade_lab::load::{self, Submitters};
+use onyxglade_lab::rules::DrainedCall;
 use onyxglade_lab::world::World;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -71,6 +72,10 @@
     let experiment = schedule.experiment();
     let size = experiment.dests();
     let world = Rc::new(RefCell::new(World::new(&experiment, size, schedule.seed)));
+    let lists_pass = schedule.instances.as_ref().is_some_and(|instances| instances.lists);
+    if !lists_pass {
+        world.borrow_mut().checker.keep_drained_calls();
+    }
     let fault = |what: &str, e: std::io::Error| format!("{what}: {e}");
     let start = Instant::now();
     let emulator =
@@ -238,6 +243,12 @@
     let taken = schedule.partners.iter().map(|p| p.nature.opens).filter(|n| *n > 0).min();
     let world = std::mem::replace(&mut *world.borrow_mut(), World::new(&experiment, 1, 0));
     history.list_calls = discovery.calls.borrow().clone();
+    history.list_answers = discovery.answers.borrow().clone();
+    history.outages = spans(discovery.outages());
+    history.must_ask_in = Duration::from_millis(schedule.relay.must_ask_in_ms);
+    let holders = stage.holders.borrow();
+    let whose = |call: &DrainedCall| Some((*holders.get(&call.msg)?, *call));
+    history.drained_calls = world.checker.drained_calls().iter().filter_map(whose).collect();
     history.forgot = discovery.forgot.borrow().clone();
     history.told = discovery.told.borrow().clone();
     (history.answering, history.throwing) = discovery.used();
@@ -251,6 +262,12 @@
     Ok((Outcome::new(schedule, &history, seconds), history))
 }
 
+/// Spans in seconds as spans of time.
+fn spans(seconds: Vec<(f64, f64)>) -> Vec<(Duration, Duration)> {
+    let span = |(from, to)| (Duration::from_secs_f64(from), Duration::from_secs_f64(to));
+    seconds.into_iter().map(span).collect()
+}
+
 /// The list that a relay is told to have held last.
 async fn known(known: Known, discovery: &Discovery, port: Option<u16>) -> Option<Value> {
     if known == Known::Nothing {
--- a/rig/tests/short.rs
+++ b/rig/tests/short.rs
@@ -67,3 +67,17 @@
     }
     assert!(files >= 4);
 }
+
+/// Incident 39: a list was acted on for as long as it took to hear of another one.
+#[test]
+fn no_list_is_acted_on_longer_than_it_may_be_without_being_confirmed() {
+    let broken: Vec<_> = ["drain-after-restart.toml", "drain-in-a-crowd.toml"]
+        .into_iter()
+        .filter_map(|name| {
+            let (outcome, history) = played(&read(name));
+            assert!(history.delivered > 0 && !history.told.is_empty(), "{outcome:?}");
+            (!outcome.held()).then(|| format!("{name}: {:?} {:?}", outcome.promises_broken, outcome.line()))
+        })
+        .collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
