A list's renewal fits discovery at any fleet size; drains in outages are tested

Cause: turns of couriers with a list were widened too little before a discovery a tenth as fast, a connection that did not come up counted as one refused, and calls were given up after 3 s, which puts one more before all others.

--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's list of execute nodes by a watch that is renewed at once: from the list that is held on, or
 //! from the whole one where none is.
 //! When to ask again after a failure is the module's decision.
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use futures_util::StreamExt;
 use slatethread::ListScope;
 use std::net::SocketAddr;
@@ -79,8 +79,9 @@
             // Guards against following the old one to its end, or asking the new one only after a pause.
             Ok(()) = place.changed() => moved = true,
             fault = session(&core, &now, &mut held, &mut doubts, sharing.as_ref()) => {
-                let Fault { text, how, waited } = fault;
-                doubts = if matches!(how, ListScope::Torn | ListScope::Silent) { doubts + 1 } else { 0 };
+                let Fault { text, how, unconnected, waited } = fault;
+                let doubtful = matches!(how, ListScope::Torn | ListScope::Silent) && !unconnected;
+                doubts = if doubtful { doubts + 1 } else { 0 };
                 held = held.filter(|_| doubts < DOUBTS);
                 tracing::warn!(
                     fault = text,
@@ -109,13 +110,15 @@
     text: String,
     /// What was heard: nothing since no call was taken, that it was turned away, an answer that broke off, silence.
     how: ListScope,
+    /// The call did not go out.
+    unconnected: bool,
     /// How long the call had been out.
     waited: Duration,
 }
 
 impl Fault {
     fn new(how: ListScope, text: impl ToString) -> Self {
-        Fault { text: text.to_string(), how, waited: Duration::ZERO }
+        Fault { text: text.to_string(), how, unconnected: false, waited: Duration::ZERO }
     }
 
     /// The same for the figures.
@@ -128,6 +131,15 @@
         }
     }
 
+    /// No connection was had. Only one that is refused says that nobody is there: one that does not come up may be cut off from a
+    /// discovery that others reach, and a descriptor that is not to be had is the relay's own affair.
+    fn unconnected(error: &ConnectError) -> Self {
+        let refused =
+            matches!(error, ConnectError::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused);
+        let how = if refused { ListScope::Broken } else { ListScope::Silent };
+        Fault { unconnected: true, ..Fault::new(how, error) }
+    }
+
     fn torn(text: impl ToString) -> Self {
         Fault::new(ListScope::Torn, text)
     }
@@ -250,7 +262,7 @@
     };
     let call = async {
         let mut response = place.client.get(url).no_decompress().send().await.map_err(|e| match e {
-            SendRequestError::Connect(e) => Fault::new(ListScope::Broken, e),
+            SendRequestError::Connect(e) => Fault::unconnected(&e),
             e => Fault::torn(e),
         })?;
         if response.status() != 200 {
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -244,7 +244,7 @@
     let world = std::mem::replace(&mut *world.borrow_mut(), World::new(&experiment, 1, 0));
     history.list_calls = discovery.calls.borrow().clone();
     history.list_answers = discovery.answers.borrow().clone();
-    history.outages = spans(discovery.outages());
+    history.outages = spans(discovery.outages().into_iter().chain(refusals(schedule)));
     history.must_ask_in = Duration::from_millis(schedule.relay.must_ask_in_ms);
     let holders = stage.holders.borrow();
     let whose = |call: &DrainedCall| Some((*holders.get(&call.msg)?, *call));
@@ -263,9 +263,17 @@
 }
 
 /// Spans in seconds as spans of time.
-fn spans(seconds: Vec<(f64, f64)>) -> Vec<(Duration, Duration)> {
+fn spans(seconds: impl Iterator<Item = (f64, f64)>) -> Vec<(Duration, Duration)> {
     let span = |(from, to)| (Duration::from_secs_f64(from), Duration::from_secs_f64(to));
-    seconds.into_iter().map(span).collect()
+    seconds.map(span).collect()
+}
+
+/// Spans in which every relay's connections to the list service are refused, in seconds.
+fn refusals(schedule: &Schedule) -> impl Iterator<Item = (f64, f64)> {
+    let refuses = |fault: &&Fault| fault.kind == Kind::Refuse && fault.link == Some(LinkTo::List);
+    let all = |fault: &&Fault| schedule.relays(&fault.relays).is_ok_and(|r| r.len() == schedule.relay.count);
+    let faults = schedule.faults.iter().filter(refuses).filter(all);
+    faults.map(|fault| (fault.at_s, fault.at_s + fault.for_s.unwrap_or(schedule.seconds)))
 }
 
 /// The list that a relay is told to have held last.
--- a/rig/tests/short.rs
+++ b/rig/tests/short.rs
@@ -68,6 +68,20 @@
     assert!(files >= 4);
 }
 
+/// Nothing can be told while every connection is refused, so that the lease's clock stands still and messages go on.
+#[test]
+fn messages_go_on_while_the_list_service_refuses_connections_and_drains_are_heard_after() {
+    let history = holds("drain-while-refused.toml");
+    assert!(!history.told.is_empty() && history.events.iter().any(|e| e.what == What::Ended));
+}
+
+/// What is turned away may be a crowd: whatever else happens to a relay, it sends nothing by a list that is not confirmed.
+#[test]
+fn drains_are_kept_by_relays_that_are_killed_stopped_and_reloaded_while_the_list_service_turns_away() {
+    let history = holds("drain-while-down.toml");
+    assert!(history.told.len() == 3 && history.events.iter().any(|e| e.what == What::Reloaded));
+}
+
 /// Incident 39: a list was acted on for as long as it took to hear of another one.
 #[test]
 fn no_list_is_acted_on_longer_than_it_may_be_without_being_confirmed() {
--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -36,6 +36,9 @@
 /// Turns grow with what was waited up to so many seconds for each courier: a discovery that takes that long
 /// for a call is still worked off.
 const WIDEST_TURN: f64 = 1.6;
+/// The same for couriers with a list, whose calls are the cheaper ones: a few of them never wait that long for
+/// one another.
+const WIDEST_TURN_LISTED: f64 = 0.4;
 /// Who is turned away sooner met no queue, or one that turns away at the door: its wait tells nothing of
 /// discovery's speed.
 const QUEUED: Nanos = SECOND;
@@ -45,7 +48,7 @@
 const FIRST_LIST_PATIENCE: Nanos = 6 * SECOND;
 /// An answer with changes is waited for at least so long: longer than discovery was seen to keep calls
 /// waiting, so that nobody gives up a place in the queue to join it at the end.
-const PATIENCE: Nanos = 3 * SECOND;
+const PATIENCE: Nanos = 8 * SECOND;
 /// What is kept of a lease for the call itself when its beginning is drawn.
 const CALL_RESERVE: Nanos = SECOND;
 /// Where the list may be acted on for so long, asks are spread over so many turns: there is no hurry.
@@ -75,8 +78,8 @@
 impl DiscoverySchedule {
     /// Takes up how many couriers there are.
     pub fn settle(&mut self, settings: &Settings) {
-        // Where lists are pushed, who has them is on this machine and serves nobody else; where they are shared,
-        // who asks is decided elsewhere.
+        // Where lists are pushed, who has them is on this machine and serves nobody else; where they are
+        // shared, who asks is decided elsewhere.
         let couriers = settings.couriers.filter(|_| settings.list_on_request && !settings.list_shared);
         self.couriers = f64::from(couriers.unwrap_or(1).max(1));
         self.quiet = settings.rules.must_ask_in.unwrap_or(10 * SECOND);
@@ -139,7 +142,8 @@
     /// After a call in vain that had its own place in the queue for so long.
     fn after_queue(&mut self, waited: Nanos, lot: f64) -> Nanos {
         if waited >= QUEUED {
-            self.turn = self.turn.max(waited * WAITED).min(self.widest());
+            let wider = (waited * WAITED).max(2 * self.first_turn()).min(self.widest());
+            self.turn = self.turn.max(wider);
         }
         let after = nanos(secs(self.turn) * (0.5 + lot));
         if waited < QUEUED {
@@ -166,7 +170,8 @@
     }
 
     fn widest(&self) -> Nanos {
-        nanos(WIDEST_TURN * self.couriers)
+        let widest = if self.listed { WIDEST_TURN_LISTED } else { WIDEST_TURN };
+        nanos(widest * self.couriers)
     }
 
     fn most_at_door(&self) -> Nanos {
