--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -113,13 +113,16 @@
             () = self.handed.cancelled() => return self.pass_on(job, answer).await,
             order = seat.next() => order,
             // No round will decide on it any more.
-            () = self.closed(), if answer.is_some() => Order::Refuse { after: Some(DEFAULT_BACKOFF) },
+            () = self.closed(), if answer.is_some() => Order::Refuse { after: Some(DEFAULT_BACKOFF), why: None },
         };
 
         // Journal and answer.
         if let Some(answer) = answer {
             let taken_on = match order {
-                Order::Refuse { after } => Err(Answer::Refused { after }),
+                Order::Refuse { after, why } => {
+                    tracing::debug!(id = job.id, dest = job.dest, ?why, "given up on arrival");
+                    Err(Answer::Refused { after })
+                }
                 Order::Fail => Err(Answer::Failed),
                 _ => self.record(&job, &course.rules).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
             };
@@ -168,7 +171,11 @@
                     return;
                 }
                 Order::Fail => break Some(job.failed(None)),
-                Order::Refuse { after } => break Some(job.returned(after)),
+                Order::Refuse { after, why } => {
+                    let tries = seat.next_attempt;
+                    tracing::debug!(id = job.id, dest = job.dest, tries, ?why, "given up");
+                    break Some(job.returned(after));
+                }
                 Order::Claim { node, limit, share } => {
                     let outcome = self.claim(&job, &mut course, &mut seat, &node, limit, share).await;
                     if self.is_handed() {
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -275,7 +275,9 @@
         }
         let held = self.state.borrow().seats.len() + self.borrowed.get();
         let full = self.rules().settings.max_held.is_some_and(|m| held >= m as usize);
-        if full || self.winding_down.get() || !self.knows(job.dest) {
+        let winding_down = self.winding_down.get();
+        if full || winding_down || !self.knows(job.dest) {
+            tracing::debug!(id = job.id, dest = job.dest, full, winding_down, "turned away at the door");
             self.count(|tally| tally.turned_away += 1);
             self.figures.ended(&job.class, Ended::TurnedBack);
             return Answer::Refused { after: Some(DEFAULT_BACKOFF) };
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -1,5 +1,5 @@
 //! The module's rounds: what has happened goes in, what it orders is carried out.
-use slatethread::{Action, EndpointId, Event, MsgId};
+use slatethread::{Action, EndpointId, Event, GiveUpReason, MsgId};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -27,6 +27,8 @@
     Fail,
     Refuse {
         after: Option<Duration>,
+        /// The module's reason; none where no round decides any more.
+        why: Option<GiveUpReason>,
     },
     /// Not the module's: a later job takes its place.
     Replaced,
@@ -111,8 +113,9 @@
                 });
                 order(state, msg, Order::Claim { node, limit, share });
             }
-            Action::Refuse { msg, backoff } => {
-                order(state, msg, Order::Refuse { after: backoff.map(Duration::from_nanos) });
+            Action::Refuse { msg, backoff, why } => {
+                let after = backoff.map(Duration::from_nanos);
+                order(state, msg, Order::Refuse { after, why: Some(why) });
             }
             Action::Fail { msg } => order(state, msg, Order::Fail),
             Action::Cancel { msg, attempt } => order(state, msg, Order::Cancel { attempt }),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -504,7 +504,8 @@
             let room = f64::from(self.settings.max_held.unwrap_or(u32::MAX));
             let crowded = unit.is_some_and(|u| self.ailing(u)) && f64::from(held) > room * HOLD_ILL;
             if (wait > self.left(now, message) || crowded) && !message.owed() {
-                self.give_up(now, id, wait, actions);
+                let why = if crowded { GiveUpReason::DestinationCrowded } else { GiveUpReason::TooSlow };
+                self.give_up(now, id, wait, why, actions);
             } else {
                 self.hold_in(now, id, unit);
                 self.fresh.push_back((now, id));
@@ -530,7 +531,7 @@
             self.hold.all().filter_map(|(dest, lane, queue)| self.last(now, dest, lane, queue)).collect();
         for _ in 0..surplus {
             let Some((_, id, dest, lane)) = worst.pop_last() else { return };
-            self.give_up(now, id, 0.0, actions);
+            self.give_up(now, id, 0.0, GiveUpReason::HoldFull, actions);
             let next = self.hold.lane(dest, &lane).and_then(|queue| self.last(now, dest, &lane, queue));
             worst.extend(next);
         }
@@ -563,7 +564,7 @@
         for id in looks {
             let Some(message) = self.messages.get(&id).filter(|m| m.lane.is_some()) else { continue };
             match self.hopeless(now, message) {
-                Some(wait) => self.give_up(now, id, wait, actions),
+                Some((wait, why)) => self.give_up(now, id, wait, why, actions),
                 None => self.hold_in(now, id, message.lane.and_then(|lane| lane.unit)),
             }
         }
@@ -622,22 +623,30 @@
     fn drop_hopeless(&mut self, now: Nanos, dest: DestId, actions: &mut Vec<Action>) {
         let left = self.guard + nanos(self.soonest(now, dest, Nanos::MAX));
         for id in self.hold.due_by(dest, now, left) {
-            if let Some(wait) = self.hopeless(now, &self.messages[&id]) {
-                self.give_up(now, id, wait, actions);
+            if let Some((wait, why)) = self.hopeless(now, &self.messages[&id]) {
+                self.give_up(now, id, wait, why, actions);
             }
         }
     }
 
-    /// Why a held message cannot be served any more, as the time it would take.
-    fn hopeless(&self, now: Nanos, message: &Message) -> Option<f64> {
+    /// Why a held message cannot be served any more, with the time it would take.
+    fn hopeless(&self, now: Nanos, message: &Message) -> Option<(f64, GiveUpReason)> {
         let left = self.left(now, message);
         let tired = self.settings.max_tries.is_some_and(|most| message.tries >= most);
         let ran = message.risk.zip(message.rules.memory());
         let forgotten = ran.is_some_and(|(risk, memory)| now + self.guard >= risk.sent + memory);
         let rest = secs(message.full.unwrap_or(0).saturating_sub(now));
         let soonest = self.soonest(now, message.dest, self.rested(now, message)) + rest;
-        let hopeless = tired || forgotten || self.outlasted(now, message) || soonest > left;
-        (left <= 0.0 || hopeless && !message.owed()).then_some(soonest)
+        let why = match () {
+            () if left <= 0.0 => GiveUpReason::OutOfTime,
+            () if message.owed() => return None,
+            () if tired => GiveUpReason::OutOfTries,
+            () if forgotten => GiveUpReason::Forgotten,
+            () if self.outlasted(now, message) => GiveUpReason::NoList,
+            () if soonest > left => GiveUpReason::TooSlow,
+            () => return None,
+        };
+        Some((soonest, why))
     }
 
     /// Least time in which a destination would have served a message that is sent now, in seconds.
@@ -946,13 +955,13 @@
     }
 
     /// Gives the final answer at once: refused with a backoff where a repeat is safe, else failed.
-    fn give_up(&mut self, now: Nanos, id: MsgId, wait: f64, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Nanos, id: MsgId, wait: f64, why: GiveUpReason, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id).filter(|m| !m.ended) else { return };
         let repeatable = message.risk.is_none() || message.rules.may_come_again();
         if repeatable && message.out.is_none() && now < message.deadline {
             let most = self.settings.max_backoff.unwrap_or(SECOND);
             let backoff = self.settings.backoff_told.then(|| nanos(wait).clamp(most / 2, most));
-            actions.push(Action::Refuse { msg: id, backoff });
+            actions.push(Action::Refuse { msg: id, backoff, why });
         } else {
             actions.push(Action::Fail { msg: id });
         }
--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -36,8 +36,8 @@
 /// Turns grow with what was waited up to so many seconds for each courier: a discovery that takes that long
 /// for a call is still worked off.
 const WIDEST_TURN: f64 = 1.6;
-/// The same for couriers with a list, whose calls are the cheaper ones: a few of them never wait that long for
-/// one another.
+/// The same for couriers with a list, whose calls are the cheaper ones: a few of them never wait that long
+/// for one another.
 const WIDEST_TURN_LISTED: f64 = 0.4;
 /// Who is turned away sooner met no queue, or one that turns away at the door: its wait tells nothing of
 /// discovery's speed.
@@ -46,9 +46,12 @@
 const WAITED: Nanos = 3;
 /// An answer with the first list may take so long: what discovery has to tell counts as told by then.
 const FIRST_LIST_PATIENCE: Nanos = 6 * SECOND;
-/// An answer with changes is waited for at least so long: longer than discovery was seen to keep calls
-/// waiting, so that nobody gives up a place in the queue to join it at the end.
-const PATIENCE: Nanos = 8 * SECOND;
+/// An answer with changes is waited for at least so long, and at most so long in a first turn: longer than
+/// discovery was seen to keep calls waiting, so that nobody gives up a place in the queue to join it at the
+/// end.
+const PATIENCE: (Nanos, Nanos) = (5 * SECOND / 2, 8 * SECOND);
+/// ... by so many seconds for each courier that may stand in the queue.
+const PATIENCE_EACH: f64 = 0.1;
 /// What is kept of a lease for the call itself when its beginning is drawn.
 const CALL_RESERVE: Nanos = SECOND;
 /// Where the list may be acted on for so long, asks are spread over so many turns: there is no hurry.
@@ -186,7 +189,11 @@
     /// How long an answer is waited for that is no watch's renewal; `held` says whether it is to bring
     /// changes to a list.
     pub fn patience(&self, held: bool) -> Nanos {
-        if held { (self.turn / 2).max(PATIENCE) } else { self.turn.max(FIRST_LIST_PATIENCE) }
+        if !held {
+            return self.turn.max(FIRST_LIST_PATIENCE);
+        }
+        let (least, most) = PATIENCE;
+        nanos(PATIENCE_EACH * self.couriers).clamp(least, most).max(self.turn / 2)
     }
 
     /// Time until a list may be there for who has none, or none that may be acted on. Of a call that is out
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,25 @@
     pub started: Nanos,
 }
 
+/// Why a message is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUpReason {
+    /// Its destination would serve it too late, by what is predicted.
+    TooSlow,
+    /// Too much waits for its destination already, which serves nothing just now.
+    DestinationCrowded,
+    /// The hold is full, and it is worth least.
+    HoldFull,
+    /// Its time is over.
+    OutOfTime,
+    /// It has had all its tries.
+    OutOfTries,
+    /// Who got it before may no longer know it.
+    Forgotten,
+    /// No list that may be acted on will be there in time.
+    NoList,
+}
+
 /// How much of the list an event brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
@@ -410,6 +429,8 @@
         msg: MsgId,
         /// How long the client should stay away.
         backoff: Option<Nanos>,
+        /// Why, for the log.
+        why: GiveUpReason,
     },
     /// End the message as failed.
     Fail {
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -274,7 +274,7 @@
         Action::Send { msg, endpoint, limit } => {
             json!({"type": "deliver", "courier": courier, "handle": msg.0, "limit": limit, "endpoint": endpoint.0})
         }
-        Action::Refuse { msg, backoff } => {
+        Action::Refuse { msg, backoff, .. } => {
             json!({"type": "deny", "courier": courier, "handle": msg.0, "backoff": backoff})
         }
         Action::Fail { msg } => json!({"type": "end_failed", "courier": courier, "handle": msg.0}),
