--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -93,8 +93,9 @@
     pub fn start(&mut self, now: Nanos, left: Option<Nanos>, random: &mut Random) -> Nanos {
         let own = nanos(TURN_UNLISTED);
         let spread = if self.listed { self.unhurried(left) } else { self.turn.saturating_sub(own) };
-        let alone = self.couriers <= 1.0;
-        self.pause(now, if alone { 0 } else { nanos(secs(spread) * random.unit()) })
+        // A few of them are no crowd.
+        let few = spread <= if self.listed { LEAST_AGAIN } else { 0 };
+        self.pause(now, if few { 0 } else { nanos(secs(spread) * random.unit()) })
     }
 
     /// A call begins.
