SIGHUP binds the list also where its settings are not taken up

Cause: Core::settle returned before the lease heard of the reload where classes, kinds or zones differ, though discovery had moved by then: a list could be acted on for longer than 4 s after the SIGHUP. Measured: a_reload_binds_the_list_whether_or_not_the_settings_are_taken_up failed before and passes.

--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -247,6 +247,8 @@
         let old = self.rules();
         if rules.names != old.names {
             tracing::warn!("classes, kinds or zones differ: the settings are taken up with the next start");
+            // Discovery may have moved all the same.
+            self.list_reloaded();
             return;
         }
         self.state.borrow_mut().courier.settle(rules.settings.clone());
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -97,6 +97,22 @@
     heard.map(|e| (e.id.0, e.condition)).collect()
 }
 
+/// Discovery may have moved although the settings are not taken up.
+#[test]
+fn a_reload_binds_the_list_whether_or_not_the_settings_are_taken_up() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for class in [None, Some("another")] {
+        let core = core(folder.path());
+        core.bind_list(None, None, true);
+        let left = || core.list_clock.end().expect("it ends") - Instant::now();
+        assert!(left() > Duration::from_secs(5));
+        let mut rules = (*core.rules()).clone();
+        rules.names.classes.extend(class.map(str::to_owned));
+        core.settle(rules, 1_000_000);
+        assert!(left() < Duration::from_secs(5), "{class:?}");
+    }
+}
+
 #[test]
 fn the_module_hears_what_has_changed_and_what_closes_first() {
     use Condition::*;
