--- a/relay/src/backlog.rs
+++ b/relay/src/backlog.rs
@@ -20,6 +20,7 @@
 
 pub mod report;
 
+use crate::clock;
 use crate::config;
 use crate::figures::BacklogFigures;
 use crate::journal::Open;
@@ -320,7 +321,7 @@
     /// Messages whose time is over, the earliest deadlines first, at most `most`; whether there may be more. They are
     /// the caller's until it releases them.
     pub async fn claim_expired(&self, most: u32) -> Result<(Vec<StoredMessage>, bool), StoreError> {
-        let now = unix_millis(SystemTime::now());
+        let now = unix_millis(clock::now());
         let read = self.ask(|worker| worker.due(now, most as usize)).await?;
         let more = read.len() == most as usize;
         Ok((self.claim(read), more))
@@ -377,7 +378,7 @@
 
     /// Writes and removes a message of the store's own.
     pub async fn probe(&self) -> Result<(), StoreError> {
-        let now = unix_millis(SystemTime::now());
+        let now = unix_millis(clock::now());
         let probe = NewMessage {
             lane: PROBE_LANE,
             arrived: now,
@@ -458,5 +459,5 @@
 }
 
 fn time_until(deadline: UnixMillis) -> Duration {
-    Duration::from_millis(deadline.0.saturating_sub(unix_millis(SystemTime::now()).0))
+    Duration::from_millis(deadline.0.saturating_sub(unix_millis(clock::now()).0))
 }
--- a/relay/src/backlog/report.rs
+++ b/relay/src/backlog/report.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::time::SystemTime;
 
 use super::{Backlog, unix_millis};
 use crate::admin_client;
+use crate::clock;
 
 /// Most destinations that are told at once, those with the most messages.
 const MOST_DESTINATIONS: usize = 100;
@@ -88,7 +88,7 @@
     }
 
     fn by_destination(&self, overview: &Overview, only: Option<u64>) -> Vec<DestinationReport> {
-        let now = unix_millis(SystemTime::now());
+        let now = unix_millis(clock::now());
         let mut reports = BTreeMap::<u64, DestinationReport>::new();
         let wanted = |lane: &&LaneSummary| only.is_none_or(|only| only == lane.lane.destination);
         for lane in overview.lanes.iter().filter(wanted) {
--- a/relay/src/core/backlog.rs
+++ b/relay/src/core/backlog.rs
@@ -10,17 +10,19 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
+use super::decision::{Decision, Refusal};
 use super::life::Course;
 use super::rounds::{Order, order};
 use super::{Carrier, Core};
 use crate::backlog::{Backlog, fault_of, unix_millis};
+use crate::clock;
 use crate::figures::{BacklogRefusal, Ended};
 use crate::job::{Answer, Job, Notice, NoticeEnd};
-use crate::journal::{Key, QueuedRequest};
+use crate::journal::{Key, QueuedRequest, SettledEnd, TakenOn};
 
 /// Pause between two tries of what has to be done in the end.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -194,7 +196,7 @@
         self: Rc<Self>,
         backlog: Rc<Backlog>,
         job: Job,
-        answer: oneshot::Sender<Answer>,
+        answer: oneshot::Sender<Decision>,
     ) {
         let Some(lane) = backlog.lane(job.dest, &job.class) else {
             return self.life(job, Course::default(), Some(answer)).await;
@@ -206,7 +208,10 @@
             // The same request once more, while it waits.
             match backlog.find(&job.id).await {
                 Ok(None) => {}
-                Ok(Some(_)) => return self.answer_placed(&job.id, answer, Answer::Taken),
+                Ok(Some(place)) => {
+                    let taken_on = Decision::Taken(TakenOn::in_backlog(&place));
+                    return self.answer_placed(&job.id, answer, taken_on);
+                }
                 Err(_) => return self.answer_placed(&job.id, answer, refused(STORE_RETRY)),
             }
         }
@@ -234,13 +239,13 @@
     }
 
     /// Answers a request that does not go into memory.
-    fn answer_placed(&self, id: &str, answer: oneshot::Sender<Answer>, told: Answer) {
-        if let Answer::Refused { .. } = told {
+    fn answer_placed(&self, id: &str, answer: oneshot::Sender<Decision>, decision: Decision) {
+        if let Decision::Refused(Refusal::Refused { .. }) = decision {
             self.count(|tally| tally.turned_away += 1);
         }
-        self.release_id(id, Some(told));
+        self.release_id(id, Some(decision.told()));
         // A submitter that is gone needs none.
-        let _ = answer.send(told);
+        let _ = answer.send(decision);
     }
 
     /// The id of a request is no longer reserved; `told` is an answer that goes on to hold. A request that was fetched into
@@ -258,28 +263,28 @@
         backlog: Rc<Backlog>,
         lane: Lane,
         mut job: Job,
-        answer: oneshot::Sender<Answer>,
+        answer: oneshot::Sender<Decision>,
     ) {
         if let Some(hooks) = &self.hooks {
             let ruling = hooks.admit(&job, job.left());
             if ruling.refuse {
                 self.tell_backlog(&backlog, Event::SpillDropped { lane, count: 1 });
-                return self.answer_placed(&job.id, answer, Answer::Refused { after: ruling.after });
+                let refusal = Refusal::Refused { after: ruling.after };
+                return self.answer_placed(&job.id, answer, Decision::Refused(refusal));
             }
-            job.deadline =
-                ruling.left.map_or(job.deadline, |left| job.deadline.min(SystemTime::now() + left));
+            job.deadline = ruling.left.map_or(job.deadline, |left| job.deadline.min(clock::now() + left));
             job.label = ruling.label;
         }
         let rules = self.rules();
         let Some(class) = rules.class(&job.class) else {
             self.tell_backlog(&backlog, Event::SpillDropped { lane, count: 1 });
-            return self.answer_placed(&job.id, answer, Answer::Failed);
+            return self.answer_placed(&job.id, answer, Decision::Refused(Refusal::Failed));
         };
         let request = QueuedRequest::new(job, &rules.settings.classes[class]);
         let id = request.job.id.clone();
         let message = NewMessage {
             lane,
-            arrived: unix_millis(SystemTime::now()),
+            arrived: unix_millis(clock::now()),
             deadline: unix_millis(request.job.deadline),
             id: request.job.id.as_str().into(),
             payload: request.encode(),
@@ -289,7 +294,7 @@
                 self.tell_backlog(&backlog, Event::Stored { lane, count: 1 });
                 self.count(|tally| tally.taken += 1);
                 backlog.figures.stored.inc();
-                match answer.send(Answer::Taken) {
+                match answer.send(Decision::Taken(TakenOn::in_backlog(&place))) {
                     Ok(()) => self.release_id(&id, Some(Answer::Taken)),
                     // A client that is gone was not told: it hands the message in again.
                     Err(_) => self.withdraw(&backlog, &id, place).await,
@@ -354,15 +359,15 @@
             backlog.release(claimed_places);
             return self.fetch_failed(&backlog, lane, &"the journal has no room");
         }
+        // What is removed without having been told ends for nobody.
+        let unread = unreadable.len() as u64;
+        let told = unreadable.into_iter().map(|notice| self.clone().tell_in_the_end(notice));
+        futures_util::future::join_all(told).await;
         if !self.remove_in_the_end(&backlog, &places).await {
             return;
         }
         let whole = exhausted && places.len() == claimed_places.len();
         backlog.release(claimed_places);
-        let unread = unreadable.len() as u64;
-        for notice in unreadable {
-            actix_rt::spawn(self.clone().tell_in_the_end(notice));
-        }
         if unread > 0 {
             self.tell_backlog(&backlog, Event::RemovedFromDisk { lane, count: unread });
         }
@@ -514,7 +519,8 @@
 
     /// Tells an end, however long it takes.
     async fn tell_in_the_end(self: Rc<Self>, notice: Notice) {
-        while self.carrier.notify(&notice).await.is_err() && !self.is_handed() {
+        let end = SettledEnd::of_backlog(notice);
+        while self.carrier.notify(&end).await.is_err() && !self.is_handed() {
             sleep(RETRY_PAUSE).await;
         }
     }
@@ -539,15 +545,15 @@
     }
 }
 
-fn refused(after: Duration) -> Answer {
-    Answer::Refused { after: Some(after) }
+fn refused(after: Duration) -> Decision {
+    Decision::Refused(Refusal::Refused { after: Some(after) })
 }
 
 /// A request as the backlog is to have it again.
 fn stored(request: &QueuedRequest, place: Place) -> StoredMessage {
     StoredMessage {
         place,
-        arrived: unix_millis(SystemTime::now()),
+        arrived: unix_millis(clock::now()),
         deadline: unix_millis(request.job.deadline),
         id: request.job.id.as_str().into(),
         payload: request.encode(),
--- a/relay/src/core/life.rs
+++ b/relay/src/core/life.rs
@@ -1,7 +1,7 @@
 //! The life of one job, and its place at the module.
 use slatethread::{Class, ClassId, DestId, EndpointId, Event, MsgId, Report, Request, Risk, ZoneId};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until};
 
@@ -9,16 +9,17 @@
 
 use super::backlog::{MemorySlot, Parked};
 use super::bundle::Share;
+use super::decision::{Decision, Refusal};
 use super::rounds::{ORDERS, Order};
 use super::{Carrier, Core, DEFAULT_BACKOFF, FAR_OFF, Node, Ticket};
+use crate::clock;
 use crate::estate::Home;
 use crate::figures::Ended;
-use crate::job::{Answer, Job, Notice, NoticeEnd, Outcome, nanos};
-use crate::journal::{Key, MayHaveRun, Open, QueuedRequest};
+use crate::job::{Job, Notice, Outcome, nanos};
+use crate::journal::{Key, MayHaveRun, Open, QueuedRequest, TakenOn};
 
-/// Shortest and longest time between two tries to tell an end.
-const NOTICE_FIRST_PAUSE: Duration = Duration::from_millis(50);
-const NOTICE_PAUSE: Duration = Duration::from_secs(2);
+/// Before a claim is reported that a fault of this machine kept back.
+const LOCAL_FAULT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What is known of a job's course.
 #[derive(Default)]
@@ -45,6 +46,10 @@
 }
 
 impl Course {
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
     pub fn tries(&self) -> u32 {
         self.tries
     }
@@ -79,13 +84,17 @@
         self: Rc<Self>,
         mut job: Job,
         mut course: Course,
-        answer: Option<oneshot::Sender<Answer>>,
+        answer: Option<oneshot::Sender<Decision>>,
     ) {
         // Admit.
         let mut slot = self.take_slot(&job);
         if let Some(notice) = course.ending.take() {
             return self.finish(&job, &course, Some(notice)).await;
         }
+        if answer.is_none() && job.left().is_zero() {
+            // A process before may have told just that without a record.
+            return self.finish(&job, &course, Some(job.failed(None))).await;
+        }
         let known = self.rules().class(&job.class);
         let Some(class) = known else {
             // Only a journal from before a change of the settings can hold such a job.
@@ -98,10 +107,9 @@
         if let (Some(hooks), Some(_)) = (&self.hooks, &answer) {
             let ruling = hooks.admit(&job, job.left());
             if ruling.refuse {
-                return self.turn_away(&job, answer, Answer::Refused { after: ruling.after });
+                return self.turn_away(&job, answer, Refusal::Refused { after: ruling.after });
             }
-            job.deadline =
-                ruling.left.map_or(job.deadline, |left| job.deadline.min(SystemTime::now() + left));
+            job.deadline = ruling.left.map_or(job.deadline, |left| job.deadline.min(clock::now() + left));
             job.label = ruling.label;
         }
         let mut seat = self.take_seat(&job, &course);
@@ -121,24 +129,27 @@
             let taken_on = match order {
                 Order::Refuse { after, why } => {
                     tracing::debug!(id = job.id, dest = job.dest, ?why, "given up on arrival");
-                    Err(Answer::Refused { after })
+                    Err(Refusal::Refused { after })
+                }
+                Order::Fail => Err(Refusal::Failed),
+                _ => {
+                    self.record(&job, &course.rules).ok_or(Refusal::Refused { after: Some(DEFAULT_BACKOFF) })
                 }
-                Order::Fail => Err(Answer::Failed),
-                _ => self.record(&job, &course.rules).ok_or(Answer::Refused { after: Some(DEFAULT_BACKOFF) }),
             };
-            match taken_on {
-                Ok(key) => {
-                    course.key = key;
+            let taken_on = match taken_on {
+                Ok(taken_on) => {
+                    course.key = taken_on.key().expect("the journal has it");
                     self.state.borrow_mut().ids.insert(job.id.clone(), true);
                     self.decisions.notify_waiters();
                     self.count(|tally| tally.taken += 1);
+                    taken_on
                 }
                 Err(refusal) => {
                     seat.leave(order);
                     return self.turn_away(&job, Some(answer), refusal);
                 }
-            }
-            if answer.send(Answer::Taken).is_err() {
+            };
+            if answer.send(Decision::Taken(taken_on)).is_err() {
                 // A submitter that is gone was not told: it hands the message in again.
                 seat.leave(order);
                 return self.forget(&job, &course, None);
@@ -265,6 +276,9 @@
         self.count_call(job.dest, false);
         // Guards against a time-out or a cancellation between the node's word and the end of its answer.
         let outcome = if ticket.is_delivered() { Outcome::Delivered } else { outcome };
+        // What our own machine did not let out is no try.
+        let held_back = outcome.never_ran() && !outcome.ends_job() && ticket.met_local_fault();
+        let outcome = if held_back { Outcome::LocalFault } else { outcome };
         let label = job.label.as_deref().unwrap_or("");
         let (took, dest) = (sent.elapsed(), job.dest);
         let told = ticket.report().limit;
@@ -286,14 +300,18 @@
             "claim"
         );
         if let Some(successor) = &*self.successor.borrow() {
-            successor.home(Home { key: course.key, outcome, node: node.name.to_string() });
+            // A process of another version knows no faults of this machine.
+            let told = if outcome == Outcome::LocalFault { Outcome::NotSent } else { outcome };
+            successor.home(Home { key: course.key, outcome: told, node: node.name.to_string() });
             return outcome;
         }
+        if outcome == Outcome::LocalFault && !self.journal_health.is_failing() {
+            // Guards against trying at once and again what a connection cannot be made for.
+            sleep(LOCAL_FAULT_PAUSE).await;
+        }
         match ticket.recorded() {
             Some(_) if outcome.never_ran() => {
-                if let Err(e) = self.journal.borrow_mut().never_ran(course.key) {
-                    tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
-                }
+                self.record_never_ran(course.key, &job.id);
             }
             Some(this) => _ = course.risk.get_or_insert(this),
             // It has not begun.
@@ -308,7 +326,7 @@
         let wait = if let Outcome::Full { wait } = outcome { wait } else { None };
         // Where nodes are routes apart, a wait of one says nothing of the others.
         let of_one_route = wait.is_some() && self.is_apart(node);
-        if !outcome.ends_job() && !of_one_route {
+        if !outcome.ends_job() && !of_one_route && outcome != Outcome::LocalFault {
             self.attempt_failed(job.dest, wait);
         }
         self.count(|tally| {
@@ -350,77 +368,27 @@
     }
 
     /// Hands a job whose submitter still waits for its answer to who has taken over.
-    async fn pass_on(&self, job: Job, answer: Option<oneshot::Sender<Answer>>) {
+    async fn pass_on(&self, job: Job, answer: Option<oneshot::Sender<Decision>>) {
         let successor = self.successor.borrow().clone();
         if let (Some(successor), Some(answer)) = (successor, answer) {
             let id = job.id.clone();
             let told = successor.admit(job).await;
             self.decided(&id, Some(told));
             // A submitter that is gone hands the message in again.
-            let _ = answer.send(told);
+            let _ = answer.send(Decision::ByAnother(told));
         }
     }
 
-    /// Tells the end of a job, if it has one to tell, and forgets it.
-    pub(super) async fn finish(&self, job: &Job, course: &Course, notice: Option<Notice>) {
-        if let Some(notice) = notice {
-            if let Err(e) = self.journal.borrow_mut().ending(course.key, &notice) {
-                tracing::error!(id = job.id, error = %e, "journal cannot record an end");
-            }
-            self.count(|tally| match notice.end {
-                NoticeEnd::Failed { .. } => tally.failed += 1,
-                NoticeEnd::Returned { .. } => tally.returned += 1,
-                NoticeEnd::Replaced => tally.replaced += 1,
-            });
-            let failed = matches!(notice.end, NoticeEnd::Failed { .. });
-            self.figures.ended(&job.class, if failed { Ended::Failed } else { Ended::TurnedBack });
-            let label = job.label.as_deref().unwrap_or("");
-            tracing::debug!(id = job.id, dest = job.dest, end = ?notice.end, label, "ended undelivered");
-            let mut pause = NOTICE_FIRST_PAUSE;
-            while let Err(e) = self.carrier.notify(&notice).await {
-                // Its room in the journal is kept: should nobody listen for long, new jobs are refused.
-                if pause == NOTICE_FIRST_PAUSE {
-                    tracing::warn!(id = job.id, error = e, "an end could not be told; trying on");
-                }
-                tokio::select! {
-                    () = sleep(pause) => {}
-                    // Whoever has the journal tells it.
-                    () = self.handed.cancelled() => return,
-                }
-                pause = (pause * 2).min(NOTICE_PAUSE);
-            }
-        }
-        if !self.is_handed() {
-            self.forget(job, course, Some(Answer::Taken));
-        }
-    }
-
-    /// Nothing more is owed for a job; its id may have been `told` an answer that goes on to hold.
-    fn forget(&self, job: &Job, course: &Course, told: Option<Answer>) {
-        if let Err(e) = self.journal.borrow_mut().end(course.key) {
-            tracing::error!(id = job.id, error = %e, "journal cannot record that nothing more is owed");
-        }
-        self.decided(&job.id, told);
-    }
-
-    /// An id is no longer open.
-    pub(super) fn decided(&self, id: &str, told: Option<Answer>) {
-        let mut state = self.state.borrow_mut();
-        state.ids.remove(id);
-        told.into_iter().for_each(|told| state.recent.add(id, told));
-        self.decisions.notify_waiters();
-    }
-
     /// Gives a new job its answer instead of taking it on.
-    fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Answer>>, refusal: Answer) {
+    fn turn_away(&self, job: &Job, answer: Option<oneshot::Sender<Decision>>, refusal: Refusal) {
         self.count(|tally| tally.turned_away += 1);
-        let failed = refusal == Answer::Failed;
+        let failed = refusal == Refusal::Failed;
         self.figures.ended(&job.class, if failed { Ended::Failed } else { Ended::TurnedBack });
         tracing::debug!(id = job.id, dest = job.dest, ?refusal, "turned away");
-        self.decided(&job.id, Some(refusal));
+        self.decided(&job.id, Some(refusal.into()));
         if let Some(answer) = answer {
             // A submitter that is gone needs none.
-            let _ = answer.send(refusal);
+            let _ = answer.send(Decision::Refused(refusal));
         }
     }
 
@@ -429,22 +397,22 @@
         (course.risk.is_none() || course.rules.may_come_again()) && !job.left().is_zero()
     }
 
-    fn record(&self, job: &Job, rules: &Class) -> Option<Key> {
+    fn record(&self, job: &Job, rules: &Class) -> Option<TakenOn> {
         match self.journal.borrow_mut().job(job, rules) {
-            Ok(Some(key)) => Some(key),
+            Ok(Some(taken_on)) => Some(taken_on),
             Ok(None) => {
                 tracing::warn!(id = job.id, size = job.body.len(), "journal is full; the job is refused");
                 None
             }
-            Err(e) => {
-                tracing::error!(id = job.id, error = %e, "journal cannot be written; the job is refused");
+            Err(error) => {
+                tracing::debug!(id = job.id, %error, "journal cannot be written; the job is refused");
                 None
             }
         }
     }
 
     fn take_seat(&self, job: &Job, course: &Course) -> Seat<'_, C> {
-        let now = SystemTime::now();
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
         let risk = course.risk.as_ref().map(|risk| {
             let ago = risk.ago(now);
@@ -487,7 +455,7 @@
 /// Until when an earlier claim is surely remembered, where a repeat matters.
 fn memory_ends(rules: &Class, risk: &MayHaveRun) -> Option<Instant> {
     let memory = Duration::from_nanos(rules.memory()?);
-    Some(Instant::now() + memory.saturating_sub(risk.ago(SystemTime::now())))
+    Some(Instant::now() + memory.saturating_sub(risk.ago(clock::now())))
 }
 
 /// A job's place at the module. Leaving it frees the place.
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -2,6 +2,8 @@
 //! jobs in, and a [`Carrier`] takes claims to execute nodes and notices to their readers.
 mod backlog;
 mod bundle;
+mod decision;
+mod ends;
 mod life;
 mod list_confirmation;
 mod nodes;
@@ -32,8 +34,9 @@
 use crate::disabled::Disabled;
 use crate::figures::{Census, Ended, Figures};
 use crate::hook::Hooks;
-use crate::job::{Answer, Job, Notice, Outcome, nanos};
-use crate::journal::{Journal, Key, Open};
+use crate::job::{Answer, Job, Outcome, nanos};
+use crate::journal::{Health, Journal, Key, Open, SettledEnd};
+use decision::Decision;
 use life::Course;
 use rounds::Order;
 
@@ -59,7 +62,7 @@
         std::future::ready(vec![Outcome::NotSent; parts.len()])
     }
     /// Tells how a job ended; done once it is certain to have been heard.
-    fn notify(&self, notice: &Notice) -> impl Future<Output = Result<(), String>>;
+    fn notify(&self, end: &SettledEnd) -> impl Future<Output = Result<(), String>>;
     /// Under what a job that waits is replaced by a later one under the same, if by any.
     fn replaces(&self, _job: &Job) -> Option<String> {
         None
@@ -136,6 +139,7 @@
     hooks: Option<Hooks>,
     state: RefCell<State>,
     journal: Rc<RefCell<Journal>>,
+    journal_health: Rc<Health>,
     disabled: RefCell<Disabled>,
     /// Among how many relays limits are divided, where that follows who is there.
     divided: Cell<Option<u32>>,
@@ -206,6 +210,7 @@
             rules: RefCell::new(Rc::new(rules)),
             hooks,
             state: RefCell::new(state),
+            journal_health: journal.health(),
             journal: Rc::new(RefCell::new(journal)),
             disabled: RefCell::new(disabled),
             divided: Cell::default(),
@@ -298,14 +303,19 @@
         if let Some(answer) = self.state.borrow_mut().recent.answer(&job.id) {
             return answer;
         }
-        self.state.borrow_mut().ids.insert(job.id.clone(), false);
+        let id = job.id.clone();
+        self.state.borrow_mut().ids.insert(id.clone(), false);
         // A task of its own: the submitter may be gone at any moment, and the id is to be decided on all the same.
         let (answer, answered) = oneshot::channel();
         match self.backlog() {
             Some(backlog) => drop(actix_rt::spawn(self.clone().place(backlog, job, answer))),
             None => drop(actix_rt::spawn(self.clone().life(job, Course::default(), Some(answer)))),
         }
-        answered.await.unwrap_or(Answer::Failed)
+        let Ok(decision) = answered.await else { return Answer::Failed };
+        if let Decision::Taken(taken_on) = &decision {
+            tracing::debug!(id, key = taken_on.key(), "taken on");
+        }
+        decision.told()
     }
 
     /// The process's figures.
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -13,6 +13,7 @@
 use tokio::task::yield_now;
 
 use super::{Carrier, Core, ListClock, State};
+use crate::clock;
 use crate::config::Rules;
 use crate::disabled::Refused;
 use crate::estate::ListedNode;
@@ -187,10 +188,9 @@
     fn write(&self) -> bool {
         let mut written = self.written.borrow_mut();
         if written.is_none() {
-            let claim =
-                MayHaveRun { sent: SystemTime::now(), node: self.node.clone(), zone: self.zone.clone() };
+            let claim = MayHaveRun { sent: clock::now(), node: self.node.clone(), zone: self.zone.clone() };
             if let Err(error) = self.journal.borrow_mut().claim(self.key, claim.clone()) {
-                tracing::error!(key = self.key, %error, "journal cannot record a claim; it is not sent");
+                tracing::debug!(key = self.key, %error, "journal cannot record a claim; it is not sent");
                 return false;
             }
             *written = Some(claim);
@@ -211,6 +211,8 @@
     /// When its first byte was written, and how long ago the list had been confirmed then.
     begun: Cell<Option<(Instant, Option<Duration>)>>,
     sent: Cell<bool>,
+    /// It was not sent by a fault of this machine.
+    local_fault: Cell<bool>,
     delivered: Cell<bool>,
     /// What the answer tells of the node's limit, and a wait that it tells whatever became of the message.
     report: Cell<Report>,
@@ -238,7 +240,15 @@
     /// from here on. Guards against a claim that waits for its connection counting as one that may have run, should the
     /// process end.
     pub fn begin(&self) -> bool {
-        let begins = self.may_begin() && self.record.as_ref().is_none_or(ClaimRecord::write);
+        if !self.may_begin() {
+            return false;
+        }
+        if !self.record.as_ref().is_none_or(ClaimRecord::write) {
+            self.mark_local_fault();
+            return false;
+        }
+        // Guards against a record that took so long that the leave to send is over.
+        let begins = self.may_begin();
         if begins {
             let now = Instant::now();
             self.begun.set(Some((now, self.list.age(now))));
@@ -272,6 +282,15 @@
         self.sent.get()
     }
 
+    /// To be called where a fault of this machine, not of the node, keeps it from being sent.
+    pub fn mark_local_fault(&self) {
+        self.local_fault.set(true);
+    }
+
+    pub fn met_local_fault(&self) -> bool {
+        self.local_fault.get()
+    }
+
     /// To be called once the node has said that the message is delivered, whatever it says after that.
     pub fn mark_delivered(&self) {
         self.delivered.set(true);
@@ -539,6 +558,7 @@
             record: Some(record),
             begun: Cell::default(),
             sent: Cell::new(false),
+            local_fault: Cell::new(false),
             delivered: Cell::new(false),
             report: Cell::default(),
             told: Cell::default(),
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::disabled::Disabled;
 use crate::figures::Figures;
-use crate::job::{Job, Notice, Outcome};
+use crate::job::{Job, Outcome};
+use crate::journal::SettledEnd;
 
 /// A node that is open or not.
 pub(crate) fn node(address: SocketAddr, open: bool) -> Node {
@@ -31,6 +32,7 @@
         record: None,
         begun: Cell::default(),
         sent: Cell::new(false),
+        local_fault: Cell::new(false),
         delivered: Cell::new(false),
         report: Cell::default(),
         told: Cell::default(),
@@ -56,7 +58,7 @@
         Outcome::NotSent
     }
 
-    async fn notify(&self, _: &Notice) -> Result<(), String> {
+    async fn notify(&self, _: &SettledEnd) -> Result<(), String> {
         Ok(())
     }
 
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -75,6 +75,7 @@
         }
         self.watch_lease(now);
         state.courier.set_list_lease(self.list_clock.ends_at());
+        state.courier.pause_calls(self.journal_health.is_failing());
         let mut actions = Vec::new();
         state.courier.on_round(self.module_time(now), &events, &mut actions);
         let mut bundles = HashMap::new();
--- a/relay/src/core/succession.rs
+++ b/relay/src/core/succession.rs
@@ -218,9 +218,7 @@
         let outcome = told.as_ref().map_or(Outcome::Cancelled, |home| home.outcome);
         tracing::debug!(id = job.id, ?outcome, "a claim came home to the process before");
         if outcome.never_ran() {
-            if let Err(e) = self.journal.borrow_mut().never_ran(key) {
-                tracing::error!(id = job.id, error = %e, "journal cannot record that a claim never ran");
-            }
+            self.record_never_ran(key, &job.id);
             course.set_risk(self.journal.borrow().risk(key));
         }
         if let (Outcome::Full { wait: Some(wait) }, Some(home)) = (outcome, &told) {
--- a/relay/src/hook.rs
+++ b/relay/src/hook.rs
@@ -108,13 +108,14 @@
         Outcome::Delivered => "delivered",
         Outcome::Rejected(_) => "rejected",
         Outcome::Over => "over",
-        Outcome::NotSent => "not-sent",
         Outcome::Full { .. } => "full",
         Outcome::Error => "error",
         Outcome::TimedOut => "timed-out",
         Outcome::Reset => "reset",
         Outcome::Unconnected => "unconnected",
         Outcome::Cancelled => "cancelled",
+        // To a plug-in it was not sent, whoever is to blame.
+        Outcome::NotSent | Outcome::LocalFault => "not-sent",
     }
 }
 
--- a/relay/src/job.rs
+++ b/relay/src/job.rs
@@ -4,6 +4,8 @@
 use slatethread::Nanos;
 use std::time::{Duration, SystemTime};
 
+use crate::clock;
+
 /// A message that a submitter hands in: what the core reads of it, and what passes through unread.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
@@ -53,12 +55,14 @@
     Reset,
     Unconnected,
     Cancelled,
+    /// Not sent, by a fault of this machine: it never reached the node, which is not to blame.
+    LocalFault,
 }
 
 impl Outcome {
     pub fn never_ran(self) -> bool {
         use Outcome::*;
-        matches!(self, Over | NotSent | Full { .. } | Unconnected)
+        matches!(self, Over | NotSent | Full { .. } | Unconnected | LocalFault)
     }
 
     pub fn ends_job(self) -> bool {
@@ -77,6 +81,7 @@
             Outcome::Reset => To::Reset,
             Outcome::Unconnected => To::ConnectFailed,
             Outcome::Cancelled => To::Cancelled,
+            Outcome::LocalFault => To::LocalFault,
         }
     }
 }
@@ -105,7 +110,7 @@
     }
 
     pub fn left(&self) -> Duration {
-        self.deadline.duration_since(SystemTime::now()).unwrap_or_default()
+        self.deadline.duration_since(clock::now()).unwrap_or_default()
     }
 
     pub fn failed(&self, status: Option<u16>) -> Notice {
--- a/relay/src/journal/queued.rs
+++ b/relay/src/journal/queued.rs
@@ -96,7 +96,7 @@
     /// When the file cannot be written; then the request is still the backlog's.
     pub fn fetched(&mut self, request: &QueuedRequest, place: Place) -> io::Result<Option<Key>> {
         let key = self.next;
-        let mut frame = encode(&Record::Job(key, request.job.clone()));
+        let mut frame = encode(&self.job_record(key, &request.job));
         frame.extend(encode(&Record::Rules(key, request.rules.clone())));
         frame.extend(encode(&Record::Fetched(key, place.into())));
         let frame = Bytes::from(frame);
@@ -106,7 +106,7 @@
         let claims = request.claims.clone();
         let mut records = frame.to_vec();
         if claims.tries > 0 {
-            records.extend(encode(&Record::Claims(key, claims.clone())));
+            records.extend(encode(&self.claims_record(key, &claims)));
         }
         self.append(&records)?;
         self.next += 1;
--- a/relay/src/lease_record.rs
+++ b/relay/src/lease_record.rs
@@ -12,18 +12,17 @@
 //! | 4 | CRC-32 of all that stands before |
 //!
 //! A record that is torn, of another boot, or in the future is none. One that cannot be written is removed: no record is the safe side.
-use rustix::time::{ClockId, clock_gettime};
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::time::Duration;
 
+use crate::clock::{boot, monotonic};
+
 const FORM: u32 = 1;
 const LENGTH: usize = 4 + 16 + 8 + 8 + 4;
 const NAME: &str = "list-lease";
-/// The machine's present boot, as text.
-const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
 
 /// What a process before knew of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,19 +83,6 @@
     }
 }
 
-/// The machine's monotonic clock.
-fn monotonic() -> Duration {
-    let now = clock_gettime(ClockId::Monotonic);
-    Duration::new(now.tv_sec.try_into().unwrap_or(0), now.tv_nsec.try_into().unwrap_or(0))
-}
-
-/// The present boot; none where the system does not tell, and then no record holds.
-fn boot() -> Option<[u8; 16]> {
-    let text = std::fs::read_to_string(BOOT_ID).ok()?;
-    let digits: String = text.chars().filter(char::is_ascii_hexdigit).collect();
-    u128::from_str_radix(&digits, 16).ok().map(u128::to_le_bytes)
-}
-
 fn encode(confirmed: Confirmed, boot: [u8; 16], now: Duration) -> Vec<u8> {
     let at = now.saturating_sub(confirmed.ago).as_nanos() as u64;
     let mut bytes = FORM.to_le_bytes().to_vec();
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -1,6 +1,6 @@
 //! A relay that hands messages on to partner systems; `slatethread` decides, this program acts.
 //!
-//! The rooms, each importing only those before it: plain values ([`job`]), what is read and written ([`config`],
+//! The rooms, each importing only those before it: plain values ([`clock`], [`job`]), what is read and written ([`config`],
 //! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`disabled`]), plug-ins ([`hook`]), what waits on disk ([`backlog`]), jobs' lives ([`core`]), what fronts
 //! share ([`availability`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]; `admin_client` calls it), and the program that
 //! wires them ([`run`]).
@@ -10,6 +10,7 @@
 mod admin_client;
 pub mod availability;
 pub mod backlog;
+pub mod clock;
 pub mod config;
 pub mod core;
 pub mod disabled;
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -2,10 +2,11 @@
 use actix_rt::net::{ActixStream, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError as Unconnected, SendRequestError};
 use awc::http::{StatusCode, Uri};
 use awc::{Client, Connector};
 use bytes::Bytes;
+use rustix::io::Errno;
 use slatethread::{EndpointId, Report};
 use slatethread_wirehost::env::report;
 use std::cell::{Cell, RefCell};
@@ -24,7 +25,8 @@
 use crate::config::Rules;
 use crate::core::{Carrier, Core, Node, Part, Ticket};
 use crate::discovery::Place;
-use crate::job::{Job, Notice, Outcome, told_seconds};
+use crate::job::{Job, Outcome, told_seconds};
+use crate::journal::SettledEnd;
 
 /// How long a connection may be used; a machine that serves for a year must not tire of them.
 const LIFETIME: Duration = Duration::from_secs(365 * 24 * 3600);
@@ -342,7 +344,26 @@
         return Outcome::NotSent;
     }
     tracing::debug!(%error, "call not sent");
-    Outcome::Unconnected
+    match error {
+        SendRequestError::Connect(Unconnected::Io(error)) if is_local_fault(error) => Outcome::LocalFault,
+        _ => Outcome::Unconnected,
+    }
+}
+
+/// Whether a connection could not be made for want of something on this machine: descriptors, memory, ports, a way out. It says
+/// nothing of who was to be called.
+fn is_local_fault(error: &io::Error) -> bool {
+    const LOCAL: [Errno; 8] = [
+        Errno::NFILE,
+        Errno::MFILE,
+        Errno::NOMEM,
+        Errno::NOBUFS,
+        Errno::ADDRNOTAVAIL,
+        Errno::NETUNREACH,
+        Errno::NETDOWN,
+        Errno::INTR,
+    ];
+    Errno::from_io_error(error).is_some_and(|errno| LOCAL.contains(&errno))
 }
 
 impl Carrier for ToNodes {
@@ -407,7 +428,8 @@
         outcomes
     }
 
-    async fn notify(&self, notice: &Notice) -> Result<(), String> {
+    async fn notify(&self, end: &SettledEnd) -> Result<(), String> {
+        let notice = end.notice();
         let (told, mut hear) = oneshot::channel();
         self.outbox.borrow_mut().push_back((crate::notice::line(notice), told));
         // Guards against as many connections as notices, after a restart above all: a few posts are under way
--- a/relay/src/platform/line.rs
+++ b/relay/src/platform/line.rs
@@ -76,8 +76,17 @@
 
     /// Whether the call may go out now; its tickets are put down if so.
     fn begin(&self) -> bool {
-        self.tickets.iter().all(|ticket| ticket.may_begin())
-            && self.tickets.iter().all(|ticket| ticket.begin())
+        let begins = self.tickets.iter().all(|ticket| ticket.may_begin())
+            && self.tickets.iter().all(|ticket| ticket.begin());
+        if !begins && self.tickets.iter().any(|ticket| ticket.met_local_fault()) {
+            self.mark_local_fault();
+        }
+        begins
+    }
+
+    /// A fault of this machine keeps all of them from being sent.
+    pub fn mark_local_fault(&self) {
+        self.tickets.iter().for_each(|ticket| ticket.mark_local_fault());
     }
 
     fn may_go_on(&self) -> bool {
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -7,11 +7,12 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 use super::KEY;
 use crate::availability::Availability;
+use crate::clock;
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::job::{Answer, Job};
@@ -93,7 +94,7 @@
 
     /// Decodes a job, once.
     async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
-        let arrived = SystemTime::now();
+        let arrived = clock::now();
         // Read even where the rest is bad: a connection with an unread body has to be closed.
         let body = body(request).await?;
         let text = |name: &str| match request.headers().get(name) {
--- a/relay/src/push/gateways.rs
+++ b/relay/src/push/gateways.rs
@@ -22,9 +22,11 @@
 
 use super::pool::{ClaimId, Denial, Left, LineId, Order, Pool};
 use super::{PATH, TOPIC, TTL};
+use crate::clock;
 use crate::config::{PoolLimits, Secured, Trust};
 use crate::core::{Carrier, Core, Node, Ticket};
-use crate::job::{Job, Notice, Outcome};
+use crate::job::{Job, Outcome};
+use crate::journal::SettledEnd;
 use crate::tls;
 
 /// Streams of claims given up that a late answer may still come for without ending the connection.
@@ -394,7 +396,7 @@
         request = request.header(name.as_str(), value.as_ref());
     }
     // What is left of the time to live, in whole seconds. Zero, at once or never, passes as it came.
-    let left = job.deadline.duration_since(SystemTime::now()).unwrap_or_default().as_secs();
+    let left = job.deadline.duration_since(clock::now()).unwrap_or_default().as_secs();
     let ttl = if job.field(TTL) == Some(b"0") { 0 } else { left };
     request.header(TTL, ttl).body(())
 }
@@ -462,7 +464,8 @@
         }
     }
 
-    async fn notify(&self, notice: &Notice) -> Result<(), String> {
+    async fn notify(&self, end: &SettledEnd) -> Result<(), String> {
+        let notice = end.notice();
         let body = Bytes::from(crate::notice::line(notice));
         let request = Request::post(format!("http://{}/reports", self.notices.get())).body(());
         let request = request.map_err(|e| e.to_string())?;
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -12,13 +12,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::server::TlsStream;
 use tokio_util::either::Either;
 
 use super::{PATH, TOPIC, TTL};
+use crate::clock;
 use crate::config::{Location, Push, Urgency};
 use crate::core::{Carrier, Core};
 use crate::door::{self, Gate, Manners, Places, Yields};
@@ -138,7 +139,7 @@
 
     /// Decodes a push message, once.
     async fn read(&self, request: &mut Request) -> Result<Asked, Unfit> {
-        let arrived = SystemTime::now();
+        let arrived = clock::now();
         let whole = request.uri().path_and_query().map_or("/", |p| p.as_str());
         let path = request.path();
         let (class, dest, target) = {
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -11,6 +11,7 @@
 use crate::admin::{Admin, Front, Process};
 use crate::availability::{Availability, Word};
 use crate::backlog::{Backlog, BacklogClass};
+use crate::clock;
 use crate::config::{self, Idle, Limits, Rules};
 use crate::core::{Carrier, Core, NotOut};
 use crate::disabled::Disabled;
@@ -62,6 +63,10 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let platform = config::platform().map_err(Fault::Configuration)?;
+    if let Some(platform) = &platform {
+        // Before anything is reckoned by it.
+        clock::adopt(&platform.state);
+    }
     let own = file.as_deref().map(config::own).transpose().map_err(Fault::Configuration)?;
     let own = own.unwrap_or_default();
     if platform.is_none() && own.push.is_none() {
@@ -270,8 +275,9 @@
 
 /// Plays rounds from now on.
 fn begin<C: Carrier>(core: &Rc<Core<C>>, front: &'static str) {
-    let (rounds, tally) = (core.clone(), core.clone());
+    let (rounds, tally, journal) = (core.clone(), core.clone(), core.clone());
     actix_rt::spawn(async move { rounds.rounds().await });
+    actix_rt::spawn(async move { journal.keep_journal().await });
     actix_rt::spawn(async move { tally.tell_tally(front).await });
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -176,6 +176,9 @@
     pub(crate) units: BTreeMap<UnitId, Unit>,
     /// Units whose predictor may not be idle, or that have calls out: only these bear on L.
     active: BTreeSet<UnitId>,
+    /// No call may begin, and some could again since the last round.
+    pub(crate) calls_paused: bool,
+    pub(crate) calls_resumed: bool,
     pub(crate) messages: BTreeMap<MsgId, Message>,
     /// Those of them that have not ended.
     open: usize,
@@ -414,7 +417,7 @@
         let at_limit = rare || now - peer.served < self.fall;
         let failed = match outcome {
             Outcome::Ok => false,
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => return,
             Outcome::Full { .. } if at_limit => return,
             _ => true,
         };
@@ -558,7 +561,8 @@
     fn dispatch(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         let mut looks = std::mem::take(&mut self.looks);
         looks.extend(self.hold.alarmed(now));
-        if self.list_awaited(now) > 0 || self.list_lapsed(now) {
+        let resumed = std::mem::take(&mut self.calls_resumed);
+        if resumed || self.list_awaited(now) > 0 || self.list_lapsed(now) {
             looks.extend(self.messages.keys());
         }
         for id in looks {
@@ -685,7 +689,7 @@
 
     /// The endpoint to call: allowed, open, least busy, near, connected; by lot, lest all couriers fill one.
     fn choose(&self, now: Nanos, message: MsgId, open: &Opened, salt: u64) -> Option<EndpointId> {
-        if self.list_lapsed(now) {
+        if self.calls_paused || self.list_lapsed(now) {
             return None;
         }
         let message = &self.messages[&message];
@@ -764,7 +768,8 @@
         unit.used = now;
         self.unhold(id);
         let message = self.messages.get_mut(&id).expect("held");
-        message.out = Some(Attempt::new(message.tries, to, unit_id, call, now));
+        message.out = Some(Attempt::new(message.attempts, to, unit_id, call, now));
+        message.attempts += 1;
         message.tries += 1;
         actions.push(Action::Send { msg: id, endpoint: to, limit });
     }
@@ -785,6 +790,7 @@
         };
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(out) = message.out.take_if(|out| out.number == attempt) else { return };
+        message.tries -= u32::from(outcome == Outcome::LocalFault);
         let ran = matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if ran && message.risk.is_none() {
             let zone = self.peers.get(&out.endpoint).map(|p| p.entry.zone);
@@ -936,7 +942,7 @@
         if let Some(ramp) = unit.ramp.as_mut().filter(|_| first) {
             match outcome {
                 Outcome::Ok => ramp.answered(now),
-                Outcome::Error | Outcome::Cancelled | Outcome::Moot => {}
+                Outcome::Error | Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => {}
                 _ => ramp.failed(now),
             }
         }
@@ -950,7 +956,7 @@
                 }
             }
             Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => unit.shrink(),
-            Outcome::Error | Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Error | Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -347,6 +347,8 @@
     Cancelled,
     /// Not sent; never ran.
     Moot,
+    /// Not sent, by a fault of this machine; never ran, and is no try.
+    LocalFault,
 }
 
 /// Something that happened.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 #![warn(missing_docs)]
 
 mod base;
+mod call_pause;
 mod choice;
 mod discovery_schedule;
 mod heir;
--- a/src/state.rs
+++ b/src/state.rs
@@ -220,7 +220,10 @@
     pub came: Nanos,
     pub aim_at: Nanos,
     pub deadline: Nanos,
+    /// Attempts that count as tries.
     pub tries: u32,
+    /// All attempts: the number of the next one.
+    pub attempts: u32,
     /// It outlived its courier's process.
     pub kept: bool,
     pub ended: bool,
@@ -247,6 +250,7 @@
             aim_at: deadline,
             deadline,
             tries: request.tries,
+            attempts: request.tries,
             kept: request.kept,
             ended: false,
             out: None,
--- /dev/null
+++ b/tests/local_faults.rs
@@ -0,0 +1,44 @@
+//! Faults of the courier's own machine are nobody else's.
+mod common;
+use common::*;
+use slatethread::*;
+
+#[test]
+fn faults_of_this_machine_cost_no_try_and_no_health() {
+    let mut world = World::new(settings(), vec![endpoint(1, 5)]);
+    let mut sent = sends(&world.ask(1, 5, 2)).len() as u32;
+    for _ in 0..60 {
+        let actions = world.round(100 * MS, &[closed(1, sent - 1, 1, Outcome::LocalFault, 0)]);
+        assert!(!refused(&actions, 1) && !failed(&actions, 1), "it has tries left");
+        sent += sends(&actions).len() as u32;
+    }
+    assert!(sent > 30, "{sent} attempts");
+    assert!(world.log.iter().all(|action| !matches!(action, Action::Log { .. })), "the endpoint is well");
+    world.close(0, 1, sent - 1, Outcome::Ok);
+    assert!(world.round(30 * SECOND, &[]).is_empty());
+}
+
+#[test]
+fn nothing_is_sent_while_calls_are_paused_and_what_waited_goes_at_once_after() {
+    let mut world = World::new(settings(), vec![endpoint(1, 5), endpoint(2, 6)]);
+    world.courier.pause_calls(true);
+    let mut actions = world.ask(1, 5, 2);
+    actions.extend(world.ask(2, 6, 0));
+    for _ in 0..20 {
+        actions.extend(world.round(100 * MS, &[]));
+    }
+    assert!(actions.is_empty(), "{actions:?}");
+    world.courier.pause_calls(false);
+    let mut after = sends(&world.round(5 * MS, &[]));
+    after.sort_unstable();
+    assert_eq!(after, [1, 2]);
+}
+
+#[test]
+fn what_waits_through_a_pause_is_given_up_in_its_time() {
+    let mut world = World::new(settings(), vec![endpoint(1, 5)]);
+    world.courier.pause_calls(true);
+    world.ask(1, 5, 2);
+    assert!(world.round(19 * SECOND, &[]).is_empty());
+    assert!(refused(&world.round(SECOND - 10 * MS, &[]), 1));
+}
