A process whose folder fails as it starts stays, refuses, and serves once it is back

What callers saw: a restart that ended with exit code 1 in ten of twelve ways in which a folder may fail for 2 s.

--- a/relay/src/platform/mod.rs
+++ b/relay/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod carrier;
 mod chunks;
 mod line;
+pub mod refusing;
 pub mod server;
 
 /// The header that passes a job's key through.
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -96,7 +96,7 @@
     async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
         let arrived = clock::now();
         // Read even where the rest is bad: a connection with an unread body has to be closed.
-        let body = body(request).await?;
+        let body = read_body(request).await?;
         let text = |name: &str| match request.headers().get(name) {
             None => Ok(None),
             Some(value) => match value.to_str() {
@@ -135,7 +135,7 @@
 
 /// Why a request is no job, and the status that says so.
 #[derive(Debug)]
-struct Unfit {
+pub(super) struct Unfit {
     status: StatusCode,
     why: &'static str,
 }
@@ -148,7 +148,7 @@
 }
 
 /// Reads a body to its end, no further than is allowed.
-async fn body(request: &mut Request) -> Result<Bytes, Unfit> {
+pub(super) async fn read_body(request: &mut Request) -> Result<Bytes, Unfit> {
     let too_large = Unfit { status: StatusCode::PAYLOAD_TOO_LARGE, why: "body is too large" };
     let told =
         request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -1,6 +1,6 @@
 //! Wires the fronts that are configured, and takes signals.
 use std::cell::{Cell, RefCell};
-use std::fs::File;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -20,9 +20,10 @@
 use crate::handover::{self, Elder};
 use crate::hook::Hooks;
 use crate::instances::{self, Instances, Sharing};
-use crate::journal::{Journal, Open};
+use crate::journal::{Journal, Open, may_pass};
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
+use crate::platform::refusing::refuse_all;
 
 /// After SIGTERM, connections still arrive for up to 0.4 s: so long everything goes on.
 const STILL_SERVING: Duration = Duration::from_millis(600);
@@ -37,6 +38,8 @@
 const LAST_WORD: Duration = Duration::from_millis(30);
 /// So long an address to listen on may still be the process's before.
 const STILL_BOUND: Duration = Duration::from_secs(1);
+/// Before a folder that cannot be used is tried again.
+const FOLDER_PAUSE: Duration = Duration::from_millis(50);
 /// Part of the descriptors that submitters' connections may take; the rest is for nodes and files.
 const SUBMITTERS_PART: f64 = 0.4;
 /// Descriptors kept for files, listeners, discovery and posts of notices.
@@ -253,24 +256,50 @@
     }
 }
 
-/// A core with its journal, and what that holds open.
-#[allow(clippy::too_many_arguments)]
+/// A core with its journal.
 fn new_core<C: Carrier>(
     carrier: C,
     rules: Rules,
     hooks: Option<Hooks>,
     seed: u64,
     state: &Path,
-    disk: u64,
-    lock: Option<File>,
+    journal: Journal,
     figures: &Rc<Figures>,
-) -> Result<(Rc<Core<C>>, Vec<Open>), String> {
-    let (mut journal, open) =
-        Journal::open(state, disk).map_err(|e| format!("journal in {}: {e}", state.display()))?;
-    journal.guard(lock);
-    tracing::info!(recovered = open.len(), "journal read");
-    let core = Core::new(carrier, rules, hooks, seed, journal, Disabled::open(state), figures.clone());
-    Ok((core, open))
+) -> Rc<Core<C>> {
+    Core::new(carrier, rules, hooks, seed, journal, Disabled::open(state), figures.clone())
+}
+
+/// Tries something with a folder that lasts until it does not fail in a way that passes.
+async fn in_the_end<T, F: Future<Output = io::Result<T>>>(
+    state: &Path,
+    what: &'static str,
+    attempt: impl Fn() -> F,
+) -> Result<T, String> {
+    let begun = Instant::now();
+    let mut told = false;
+    loop {
+        match attempt().await {
+            Ok(done) => {
+                if told {
+                    tracing::info!(after = ?begun.elapsed(), what, "the folder that lasts can be used");
+                }
+                return Ok(done);
+            }
+            Err(error) if !may_pass(&error) => return Err(format!("{what} in {}: {error}", state.display())),
+            Err(error) => {
+                if !std::mem::replace(&mut told, true) {
+                    let state = state.display();
+                    tracing::error!(%error, %state, what, "the folder that lasts cannot be used; trying on");
+                }
+                sleep(FOLDER_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The journal and what it holds open, as soon as its folder can be read.
+async fn open_journal(state: &Path, disk: u64) -> Result<(Journal, Vec<Open>), String> {
+    in_the_end(state, "journal", async || Journal::open(state, disk)).await
 }
 
 /// Plays rounds from now on.
@@ -322,8 +351,10 @@
 ) -> Result<PlatformFront, String> {
     let (lock, legacy) = match upgrades {
         true => {
-            let owned = handover::own(&config.state, || desk.set_ready()).await;
-            let (lock, legacy) = owned.map_err(|e| format!("BALANCER_STATE: its lock: {e}"))?;
+            let owned = in_the_end(&config.state, "lock", async || {
+                handover::own(&config.state, || desk.set_ready()).await
+            });
+            let (lock, legacy) = owned.await.map_err(|e| format!("BALANCER_STATE: {e}"))?;
             (Some(lock), legacy)
         }
         false => (None, None),
@@ -336,9 +367,22 @@
     to_nodes.set_connections(budget.connections(idle));
     let discovery = to_nodes.platform();
     let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
-    let (core, open) =
-        new_core(to_nodes, config.rules, hooks, config.seed, &config.state, disk, lock, figures)
-            .map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    let mut listener = None;
+    let opened = match Journal::open(&config.state, disk) {
+        Ok(opened) => Ok(opened),
+        Err(error) if !may_pass(&error) => Err(format!("journal in {}: {error}", config.state.display())),
+        Err(_) => {
+            let listener = listener.insert(listen_to_submitters(config.listen).await?);
+            tokio::select! {
+                opened = open_journal(&config.state, disk) => opened,
+                () = refuse_all(listener, budget.submitters()) => Err("no connections can be taken".into()),
+            }
+        }
+    };
+    let (mut journal, open) = opened.map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    tracing::info!(recovered = open.len(), "journal read");
+    journal.guard(lock);
+    let core = new_core(to_nodes, config.rules, hooks, config.seed, &config.state, journal, figures);
     if let Some(settings) = backlog {
         settings.check_folder(Some(&config.state))?;
         attach_backlog(&core, settings, &config.name, &open).await?;
@@ -382,7 +426,10 @@
         tracing::warn!(%fault, "upgrade: no newcomer can be met; it takes over when this process has ended");
         None
     });
-    let listener = listen_to_submitters(config.listen).await?;
+    let listener = match listener {
+        Some(listener) => listener,
+        None => listen_to_submitters(config.listen).await?,
+    };
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = crate::platform::server::Server::new(core.clone(), process.availability.clone());
     actix_rt::spawn(server.accept(listener, places.clone()));
@@ -515,8 +562,10 @@
     let gateways = crate::push::gateways::Gateways::new(config.pool, config.notices);
     gateways.secure(config.trust.clone());
     let rules = config.rules.clone();
-    let (core, open) = new_core(gateways, rules, hooks, seed, &config.state, config.disk, None, figures)
-        .map_err(|e| format!("push.state: {e}"))?;
+    let opened = open_journal(&config.state, config.disk).await;
+    let (journal, open) = opened.map_err(|e| format!("push.state: {e}"))?;
+    tracing::info!(recovered = open.len(), "journal read");
+    let core = new_core(gateways, rules, hooks, seed, &config.state, journal, figures);
     open.into_iter().for_each(|open| core.recover(open));
     begin(&core, "push");
     core.take_list(&config.gateways).await;
