--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -334,7 +334,8 @@
         let in_progress = on_disk + state.ids.values().filter(|taken| **taken).count();
         let (known, closed) = state.nodes.count();
         let list_age = self.list_clock.age(Instant::now());
-        Census { in_progress, known, skipped: closed + state.courier.avoided(), list_age }
+        let unwritten_records = self.journal_health.unwritten();
+        Census { in_progress, known, skipped: closed + state.courier.avoided(), list_age, unwritten_records }
     }
 
     /// Whether a job has no end yet.
@@ -371,8 +372,9 @@
         loop {
             sleep(TALLY_PAUSE).await;
             let tally = self.tally.take();
-            if tally != Tally::default() {
-                let Tally { taken, turned_away, claims, delivered, returned, failed, replaced } = tally;
+            let Tally { latest_round, .. } = tally;
+            if tally != (Tally { latest_round, ..Tally::default() }) {
+                let Tally { taken, turned_away, claims, delivered, returned, failed, replaced, .. } = tally;
                 let list_age = self.list_clock.age(Instant::now());
                 let (open, kept) = {
                     let state = self.state.borrow();
@@ -392,6 +394,7 @@
                     in_use = kept.full,
                     cold = kept.cold,
                     ?list_age,
+                    ?latest_round,
                     "last minute"
                 );
             }
@@ -441,4 +444,6 @@
     returned: u32,
     failed: u32,
     replaced: u32,
+    /// How late a round was at most.
+    latest_round: Duration,
 }
--- a/relay/src/core/rounds.rs
+++ b/relay/src/core/rounds.rs
@@ -36,6 +36,9 @@
     PutBack(mpsc::UnboundedSender<Parked>),
 }
 
+/// A process may be held up for so long between reading its clock and acting (the platform's rules).
+const HOLD_UP: Duration = Duration::from_millis(150);
+
 /// Orders that can be waiting for one job: held, a claim, its cancellation, an end, another in its place.
 pub(super) const ORDERS: usize = 8;
 
@@ -52,19 +55,30 @@
                 () = self.wake.notified() => {}
                 () = sleep_until(due.into()) => {}
             }
-            sleep_until((last + self.rules().step()).into()).await;
+            let next = (last + self.rules().step()).max(Instant::now().min(due));
+            sleep_until(next.into()).await;
             // Guards against acting on old news: what has arrived on sockets is read before the round. A
             // yielding task goes on after the runtime has looked at its sockets and run what they woke.
             for _ in 0..2 {
                 tokio::task::yield_now().await;
             }
             last = Instant::now();
+            self.watch_hold_up(last.saturating_duration_since(next));
             if !self.winding_down.get() {
                 self.round(last);
             }
         }
     }
 
+    /// Keeps how late rounds were at most; tells the log of one that was too late for what it acts on.
+    fn watch_hold_up(&self, late: Duration) {
+        self.count(|tally| tally.latest_round = tally.latest_round.max(late));
+        self.figures.round_was_late(late);
+        if late > HOLD_UP {
+            tracing::warn!(?late, "held up: a round came late");
+        }
+    }
+
     pub(super) fn round(&self, now: Instant) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -78,6 +78,8 @@
     pub skipped: usize,
     /// How long ago the list was last known to be complete, where it is asked for.
     pub list_age: Option<Duration>,
+    /// Records that the journal did not take since the process started, failed tries of the same one counted.
+    pub unwritten_records: u64,
 }
 
 pub struct Figures {
@@ -93,6 +95,8 @@
     discovery_seconds: [Counter; 5],
     list_age: Gauge,
     list_lapses: IntCounter,
+    latest_round: Gauge,
+    unwritten_records: IntGauge,
     loads: IntCounter,
     load_errors: IntCounter,
 }
@@ -140,6 +144,17 @@
                 "list_lapses_total",
                 "How often nothing was sent any more since the list had not been confirmed for too long.",
             ),
+            latest_round: put(
+                &registry,
+                Gauge::with_opts(opts(
+                    "latest_round_seconds",
+                    "How late a round of decisions came at most since the process started.",
+                )),
+            ),
+            unwritten_records: gauge(
+                "journal_unwritten_records",
+                "Records that the journal did not take since the process started, failed tries of the same one counted.",
+            ),
             loads: counter("loads_total", "Configurations taken up, the first one counted."),
             load_errors: counter("load_errors_total", "Configurations that were faulty and not taken up."),
             registry,
@@ -169,6 +184,11 @@
         self.list_lapses.inc();
     }
 
+    /// A round of decisions came so late.
+    pub fn round_was_late(&self, late: Duration) {
+        self.latest_round.set(self.latest_round.get().max(late.as_secs_f64()));
+    }
+
     /// A configuration was read.
     pub fn loaded(&self, taken_up: bool) {
         if taken_up { self.loads.inc() } else { self.load_errors.inc() }
@@ -181,6 +201,7 @@
         self.known.set(whole(now.known));
         self.skipped.set(whole(now.skipped));
         self.list_age.set(now.list_age.map_or(0.0, |age| age.as_secs_f64()));
+        self.unwritten_records.set(i64::try_from(now.unwritten_records).unwrap_or(i64::MAX));
         let mut text = Vec::new();
         let written = TextEncoder::new().encode(&self.registry.gather(), &mut text);
         written.expect("memory takes all that is written");
@@ -205,6 +226,7 @@
             known: sum.known + part.known,
             skipped: sum.skipped + part.skipped,
             list_age: sum.list_age.max(part.list_age),
+            unwritten_records: sum.unwritten_records + part.unwritten_records,
         })
     }
 }
--- a/relay/src/figures/tests.rs
+++ b/relay/src/figures/tests.rs
@@ -10,11 +10,14 @@
     figures.loaded(false);
     figures.discovery_called(Heard::TurnedAway, Duration::from_millis(2500));
     figures.list_lapsed();
+    figures.round_was_late(Duration::from_millis(250));
+    figures.round_was_late(Duration::from_millis(50));
     let text = figures.text(Census {
         in_progress: 3,
         known: 9,
         skipped: 2,
         list_age: Some(Duration::from_millis(1500)),
+        unwritten_records: 4,
     });
     let lines: Vec<_> = text.lines().filter(|line| !line.starts_with('#')).collect();
     assert_eq!(
@@ -37,7 +40,9 @@
             "edge_balancer_handled_total{category=\"order\",outcome=\"dropped\"} 0",
             "edge_balancer_handled_total{category=\"order\",outcome=\"passed\"} 1",
             "edge_balancer_in_progress 3",
+            "edge_balancer_journal_unwritten_records 4",
             "edge_balancer_known_endpoints 9",
+            "edge_balancer_latest_round_seconds 0.25",
             "edge_balancer_list_age_seconds 1.5",
             "edge_balancer_list_lapses_total 1",
             "edge_balancer_load_errors_total 1",
@@ -46,6 +51,6 @@
             "edge_balancer_upstream_tries_total 1",
         ]
     );
-    assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 11);
+    assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 13);
     assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 11);
 }
--- a/relay/src/journal/health.rs
+++ b/relay/src/journal/health.rs
@@ -7,6 +7,8 @@
 #[derive(Default)]
 pub struct Health {
     failing: Cell<Option<Failing>>,
+    /// Records that were not written, in all.
+    unwritten: Cell<u64>,
     failed: Notify,
     works: Notify,
 }
@@ -21,6 +23,7 @@
 impl Health {
     /// A record was not written; true if it is the first after one that was.
     pub(super) fn fail(&self) -> bool {
+        self.unwritten.set(self.unwritten.get() + 1);
         let before = self.failing.get();
         let Failing { since, refused } = before.unwrap_or(Failing { since: Instant::now(), refused: 0 });
         self.failing.set(Some(Failing { since, refused: refused + 1 }));
@@ -40,6 +43,11 @@
         self.failing.get().is_some()
     }
 
+    /// How many records were not written, tries that failed again counted.
+    pub fn unwritten(&self) -> u64 {
+        self.unwritten.get()
+    }
+
     /// Done while records are not written.
     pub async fn failed(&self) {
         while !self.is_failing() {
