A crowd is sent away faster, and time in the queue of connections counts

What callers saw: ends up to 0.4 s late beside a crowd of idle clients, and, with 190 of them at 120 places or more, no answer within 0.4 s at all. Cause: relay/src/door.rs, accept, closed one idle connection in 5 ms and took one, so that a request stood in the queue behind the crowd; relay/src/platform/server.rs, read, began its time when it was read. Change: up to 16 silent newcomers make room at once, what has asked before goes one by one as ever; a request that came with a connection is taken to have come when the queue was last known to be empty, at most 0.4 s ago (no client waits longer). Closes towards clients have a reason in the log.

--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -26,6 +26,11 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// While all places are taken, it is looked for one to make free as often as this.
 const ROOM_LOOK: Duration = Duration::from_millis(5);
+/// Silent new connections that are closed at one such look. Guards against a crowd of them that comes again faster than it is sent
+/// away, behind which a request would stand for longer than its client waits.
+const ROOM_AT_ONCE: usize = 16;
+/// No client waits longer for its answer: what stood in the queue for longer is nobody's any more.
+const LONGEST_QUEUED: Duration = Duration::from_millis(400);
 /// A new connection may be silent for so long before it has to make room: a submitter that opens one sends at
 /// once.
 const ROOM_SILENT: Duration = Duration::from_millis(30);
@@ -136,6 +141,21 @@
     Serving,
 }
 
+/// Why a connection is closed from this side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// Its request was not whole in time, or did not begin.
+    TooSlow,
+    /// It stood idle for too long.
+    Idle,
+    /// Its place is wanted.
+    MakesRoom,
+    /// Clients are sent away between requests.
+    SentAway,
+    /// The process is about to end.
+    ProcessEnds,
+}
+
 /// What is known of a connection.
 pub struct Seen {
     phase: Cell<Phase>,
@@ -150,10 +170,17 @@
     /// Its place is wanted.
     hurried: Cell<bool>,
     waker: RefCell<Option<Waker>>,
+    /// Why it was last closed from this side.
+    reason: Cell<Option<CloseReason>>,
+    /// Requests that were whole, and answers.
+    requests: Cell<u32>,
+    answers: Cell<u32>,
+    /// How long it may have stood in the system's queue before it was taken.
+    queued: Duration,
 }
 
 impl Seen {
-    fn new() -> Rc<Self> {
+    fn new(queued: Duration) -> Rc<Self> {
         Rc::new(Seen {
             phase: Cell::new(Phase::Waiting),
             since: Cell::new(Instant::now()),
@@ -162,6 +189,10 @@
             parting: Cell::new(false),
             hurried: Cell::new(false),
             waker: RefCell::new(None),
+            reason: Cell::new(None),
+            requests: Cell::new(0),
+            answers: Cell::new(0),
+            queued: queued.min(LONGEST_QUEUED),
         })
     }
 
@@ -172,15 +203,28 @@
 
     /// A request is whole; its answer is owed now.
     pub fn serving(&self) {
+        self.requests.set(self.requests.get() + 1);
         self.turn(Phase::Serving);
     }
 
     /// The answer is about to be written.
     pub fn answered(&self) {
+        self.answers.set(self.answers.get() + 1);
         self.known.set(true);
         self.turn(Phase::Waiting);
     }
 
+    /// Tells the log how the connection ended.
+    fn tell_end(&self, client: SocketAddr, error: Option<impl Debug>) {
+        let (requests, answers) = (self.requests.get(), self.answers.get());
+        let (reason, queued) = (self.reason.get().filter(|_| self.closed.get().is_some()), self.queued);
+        let error = error.map(|error| format!("{error:?}"));
+        // Nothing was owed, and nothing went wrong, where a client leaves between requests.
+        if reason.is_some() || error.is_some() || requests > answers {
+            tracing::debug!(%client, ?reason, requests, answers, ?queued, error, "a client's connection ends");
+        }
+    }
+
     fn came(&self) {
         if self.phase.get() == Phase::Waiting {
             let connected = self.since.get();
@@ -191,7 +235,13 @@
         }
     }
 
-    fn close(&self, now: Instant) {
+    /// How long its present request may have waited to be read: the first came with the connection at the earliest.
+    pub fn queued(&self) -> Duration {
+        if self.known.get() { Duration::ZERO } else { self.queued }
+    }
+
+    fn close(&self, now: Instant, reason: CloseReason) {
+        self.reason.set(Some(reason));
         self.closed.set(Some(now));
         self.wake();
     }
@@ -237,8 +287,8 @@
 struct Guests(RefCell<Vec<Weak<Seen>>>);
 
 impl Guests {
-    fn add(&self) -> Rc<Seen> {
-        let seen = Seen::new();
+    fn add(&self, queued: Duration) -> Rc<Seen> {
+        let seen = Seen::new(queued);
         self.0.borrow_mut().push(Rc::downgrade(&seen));
         seen
     }
@@ -252,30 +302,38 @@
     /// Closes what has overstayed. Guards against connections that send half a request or none, or were left
     /// open for good.
     fn look(&self, now: Instant, manners: &Manners, leaving: bool, ending: bool) {
-        let is_over = |seen: &Seen| {
-            seen.overdue(now, manners)
-                || leaving && seen.may_leave(now)
-                || ending && seen.phase.get() != Phase::Serving
+        let over = |seen: &Seen| match () {
+            () if seen.overdue(now, manners) && seen.known.get() && seen.phase.get() == Phase::Waiting => {
+                Some(CloseReason::Idle)
+            }
+            () if seen.overdue(now, manners) => Some(CloseReason::TooSlow),
+            () if leaving && seen.may_leave(now) => Some(CloseReason::SentAway),
+            () if ending && seen.phase.get() != Phase::Serving => Some(CloseReason::ProcessEnds),
+            () => None,
         };
-        let overdue = self.here().into_iter().filter(|seen| seen.closed.get().is_none() && is_over(seen));
-        overdue.for_each(|seen| seen.close(now));
+        for seen in self.here().into_iter().filter(|seen| seen.closed.get().is_none()) {
+            over(&seen).into_iter().for_each(|reason| seen.close(now, reason));
+        }
         // One that takes no bytes from us either is woken to be dropped.
         let stuck = self.here().into_iter().filter(|s| s.closed.get().is_some_and(|c| now >= c + FAREWELL));
         stuck.for_each(|seen| seen.wake());
     }
 
-    /// Closes one connection that is not in use. Guards against hundreds of silent ones keeping submitters out.
+    /// Closes connections that are not in use: several that never asked anything, or one that did. Guards against hundreds of
+    /// silent ones keeping submitters out.
     fn make_room(&self, now: Instant, yields: Yields) {
         // One that only waits for its client to close has nothing more to give.
         if let Some(seen) = self.here().into_iter().find(|seen| seen.parting.get() && !seen.hurried.get()) {
             seen.hurried.set(true);
             return seen.wake();
         }
-        let may = self.here().into_iter().filter(|seen| seen.may_make_room(now, yields));
+        let mut may: Vec<_> =
+            self.here().into_iter().filter(|seen| seen.may_make_room(now, yields)).collect();
         // Those that never asked anything first, then the longest idle.
-        if let Some(seen) = may.min_by_key(|seen| (seen.known.get(), seen.since.get())) {
-            seen.close(now);
-        }
+        may.sort_by_key(|seen| (seen.known.get(), seen.since.get()));
+        let silent = |seen: &Rc<Seen>| !seen.known.get() && seen.phase.get() == Phase::Waiting;
+        let several = may.iter().take_while(|seen| silent(seen)).count().min(ROOM_AT_ONCE);
+        may.iter().take(several.max(1)).for_each(|seen| seen.close(now, CloseReason::MakesRoom));
     }
 }
 
@@ -420,7 +478,10 @@
     let taking = async {
         // Dropped with this, not with what looks after connections.
         let listener = listener;
+        // Since when something may have stood in the queue of connections; none once it was seen empty.
+        let mut unseen = None;
         loop {
+            let since = *unseen.get_or_insert_with(Instant::now);
             let place = loop {
                 match timeout(ROOM_LOOK, places.free.clone().acquire_owned()).await {
                     Ok(Ok(place)) => break place,
@@ -428,16 +489,24 @@
                     Err(_) => guests.make_room(Instant::now(), manners.yields),
                 }
             };
-            match listener.accept().await {
+            let mut waited = false;
+            let accepted = poll_fn(|cx| {
+                let accepted = listener.poll_accept(cx);
+                waited |= accepted.is_pending();
+                accepted
+            });
+            let accepted = accepted.await;
+            let queued = if waited { Duration::ZERO } else { since.elapsed() };
+            unseen = unseen.filter(|_| !waited);
+            match accepted {
                 Ok((stream, address)) => {
                     let _ = stream.set_nodelay(true);
-                    let (stream, seen) = (RefCell::new(stream), guests.add());
+                    let (stream, seen) = (RefCell::new(stream), guests.add(queued));
                     let guest = Rc::new(Guest { stream, seen, spoken: Cell::new(None), _place: place });
                     let service = service.clone();
                     actix_rt::spawn(async move {
-                        if let Err(error) = service.call((Gate(guest.clone()), Some(address))).await {
-                            tracing::debug!(?error, "submitter's connection");
-                        }
+                        let served = service.call((Gate(guest.clone()), Some(address))).await;
+                        guest.seen.tell_end(address, served.err());
                         // Its server has let it go.
                         if let Some(guest) = Rc::into_inner(guest) {
                             guest.part().await;
--- a/relay/src/door/tests.rs
+++ b/relay/src/door/tests.rs
@@ -7,7 +7,7 @@
     let guests = Guests::default();
     let start = Instant::now();
     let [first, second, serving] = [0, 10, 20].map(|ms| {
-        let seen = guests.add();
+        let seen = guests.add(Duration::ZERO);
         seen.since.set(start + Duration::from_millis(ms));
         seen.came();
         seen
@@ -30,7 +30,7 @@
     let client = std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
     let stream = RefCell::new(listener.accept().await.expect("accepted").0);
     let place = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a place");
-    let guest = Guest { stream, seen: Seen::new(), spoken: Cell::new(None), _place: place };
+    let guest = Guest { stream, seen: Seen::new(Duration::ZERO), spoken: Cell::new(None), _place: place };
     (Rc::new(guest), client)
 }
 
@@ -49,12 +49,12 @@
         guest.seen.answered();
         // In this order: the client writes, the front closes, the server looks.
         client.write_all(b"next").expect("written");
-        guest.seen.close(Instant::now());
+        guest.seen.close(Instant::now(), CloseReason::Idle);
         assert_eq!(next(&mut gate).await, "next");
         assert_eq!((guest.seen.phase.get(), guest.seen.closed.get()), (Phase::Reading, None));
         // The other way round nothing of it is read.
         guest.seen.answered();
-        guest.seen.close(Instant::now());
+        guest.seen.close(Instant::now(), CloseReason::Idle);
         assert_eq!(next(&mut gate).await, "");
         client.write_all(b"late").expect("written");
         drop(gate);
@@ -70,7 +70,7 @@
         let mut gate = Gate(guest.clone());
         guest.seen.came();
         client.write_all(b"the rest").expect("written");
-        guest.seen.close(Instant::now());
+        guest.seen.close(Instant::now(), CloseReason::Idle);
         assert_eq!(next(&mut gate).await, "the rest");
         assert_eq!(next(&mut gate).await, "");
         // Nor for ever, however much comes.
@@ -119,7 +119,7 @@
 #[test]
 fn connections_that_only_wait_for_their_client_make_room_first_and_at_once() {
     let guests = Guests::default();
-    let [idle, parting] = [guests.add(), guests.add()];
+    let [idle, parting] = [guests.add(Duration::ZERO), guests.add(Duration::ZERO)];
     idle.answered();
     parting.parting.set(true);
     parting.closed.set(Some(Instant::now()));
@@ -141,7 +141,8 @@
 #[test]
 fn a_process_that_ends_closes_all_but_what_it_owes_an_answer() {
     let guests = Guests::default();
-    let [waiting, reading, serving] = [guests.add(), guests.add(), guests.add()];
+    let [waiting, reading, serving] =
+        [guests.add(Duration::ZERO), guests.add(Duration::ZERO), guests.add(Duration::ZERO)];
     reading.came();
     serving.came();
     serving.serving();
@@ -157,3 +158,64 @@
     guests.look(Instant::now(), &manners, true, true);
     assert_eq!(closed(), [true, true, false]);
 }
+
+#[test]
+fn silent_newcomers_make_room_several_at_once_and_what_has_asked_one_by_one() {
+    let guests = Guests::default();
+    let silent: Vec<_> = (0..ROOM_AT_ONCE + 4).map(|_| guests.add(Duration::ZERO)).collect();
+    let asked: Vec<_> = (0..3).map(|_| guests.add(Duration::ZERO)).collect();
+    asked.iter().for_each(|seen| seen.answered());
+    let later = Instant::now() + Duration::from_secs(9);
+    let closed = |all: &[Rc<Seen>]| all.iter().filter(|seen| seen.closed.get().is_some()).count();
+    guests.make_room(later, Yields::Silent);
+    assert_eq!((closed(&silent), closed(&asked)), (ROOM_AT_ONCE, 0));
+    guests.make_room(later, Yields::Silent);
+    assert_eq!((closed(&silent), closed(&asked)), (ROOM_AT_ONCE + 4, 0));
+    guests.make_room(later, Yields::Silent);
+    assert_eq!((closed(&silent), closed(&asked)), (ROOM_AT_ONCE + 4, 1));
+    assert_eq!(silent[0].reason.get(), Some(CloseReason::MakesRoom));
+}
+
+/// Takes one connection at a time, each for as long as its client keeps it; tells how long it may have stood in the queue.
+async fn queued_times(listener: TcpListener, told: tokio::sync::mpsc::UnboundedSender<Duration>) {
+    let service = actix_service::fn_service(move |(gate, _): (Gate, Option<SocketAddr>)| {
+        let told = told.clone();
+        async move {
+            let mut gate: Gate = gate;
+            let _ = told.send(gate.seen().queued());
+            let _ = gate.read(&mut [0; 1]).await;
+            Ok::<_, io::Error>(())
+        }
+    });
+    let manners = Manners {
+        first: Duration::from_secs(9),
+        whole: None,
+        idle: Duration::from_secs(9),
+        yields: Yields::Silent,
+    };
+    accept(listener, Rc::new(Places::new(1)), manners, service).await;
+}
+
+/// Guards against a request whose time begins when it is read, however long its connection stood in the queue.
+#[test]
+fn a_connection_is_told_how_long_it_may_have_stood_in_the_queue() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (told, mut queued) = tokio::sync::mpsc::unbounded_channel();
+        let taking = actix_rt::spawn(queued_times(listener, told));
+        let first = tokio::net::TcpStream::connect(address).await.expect("connected");
+        assert_eq!(queued.recv().await, Some(Duration::ZERO), "the queue was empty before it came");
+        let begun = Instant::now();
+        let _second = tokio::net::TcpStream::connect(address).await.expect("connected");
+        // Only its place is missing: it is taken when the first has gone.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(first);
+        let stood = queued.recv().await.expect("taken");
+        assert!(
+            stood >= Duration::from_millis(20) && stood <= begun.elapsed() + Duration::from_secs(1),
+            "{stood:?}"
+        );
+        taking.abort();
+    });
+}
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -68,7 +68,7 @@
                 Response::with_body(StatusCode::OK, "ready\n")
             }
             (&Method::GET, "/ready") => answer(StatusCode::SERVICE_UNAVAILABLE),
-            (&Method::POST, _) => match self.read(&mut request).await {
+            (&Method::POST, _) => match self.read(&mut request, seen.as_deref()).await {
                 Ok(job) => {
                     seen.iter().for_each(|seen| seen.serving());
                     told(self.core.admit(job).await)
@@ -93,8 +93,9 @@
     }
 
     /// Decodes a job, once.
-    async fn read(&self, request: &mut Request) -> Result<Job, Unfit> {
-        let arrived = clock::now();
+    async fn read(&self, request: &mut Request, seen: Option<&Seen>) -> Result<Job, Unfit> {
+        // Its time runs from when it may have come, not from when it is read.
+        let arrived = clock::now() - seen.map_or(Duration::ZERO, Seen::queued);
         // Read even where the rest is bad: a connection with an unread body has to be closed.
         let body = read_body(request).await?;
         let text = |name: &str| match request.headers().get(name) {
