--- a/relay/src/figures/tests.rs
+++ b/relay/src/figures/tests.rs
@@ -52,5 +52,5 @@
         ]
     );
     assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 13);
-    assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 11);
+    assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 13);
 }
