The rig has a soak: schedules drawn whole from a seed

Change: onyxglade-rig soak draws relays, signals in series, partners' troubles, outages of the list service, failing calls, torn writes, clock steps and crowds from a seed, and plays several at once.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,5 +1,5 @@
 //! The rig: many processes of the real relay, with faults between them. Plain values below, free of sockets
-//! ([`schedule`], [`system_faults`], [`draw`], [`shrink`], [`history`], [`check`], [`drains`]); above them what carries traffic ([`links`],
+//! ([`schedule`], [`system_faults`], [`draw`], [`soak`], [`shrink`], [`history`], [`check`], [`drains`]); above them what carries traffic ([`links`],
 //! [`datagrams`], [`clients`], [`crowd`]) and processes ([`fleet`]); [`play`] puts them together round the laboratory's partners, list service
 //! and rules; [`report`] last. `docs/rig.md` tells how to write and play a schedule.
 #![forbid(unsafe_code)]
@@ -17,4 +17,5 @@
 pub mod report;
 pub mod schedule;
 pub mod shrink;
+pub mod soak;
 pub mod system_faults;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,6 +2,8 @@
 use clap::{Args, Parser, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::task::LocalSet;
 
 use onyxglade_lab::relay;
@@ -11,6 +13,7 @@
 use onyxglade_rig::report::Outcome;
 use onyxglade_rig::schedule::Schedule;
 use onyxglade_rig::shrink::shrink;
+use onyxglade_rig::soak;
 
 /// Starts many processes of the relay and does harm to them, as a schedule says.
 #[derive(Parser)]
@@ -58,6 +61,23 @@
         #[command(flatten)]
         how: How,
     },
+    /// Play schedules that are drawn whole from seeds: signals in series, system calls, disk and clock failing, some with a crowd. Each
+    /// that fails is printed with its seed; the exit code is 1 if any did
+    Soak {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds
+        #[arg(long, default_value_t = 50)]
+        seeds: u64,
+        /// So many are played beside one another
+        #[arg(long, default_value_t = 4)]
+        at_once: usize,
+        /// Where the schedules that failed go
+        #[arg(long)]
+        out: Option<PathBuf>,
+        #[command(flatten)]
+        how: How,
+    },
     /// Shorten a schedule that fails; what is left is printed
     Shrink {
         file: PathBuf,
@@ -126,6 +146,7 @@
             }
             Ok(true)
         }
+        Command::Soak { seed, seeds, at_once, out, how } => soak(seed, seeds, at_once, out.as_deref(), &how),
         Command::Shrink { file, plays, how } => {
             let schedule = Schedule::read(&file)?;
             let mut fault = None;
@@ -143,6 +164,39 @@
     }
 }
 
+/// Plays drawn schedules, several beside one another.
+fn soak(first: u64, seeds: u64, at_once: usize, out: Option<&Path>, how: &How) -> Result<bool, String> {
+    let how = How { quiet: true, ..how.clone() };
+    let next = AtomicU64::new(first);
+    let end = first.saturating_add(seeds);
+    let failed = Mutex::new(Vec::new());
+    let play_on = || -> Result<(), String> {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= end {
+                return Ok(());
+            }
+            let drawn = soak::schedule(seed);
+            let (outcome, history) = once(&drawn, &how, out)?;
+            tell(&outcome);
+            if !outcome.held() {
+                failed.lock().expect("nobody panics with it").push(seed);
+                if let Some(out) = out {
+                    outcome.write(&drawn, &history, &out.join(&drawn.name))?;
+                }
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        let players: Vec<_> = (0..at_once.max(1)).map(|_| scope.spawn(play_on)).collect();
+        players.into_iter().try_for_each(|player| player.join().expect("no panic"))
+    })?;
+    let mut failed = failed.into_inner().expect("nobody panics with it");
+    failed.sort_unstable();
+    println!("soak: {seeds} seeds from {first}, {} failed: {failed:?}", failed.len());
+    Ok(failed.is_empty())
+}
+
 /// Plays a schedule once; the relays' folders are kept below `out` if it fails.
 fn once(schedule: &Schedule, how: &How, out: Option<&Path>) -> Result<(Outcome, History), String> {
     let present = how.program.clone().map_or_else(relay::program, Ok)?;
