The rig promises that whoever hands a message in on a new connection is answered

Cause: the rig judged what became of messages taken on, not of requests that got no answer. Change: its clients send a request once more where a close crossed it, as the platform's do, and the promise answered holds each request on a connection of its own to have been answered unless its process was killed.

--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -58,25 +58,46 @@
     }
 }
 
+/// A request that was written to a connection of its own, which then ended without an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unanswered {
+    pub msg: u64,
+    /// How the connection ended.
+    pub why: String,
+    pub connected: Instant,
+    pub ended: Instant,
+}
+
 /// The submitters of one relay on the platform's front.
 pub struct Submitters {
     relay: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     body: Bytes,
+    unanswered: RefCell<Vec<Unanswered>>,
 }
 
 impl Submitters {
     pub fn new(relay: SocketAddr, body: usize) -> Rc<Self> {
-        Rc::new(Submitters { relay, idle: RefCell::default(), body: Bytes::from(vec![b'x'; body]) })
+        let body = Bytes::from(vec![b'x'; body]);
+        Rc::new(Submitters { relay, idle: RefCell::default(), body, unanswered: RefCell::default() })
     }
 
-    async fn connection(&self) -> Option<Connection> {
+    /// Requests that got no answer though nothing but the relay's end of their connections ended them.
+    pub fn unanswered(&self) -> Vec<Unanswered> {
+        self.unanswered.borrow().clone()
+    }
+
+    /// A connection that has been used before and is still open.
+    async fn open_connection(&self) -> Option<Connection> {
         loop {
-            let Some(mut idle) = self.idle.borrow_mut().pop() else { break };
+            let mut idle = self.idle.borrow_mut().pop()?;
             if idle.ready().await.is_ok() {
                 return Some(idle);
             }
         }
+    }
+
+    async fn new_connection(&self) -> Option<Connection> {
         let stream = TcpStream::connect(self.relay).await.ok()?;
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -84,28 +105,52 @@
         Some(sender)
     }
 
-    /// Hands one message in; what the relay answered, if it did in time.
+    /// Hands one message in; what the relay answered, if it did in time. A close between two requests may cross the second: that one
+    /// is sent once more, on a connection of its own.
     pub async fn ask(&self, msg: u64, arrival: &Arrival, intended: Instant) -> Option<Response> {
         let call = async {
-            let mut connection = self.connection().await?;
-            let left = arrival.patience.saturating_sub(intended.elapsed());
-            let class = arrival.class();
-            let request = Request::post(format!("/{class}"))
-                .header("host", "relay")
-                .header("x-request-id", format!("m{msg}"))
-                .header("x-priority-class", class)
-                .header("x-timeout-ms", left.as_millis().to_string())
-                .header("x-envelope", format!("dest={}", arrival.dest))
-                .body(Full::new(self.body.clone()))
-                .ok()?;
-            let answer = connection.send_request(request).await.ok()?;
-            let response = Response::of(&answer);
-            answer.into_body().collect().await.ok()?;
-            self.idle.borrow_mut().push(connection);
-            Some(response)
+            if let Some(open) = self.open_connection().await
+                && let Ok(response) = self.ask_on(open, msg, arrival, intended).await
+            {
+                return Some(response);
+            }
+            let connected = Instant::now();
+            let new = self.new_connection().await?;
+            let answer = self.ask_on(new, msg, arrival, intended).await;
+            if let Err(error) = answer.as_ref()
+                && !error.is_canceled()
+            {
+                let (why, ended) = (format!("{error:?}"), Instant::now());
+                self.unanswered.borrow_mut().push(Unanswered { msg, why, connected, ended });
+            }
+            answer.ok()
         };
         timeout(ANSWER_TIME, call).await.ok().flatten()
     }
+
+    async fn ask_on(
+        &self,
+        mut connection: Connection,
+        msg: u64,
+        arrival: &Arrival,
+        intended: Instant,
+    ) -> hyper::Result<Response> {
+        let left = arrival.patience.saturating_sub(intended.elapsed());
+        let class = arrival.class();
+        let request = Request::post(format!("/{class}"))
+            .header("host", "relay")
+            .header("x-request-id", format!("m{msg}"))
+            .header("x-priority-class", class)
+            .header("x-timeout-ms", left.as_millis().to_string())
+            .header("x-envelope", format!("dest={}", arrival.dest))
+            .body(Full::new(self.body.clone()))
+            .expect("sound headers");
+        let answer = connection.send_request(request).await?;
+        let response = Response::of(&answer);
+        answer.into_body().collect().await?;
+        self.idle.borrow_mut().push(connection);
+        Ok(response)
+    }
 }
 
 impl Submitter for Submitters {
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -2,7 +2,8 @@
 use onyxglade_lab::discovery::{CallFate, FALSE};
 
 use crate::drains;
-use crate::history::{History, What};
+use crate::history::{History, Unanswered, What};
+use std::time::Duration;
 
 /// A promise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,12 +24,14 @@
     Drains,
     /// No endpoint has to open more connections in a second than it takes.
     EndpointsSpared,
+    /// Whoever hands a message in on a connection of its own gets an answer there, unless the process is killed meanwhile.
+    Answered,
 }
 
 /// Relays that a check names, at most.
 const TOLD: usize = 10;
 
-pub const ALL: [(Promise, &str); 8] = [
+pub const ALL: [(Promise, &str); 9] = [
     (Promise::Rules, "rules"),
     (Promise::NoneCrashes, "none-crashes"),
     (Promise::AllHoldTheList, "all-hold-the-list"),
@@ -37,6 +40,7 @@
     (Promise::ServiceTimeIsUseful, "service-time-is-useful"),
     (Promise::Drains, "drains"),
     (Promise::EndpointsSpared, "endpoints-spared"),
+    (Promise::Answered, "answered"),
 ];
 
 /// Why a promise is not kept.
@@ -104,6 +108,7 @@
                 .then(|| format!("{useful:.1} s answering, {useless:.1} s on {thrown} thrown away"))
         }
         Promise::Drains => drains::broken(history),
+        Promise::Answered => unanswered(history),
         Promise::EndpointsSpared => {
             let (most, taken, refused) = (history.opens_most, history.opens_taken, history.opens_refused);
             (taken > 0 && (most > taken || refused > 0))
@@ -112,6 +117,23 @@
     }
 }
 
+/// What a process's end does to its connections may be read so much before or after it is known to be gone.
+const END_READ: Duration = Duration::from_millis(100);
+
+fn unanswered(history: &History) -> Option<String> {
+    let killed = |request: &Unanswered| {
+        let mut gone =
+            history.events.iter().filter(|event| event.relay == request.relay && event.what == What::Gone);
+        gone.any(|event| event.at + END_READ >= request.connected && event.at <= request.ended + END_READ)
+    };
+    let lost: Vec<_> = history.unanswered.iter().filter(|request| !killed(request)).collect();
+    lost.first().map(|first| {
+        let Unanswered { relay, msg, ended, why, .. } = first;
+        let at = ended.as_secs_f64();
+        format!("{} requests, first message {msg} at r{relay} at {at:.2} s: {why}", lost.len())
+    })
+}
+
 /// The promises that are not kept, by name, and why.
 pub fn all(history: &History) -> Vec<(&'static str, String)> {
     ALL.iter().filter_map(|(promise, name)| Some((*name, broken(history, *promise)?))).collect()
--- a/rig/src/check/tests.rs
+++ b/rig/src/check/tests.rs
@@ -56,6 +56,13 @@
         h.forgot = vec![(Duration::from_secs(8), 9)];
         h.events.extend([event(0, What::Listed(1)), event(0, What::Listed(9))]);
     });
+    let (connected, ended) = (Duration::from_secs(7), Duration::from_secs(8));
+    let request = Unanswered { relay: 1, msg: 3, why: "reset".into(), connected, ended };
+    only("answered", |h| h.unanswered.push(request.clone()));
+    let mut killed = sound();
+    killed.unanswered.push(request);
+    killed.events.push(Event { at: Duration::from_millis(7500), relay: 1, what: What::Gone });
+    assert_eq!(all(&killed), []);
     only("drains", |h| {
         let (drained, first) = (Duration::from_secs(2), Duration::from_secs(9));
         h.drained_calls.push((0, DrainedCall { msg: 1, node: 1, drained, first }));
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -176,6 +176,7 @@
         }
         let code = child.wait().await.ok().and_then(|status| status.code());
         life.runs.set(false);
+        self.tell(What::Gone);
         life.ended.notify_waiters();
         if !life.told.get() {
             self.tell(What::Crashed(code));
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -36,6 +36,19 @@
     Reloaded,
     /// It has ended by itself, with such a code.
     Crashed(Option<i32>),
+    /// Its process is gone, whatever ended it.
+    Gone,
+}
+
+/// A request on a connection of its own that ended without an answer.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Unanswered {
+    pub relay: usize,
+    pub msg: u64,
+    /// How the connection ended.
+    pub why: String,
+    pub connected: At,
+    pub ended: At,
 }
 
 /// All of it.
@@ -74,6 +87,8 @@
     pub rules_broken: usize,
     pub handed_in: u32,
     pub delivered: u32,
+    /// Requests that got no answer.
+    pub unanswered: Vec<Unanswered>,
 }
 
 impl History {
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -20,7 +20,7 @@
 use crate::clients::{Clients, Holders};
 use crate::datagrams::Datagrams;
 use crate::fleet::{self, Relay};
-use crate::history::{History, What};
+use crate::history::{History, Unanswered, What};
 use crate::links::Link;
 use crate::report::Outcome;
 use crate::schedule::{Fault, Folder, Kind, Known, LinkTo, Schedule};
@@ -265,6 +265,17 @@
     history.rules_broken = world.checker.total();
     let figures = world.record.figures();
     (history.handed_in, history.delivered) = (figures["handed_in"] as u32, figures["delivered"] as u32);
+    let since = |at: Instant| at.saturating_duration_since(stage.start);
+    let unanswered = submitters.iter().enumerate().flat_map(|(relay, clients)| {
+        clients.unanswered().into_iter().map(move |request| Unanswered {
+            relay,
+            msg: request.msg,
+            why: request.why,
+            connected: since(request.connected),
+            ended: since(request.ended),
+        })
+    });
+    history.unanswered = unanswered.collect();
     let (seconds, _) = world.record.seconds();
     Ok((Outcome::new(schedule, &history, seconds), history))
 }
