What stands in the queue of connections at SIGTERM is taken before the listener goes

What callers saw: a request on a new connection, written whole 0.52 s after SIGTERM, ended by a reset. Cause: relay/src/door.rs, accept, dropped the listener the moment no more were to be taken, and with it what the system had in its queue: one that accept had just failed for (ENFILE) among them. Change: what has come by then is taken, for 0.2 s at most, and answered as ever.

--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -2,6 +2,7 @@
 //! keeps its manners. One that says nothing, or no longer, makes room for the next.
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory};
+use futures_util::FutureExt;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
@@ -17,11 +18,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// After a connection could not be taken, above all for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
+/// Once no more are to be taken, those that wait in the system's queue are taken for so long at most.
+const LAST_TAKEN: Duration = Duration::from_millis(200);
 /// How often connections are looked at.
 const LOOK: Duration = Duration::from_millis(100);
 /// While all places are taken, it is looked for one to make free as often as this.
@@ -490,12 +494,22 @@
                 }
             };
             let mut waited = false;
-            let accepted = poll_fn(|cx| {
+            let mut accept = poll_fn(|cx| {
                 let accepted = listener.poll_accept(cx);
                 waited |= accepted.is_pending();
                 accepted
             });
-            let accepted = accepted.await;
+            let taken = tokio::select! {
+                biased;
+                accepted = &mut accept => Some(accepted),
+                // What has come by now is taken: with the listener it would be reset, and its request lost.
+                () = places.shut.cancelled() => {
+                    yield_now().await;
+                    yield_now().await;
+                    accept.now_or_never()
+                }
+            };
+            let Some(accepted) = taken else { return };
             let queued = if waited { Duration::ZERO } else { since.elapsed() };
             unseen = unseen.filter(|_| !waited);
             match accepted {
@@ -521,8 +535,16 @@
         }
     };
     // Its end drops the listener, while connections are looked after.
-    let taking = places.shut.run_until_cancelled(taking);
-    tokio::join!(looking, async move { _ = taking.await });
+    let shut = async {
+        places.shut.cancelled().await;
+        sleep(LAST_TAKEN).await;
+    };
+    tokio::join!(looking, async move {
+        tokio::select! {
+            () = taking => {}
+            () = shut => {}
+        }
+    });
 }
 
 #[cfg(test)]
--- a/relay/src/door/tests.rs
+++ b/relay/src/door/tests.rs
@@ -176,8 +176,12 @@
     assert_eq!(silent[0].reason.get(), Some(CloseReason::MakesRoom));
 }
 
-/// Takes one connection at a time, each for as long as its client keeps it; tells how long it may have stood in the queue.
-async fn queued_times(listener: TcpListener, told: tokio::sync::mpsc::UnboundedSender<Duration>) {
+/// Takes connections, each for as long as its client keeps it; tells how long it may have stood in the queue.
+async fn take_connections(
+    listener: TcpListener,
+    places: Rc<Places>,
+    told: tokio::sync::mpsc::UnboundedSender<Duration>,
+) {
     let service = actix_service::fn_service(move |(gate, _): (Gate, Option<SocketAddr>)| {
         let told = told.clone();
         async move {
@@ -193,7 +197,7 @@
         idle: Duration::from_secs(9),
         yields: Yields::Silent,
     };
-    accept(listener, Rc::new(Places::new(1)), manners, service).await;
+    accept(listener, places, manners, service).await;
 }
 
 /// Guards against a request whose time begins when it is read, however long its connection stood in the queue.
@@ -203,7 +207,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (told, mut queued) = tokio::sync::mpsc::unbounded_channel();
-        let taking = actix_rt::spawn(queued_times(listener, told));
+        let taking = actix_rt::spawn(take_connections(listener, Rc::new(Places::new(1)), told));
         let first = tokio::net::TcpStream::connect(address).await.expect("connected");
         assert_eq!(queued.recv().await, Some(Duration::ZERO), "the queue was empty before it came");
         let begun = Instant::now();
@@ -219,3 +223,28 @@
         taking.abort();
     });
 }
+
+/// Guards against a connection that is reset with the listener though its client has written a whole request.
+#[test]
+fn connections_that_came_before_no_more_are_taken_are_taken() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (told, mut taken) = tokio::sync::mpsc::unbounded_channel();
+        let places = Rc::new(Places::new(4));
+        let _clients: Vec<_> =
+            (0..3).map(|_| std::net::TcpStream::connect(address).expect("connected")).collect();
+        // In this order: they come, no more are to be taken, the front looks.
+        places.shut();
+        let taking = actix_rt::spawn(take_connections(listener, places, told));
+        for _ in 0..3 {
+            let taken = timeout(Duration::from_secs(5), taken.recv()).await;
+            assert_eq!(taken.expect("a connection in the queue is not left there"), Some(Duration::ZERO));
+        }
+        // Then the listener goes.
+        while tokio::net::TcpStream::connect(address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        taking.abort();
+    });
+}
