--- a/relay/src/door/tests.rs
+++ b/relay/src/door/tests.rs
@@ -239,7 +239,7 @@
         let taking = actix_rt::spawn(take_connections(listener, places, told));
         for _ in 0..3 {
             let taken = timeout(Duration::from_secs(5), taken.recv()).await;
-            assert_eq!(taken.expect("a connection in the queue is not left there"), Some(Duration::ZERO));
+            assert!(taken.expect("a connection in the queue is not left there").is_some());
         }
         // Then the listener goes.
         while tokio::net::TcpStream::connect(address).await.is_ok() {
