Nothing is read behind a last answer: a request that crosses the close is not lost

Cause: relay/src/door.rs, part, read away what came behind the last answer for up to 0.5 s. Change: the client's close is waited for by peeking; what crosses stays unread, and the connection is reset with it after 0.5 s, when the answer has long been taken; once the server has read an end it reads nothing more. Test: a_request_that_crosses_the_close_behind_an_answer_is_read_by_nobody failed with one read put back.

--- a/relay/src/door.rs
+++ b/relay/src/door.rs
@@ -44,10 +44,8 @@
 const FIRST_WORD: Duration = Duration::from_millis(300);
 /// What is closed has so long to take its last answer.
 const FAREWELL: Duration = Duration::from_secs(1);
-/// An answer may still be on its way to the client for so long after it was written, and so long is read on behind it.
+/// An answer may still be on its way to the client for so long after it was written.
 const LINGER: Duration = Duration::from_millis(500);
-/// Most bytes that are read away behind a last answer. Guards against clients that never stop.
-const LINGER_BYTES: usize = 1024 * 1024;
 
 /// What a front lets connections do.
 #[derive(Clone, Copy, Debug)]
@@ -169,7 +167,7 @@
     known: Cell<bool>,
     /// When it was closed from this side: from then on it reads as ended.
     closed: Cell<Option<Instant>>,
-    /// Its last answer is written, and what comes behind that is read away.
+    /// Its last answer is written, and only its client's close is waited for.
     parting: Cell<bool>,
     /// Its place is wanted.
     hurried: Cell<bool>,
@@ -347,6 +345,8 @@
     seen: Rc<Seen>,
     /// When something was last written to it.
     spoken: Cell<Option<Instant>>,
+    /// Its server has read its end.
+    over: Cell<bool>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -357,11 +357,12 @@
         peeked.is_ok_and(|bytes| bytes > 0)
     }
 
-    /// Whether its server is to read on. A connection that was closed between requests stays open if the next one has
+    /// Whether its server is to read on; once not, never again. A connection that was closed between requests stays open if the next one has
     /// come before that; of one that came too slowly, what is here is taken into account.
     fn reads_on(&self) -> bool {
         let Some(closed) = self.seen.closed.get() else { return true };
-        if closed.elapsed() >= FAREWELL || !self.has_unread() {
+        if self.over.get() || closed.elapsed() >= FAREWELL || !self.has_unread() {
+            self.over.set(true);
             return false;
         }
         if self.seen.phase.get() == Phase::Waiting {
@@ -370,33 +371,38 @@
         true
     }
 
-    /// Ends the connection. Where something was answered a moment ago, writing ends first, and what still comes is read
-    /// away, and by nobody taken for a request, until the client has closed as well or has had its time. Guards against a
-    /// close over unread bytes, which resets the connection and may take the answer with it.
+    /// Ends the connection. Where something was answered a moment ago, writing ends first, and the client has its time to take the
+    /// answer and to close as well. Nothing is read meanwhile: a request that crosses the close is the client's to send again, and
+    /// one that was read and never answered is lost. Guards against a close over unread bytes, which resets the connection and may
+    /// take the answer with it.
     async fn part(self) {
-        let Guest { stream, seen, spoken, _place } = self;
+        let Guest { stream, seen, spoken, over: _, _place } = self;
         let mut stream = stream.into_inner();
         if spoken.get().is_none_or(|at| at.elapsed() >= LINGER) || stream.shutdown().await.is_err() {
             return;
         }
         seen.closed.set(Some(Instant::now()));
         seen.parting.set(true);
-        let mut read = 0;
-        let rest = poll_fn(|cx| {
-            loop {
-                if seen.hurried.get() || read > LINGER_BYTES {
-                    return Poll::Ready(());
-                }
-                *seen.waker.borrow_mut() = Some(cx.waker().clone());
-                let mut room = [0; 4096];
-                let mut part = ReadBuf::new(&mut room);
-                match ready!(Pin::new(&mut stream).poll_read(cx, &mut part)) {
-                    Ok(()) if !part.filled().is_empty() => read += part.filled().len(),
-                    _ => return Poll::Ready(()),
+        let mut crossed = false;
+        let gone = poll_fn(|cx| {
+            *seen.waker.borrow_mut() = Some(cx.waker().clone());
+            if seen.hurried.get() {
+                return Poll::Ready(());
+            }
+            if crossed {
+                return Poll::Pending;
+            }
+            let mut room = [0; 1];
+            match ready!(stream.poll_peek(cx, &mut ReadBuf::new(&mut room))) {
+                // What is behind it, the client's close among it, cannot be seen without reading it.
+                Ok(bytes) if bytes > 0 => {
+                    crossed = true;
+                    Poll::Pending
                 }
+                _ => Poll::Ready(()),
             }
         });
-        let _ = timeout(LINGER, rest).await;
+        let _ = timeout(LINGER, gone).await;
     }
 }
 
@@ -516,7 +522,13 @@
                 Ok((stream, address)) => {
                     let _ = stream.set_nodelay(true);
                     let (stream, seen) = (RefCell::new(stream), guests.add(queued));
-                    let guest = Rc::new(Guest { stream, seen, spoken: Cell::new(None), _place: place });
+                    let guest = Rc::new(Guest {
+                        stream,
+                        seen,
+                        spoken: Cell::new(None),
+                        over: Cell::new(false),
+                        _place: place,
+                    });
                     let service = service.clone();
                     actix_rt::spawn(async move {
                         let served = service.call((Gate(guest.clone()), Some(address))).await;
--- a/relay/src/door/tests.rs
+++ b/relay/src/door/tests.rs
@@ -30,7 +30,13 @@
     let client = std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
     let stream = RefCell::new(listener.accept().await.expect("accepted").0);
     let place = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a place");
-    let guest = Guest { stream, seen: Seen::new(Duration::ZERO), spoken: Cell::new(None), _place: place };
+    let guest = Guest {
+        stream,
+        seen: Seen::new(Duration::ZERO),
+        spoken: Cell::new(None),
+        over: Cell::new(false),
+        _place: place,
+    };
     (Rc::new(guest), client)
 }
 
@@ -57,6 +63,7 @@
         guest.seen.close(Instant::now(), CloseReason::Idle);
         assert_eq!(next(&mut gate).await, "");
         client.write_all(b"late").expect("written");
+        assert_eq!(next(&mut gate).await, "", "what was read as ended stays so");
         drop(gate);
         let guest = Rc::into_inner(guest).expect("nobody else has it");
         assert!(guest.has_unread(), "read by nobody");
@@ -248,3 +255,24 @@
         taking.abort();
     });
 }
+
+/// Incident 44: a request that crossed the close behind an answer was read and never answered.
+#[test]
+fn a_request_that_crosses_the_close_behind_an_answer_is_read_by_nobody() {
+    actix_rt::System::new().block_on(async {
+        let (guest, mut client) = connected().await;
+        let mut gate = Gate(guest.clone());
+        gate.write_all(b"answer").await.expect("written");
+        drop(gate);
+        let guest = Rc::into_inner(guest).expect("nobody else has it");
+        let socket = SockRef::from(&*guest.stream.borrow()).try_clone().expect("a second handle");
+        let mut parting = std::pin::pin!(guest.part());
+        assert!(poll_once(parting.as_mut()).await.is_pending(), "the client is still there");
+        // In this order: writing ends, the client has not seen it and writes, the front looks.
+        client.write_all(b"a whole request").expect("written");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(poll_once(parting.as_mut()).await.is_pending(), "the answer has its time");
+        let mut unread = [MaybeUninit::uninit(); 64];
+        assert_eq!(socket.recv(&mut unread).expect("it is here"), b"a whole request".len());
+    });
+}
