door is connection_limiter, with the state of connections in a module of its own

Change: connection_limiter, ConnectionPolicy, OpenConnections, ClientConnection, ConnectionState, TrackedStream; connection_limiter/state.rs has what is decided without sockets. No behaviour changes. Measured: the package's unit tests and the platform's pass.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -1,6 +1,6 @@
 //! The second address, for those who run the relay: it asks the fronts, and decides nothing.
 //!
-//! It has a listener, places and manners of its own: who connects and finishes no call, thousands of submitters, or a
+//! It has a listener, places and a connection policy of its own: who connects and finishes no call, thousands of submitters, or a
 //! busy relay never keep a call waiting.
 mod call;
 
@@ -17,15 +17,15 @@
 
 use crate::availability::Word;
 use crate::backlog::Backlog;
+use crate::connection_limiter::{self, ConnectionPolicy, ConnectionState, Places, TrackedStream, Yields};
 use crate::core::NotOut;
 use crate::disabled::Refused;
-use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::figures::{Census, Figures};
 use crate::instances::Instances;
 use call::{Call, Unfit};
 
 /// A call is short: one that is not whole within this time is none.
-const MANNERS: Manners = Manners {
+const CONNECTION_POLICY: ConnectionPolicy = ConnectionPolicy {
     first: Duration::from_secs(1),
     whole: Some(Duration::from_secs(1)),
     idle: Duration::from_secs(1),
@@ -98,18 +98,18 @@
             .keep_alive(KeepAlive::Disabled)
             .client_request_timeout(Duration::ZERO)
             .client_disconnect_timeout(LINGER)
-            .on_connect_ext(|gate: &Gate, data| drop(data.insert(gate.seen())))
+            .on_connect_ext(|gate: &TrackedStream, data| drop(data.insert(gate.seen())))
             .h1(fn_service(move |request: Request| {
                 let admin = self.clone();
                 async move {
-                    let seen = request.conn_data::<Rc<Seen>>().cloned();
+                    let seen = request.conn_data::<Rc<ConnectionState>>().cloned();
                     seen.iter().for_each(|seen| seen.serving());
                     let response = admin.answer(&request).await;
                     seen.iter().for_each(|seen| seen.answered());
                     Ok::<_, Infallible>(response)
                 }
             }));
-        door::accept(listener, places, MANNERS, service).await;
+        connection_limiter::accept(listener, places, CONNECTION_POLICY, service).await;
     }
 
     async fn answer(&self, request: &Request) -> Response<String> {
--- a/relay/src/door.rs
+++ b/relay/src/connection_limiter.rs
@@ -1,5 +1,5 @@
-//! Takes submitters' connections for a front: as many at once as there are places, each for as long as it
-//! keeps its manners. One that says nothing, or no longer, makes room for the next.
+//! Takes clients' connections for a front: as many at once as there are places, each for as long as the front's policy allows
+//! ([`ConnectionPolicy`]). One that says nothing, or no longer, makes room for the next.
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory};
 use futures_util::FutureExt;
@@ -11,9 +11,9 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpListener;
@@ -22,6 +22,11 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+mod state;
+
+pub use state::{CloseReason, ConnectionPolicy, ConnectionState, Yields};
+use state::{FAREWELL, OpenConnections, Phase};
+
 /// After a connection could not be taken, above all for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Once no more are to be taken, those that wait in the system's queue are taken for so long at most.
@@ -30,45 +35,9 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// While all places are taken, it is looked for one to make free as often as this.
 const ROOM_LOOK: Duration = Duration::from_millis(5);
-/// Silent new connections that are closed at one such look. Guards against a crowd of them that comes again faster than it is sent
-/// away, behind which a request would stand for longer than its client waits.
-const ROOM_AT_ONCE: usize = 16;
-/// No client waits longer for its answer: what stood in the queue for longer is nobody's any more.
-const LONGEST_QUEUED: Duration = Duration::from_millis(400);
-/// A new connection may be silent for so long before it has to make room: a submitter that opens one sends at
-/// once.
-const ROOM_SILENT: Duration = Duration::from_millis(30);
-/// A connection without an open request may be closed once it has been one for so long.
-const ROOM_IDLE: Duration = Duration::from_millis(2050);
-/// A new connection is not sent away before it has had so long for its first word.
-const FIRST_WORD: Duration = Duration::from_millis(300);
-/// What is closed has so long to take its last answer.
-const FAREWELL: Duration = Duration::from_secs(1);
 /// An answer may still be on its way to the client for so long after it was written.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// What a front lets connections do.
-#[derive(Clone, Copy, Debug)]
-pub struct Manners {
-    /// The first request must be whole within this time of connecting.
-    pub first: Duration,
-    /// A later one must be whole within this time of its first byte; unless set, the front sees to it itself.
-    pub whole: Option<Duration>,
-    /// A connection may stand idle for so long.
-    pub idle: Duration,
-    /// What makes room for the next connection where there is none.
-    pub yields: Yields,
-}
-
-/// Which connections make room for others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Yields {
-    /// Those on which no request is open.
-    Silent,
-    /// Those on which the first request is not whole, too.
-    Unfinished,
-}
-
 /// How many connections there may be; the number may change while they are taken.
 pub struct Places {
     free: Arc<Semaphore>,
@@ -133,216 +102,10 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    /// No request is open.
-    Waiting,
-    /// A request is coming in.
-    Reading,
-    /// A request is whole and has no answer yet.
-    Serving,
-}
-
-/// Why a connection is closed from this side.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseReason {
-    /// Its request was not whole in time, or did not begin.
-    TooSlow,
-    /// It stood idle for too long.
-    Idle,
-    /// Its place is wanted.
-    MakesRoom,
-    /// Clients are sent away between requests.
-    SentAway,
-    /// The process is about to end.
-    ProcessEnds,
-}
-
-/// What is known of a connection.
-pub struct Seen {
-    phase: Cell<Phase>,
-    /// When the phase began; while the first request comes in, when it was connected.
-    since: Cell<Instant>,
-    /// It has had an answer.
-    known: Cell<bool>,
-    /// When it was closed from this side: from then on it reads as ended.
-    closed: Cell<Option<Instant>>,
-    /// Its last answer is written, and only its client's close is waited for.
-    parting: Cell<bool>,
-    /// Its place is wanted.
-    hurried: Cell<bool>,
-    waker: RefCell<Option<Waker>>,
-    /// Why it was last closed from this side.
-    reason: Cell<Option<CloseReason>>,
-    /// Requests that were whole, and answers.
-    requests: Cell<u32>,
-    answers: Cell<u32>,
-    /// How long it may have stood in the system's queue before it was taken.
-    queued: Duration,
-}
-
-impl Seen {
-    fn new(queued: Duration) -> Rc<Self> {
-        Rc::new(Seen {
-            phase: Cell::new(Phase::Waiting),
-            since: Cell::new(Instant::now()),
-            known: Cell::new(false),
-            closed: Cell::new(None),
-            parting: Cell::new(false),
-            hurried: Cell::new(false),
-            waker: RefCell::new(None),
-            reason: Cell::new(None),
-            requests: Cell::new(0),
-            answers: Cell::new(0),
-            queued: queued.min(LONGEST_QUEUED),
-        })
-    }
-
-    fn turn(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(Instant::now());
-    }
-
-    /// A request is whole; its answer is owed now.
-    pub fn serving(&self) {
-        self.requests.set(self.requests.get() + 1);
-        self.turn(Phase::Serving);
-    }
-
-    /// The answer is about to be written.
-    pub fn answered(&self) {
-        self.answers.set(self.answers.get() + 1);
-        self.known.set(true);
-        self.turn(Phase::Waiting);
-    }
-
-    /// Tells the log how the connection ended.
-    fn tell_end(&self, client: SocketAddr, error: Option<impl Debug>) {
-        let (requests, answers) = (self.requests.get(), self.answers.get());
-        let (reason, queued) = (self.reason.get().filter(|_| self.closed.get().is_some()), self.queued);
-        let error = error.map(|error| format!("{error:?}"));
-        // Nothing was owed, and nothing went wrong, where a client leaves between requests.
-        if reason.is_some() || error.is_some() || requests > answers {
-            tracing::debug!(%client, ?reason, requests, answers, ?queued, error, "a client's connection ends");
-        }
-    }
-
-    fn came(&self) {
-        if self.phase.get() == Phase::Waiting {
-            let connected = self.since.get();
-            self.turn(Phase::Reading);
-            if !self.known.get() {
-                self.since.set(connected);
-            }
-        }
-    }
-
-    /// How long its present request may have waited to be read: the first came with the connection at the earliest.
-    pub fn queued(&self) -> Duration {
-        if self.known.get() { Duration::ZERO } else { self.queued }
-    }
-
-    fn close(&self, now: Instant, reason: CloseReason) {
-        self.reason.set(Some(reason));
-        self.closed.set(Some(now));
-        self.wake();
-    }
-
-    fn wake(&self) {
-        if let Some(waker) = self.waker.take() {
-            waker.wake();
-        }
-    }
-
-    /// Whether its time is up by its front's manners.
-    fn overdue(&self, now: Instant, manners: &Manners) -> bool {
-        let most = match (self.phase.get(), self.known.get()) {
-            (Phase::Waiting, false) => Some(manners.first),
-            (Phase::Waiting, true) => Some(manners.idle),
-            (Phase::Reading, false) => manners.whole.map(|_| manners.first),
-            (Phase::Reading, true) => manners.whole,
-            (Phase::Serving, _) => None,
-        };
-        most.is_some_and(|most| now >= self.since.get() + most)
-    }
-
-    /// Whether it may be closed since all are sent away.
-    fn may_leave(&self, now: Instant) -> bool {
-        let least = if self.known.get() { Duration::ZERO } else { FIRST_WORD };
-        self.phase.get() == Phase::Waiting && now >= self.since.get() + least
-    }
-
-    /// Whether it may be closed in favour of another.
-    fn may_make_room(&self, now: Instant, yields: Yields) -> bool {
-        let least = if self.known.get() { ROOM_IDLE } else { ROOM_SILENT };
-        let waits = match self.phase.get() {
-            Phase::Waiting => true,
-            Phase::Reading => yields == Yields::Unfinished && !self.known.get(),
-            Phase::Serving => false,
-        };
-        waits && self.closed.get().is_none() && now >= self.since.get() + least
-    }
-}
-
-/// The connections that a front has.
-#[derive(Default)]
-struct Guests(RefCell<Vec<Weak<Seen>>>);
-
-impl Guests {
-    fn add(&self, queued: Duration) -> Rc<Seen> {
-        let seen = Seen::new(queued);
-        self.0.borrow_mut().push(Rc::downgrade(&seen));
-        seen
-    }
-
-    fn here(&self) -> Vec<Rc<Seen>> {
-        let mut guests = self.0.borrow_mut();
-        guests.retain(|seen| seen.strong_count() > 0);
-        guests.iter().filter_map(Weak::upgrade).collect()
-    }
-
-    /// Closes what has overstayed. Guards against connections that send half a request or none, or were left
-    /// open for good.
-    fn look(&self, now: Instant, manners: &Manners, leaving: bool, ending: bool) {
-        let over = |seen: &Seen| match () {
-            () if seen.overdue(now, manners) && seen.known.get() && seen.phase.get() == Phase::Waiting => {
-                Some(CloseReason::Idle)
-            }
-            () if seen.overdue(now, manners) => Some(CloseReason::TooSlow),
-            () if leaving && seen.may_leave(now) => Some(CloseReason::SentAway),
-            () if ending && seen.phase.get() != Phase::Serving => Some(CloseReason::ProcessEnds),
-            () => None,
-        };
-        for seen in self.here().into_iter().filter(|seen| seen.closed.get().is_none()) {
-            over(&seen).into_iter().for_each(|reason| seen.close(now, reason));
-        }
-        // One that takes no bytes from us either is woken to be dropped.
-        let stuck = self.here().into_iter().filter(|s| s.closed.get().is_some_and(|c| now >= c + FAREWELL));
-        stuck.for_each(|seen| seen.wake());
-    }
-
-    /// Closes connections that are not in use: several that never asked anything, or one that did. Guards against hundreds of
-    /// silent ones keeping submitters out.
-    fn make_room(&self, now: Instant, yields: Yields) {
-        // One that only waits for its client to close has nothing more to give.
-        if let Some(seen) = self.here().into_iter().find(|seen| seen.parting.get() && !seen.hurried.get()) {
-            seen.hurried.set(true);
-            return seen.wake();
-        }
-        let mut may: Vec<_> =
-            self.here().into_iter().filter(|seen| seen.may_make_room(now, yields)).collect();
-        // Those that never asked anything first, then the longest idle.
-        may.sort_by_key(|seen| (seen.known.get(), seen.since.get()));
-        let silent = |seen: &Rc<Seen>| !seen.known.get() && seen.phase.get() == Phase::Waiting;
-        let several = may.iter().take_while(|seen| silent(seen)).count().min(ROOM_AT_ONCE);
-        may.iter().take(several.max(1)).for_each(|seen| seen.close(now, CloseReason::MakesRoom));
-    }
-}
-
 /// A submitter's connection, from its taking to its close.
-struct Guest {
+struct ClientConnection {
     stream: RefCell<TcpStream>,
-    seen: Rc<Seen>,
+    seen: Rc<ConnectionState>,
     /// When something was last written to it.
     spoken: Cell<Option<Instant>>,
     /// Its server has read its end.
@@ -350,7 +113,7 @@
     _place: OwnedSemaphorePermit,
 }
 
-impl Guest {
+impl ClientConnection {
     /// Whether something has come that nobody has read. Asks the system, not the runtime, which may not have looked yet.
     fn has_unread(&self) -> bool {
         let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
@@ -376,7 +139,7 @@
     /// one that was read and never answered is lost. Guards against a close over unread bytes, which resets the connection and may
     /// take the answer with it.
     async fn part(self) {
-        let Guest { stream, seen, spoken, over: _, _place } = self;
+        let ClientConnection { stream, seen, spoken, over: _, _place } = self;
         let mut stream = stream.into_inner();
         if spoken.get().is_none_or(|at| at.elapsed() >= LINGER) || stream.shutdown().await.is_err() {
             return;
@@ -407,10 +170,10 @@
 }
 
 /// A submitter's connection, as the server sees it.
-pub struct Gate(Rc<Guest>);
+pub struct TrackedStream(Rc<ClientConnection>);
 
-impl Gate {
-    pub fn seen(&self) -> Rc<Seen> {
+impl TrackedStream {
+    pub fn seen(&self) -> Rc<ConnectionState> {
         self.0.seen.clone()
     }
 
@@ -427,7 +190,7 @@
     }
 }
 
-impl AsyncRead for Gate {
+impl AsyncRead for TrackedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         self.wake_with(cx);
         if !self.0.reads_on() {
@@ -442,7 +205,7 @@
     }
 }
 
-impl AsyncWrite for Gate {
+impl AsyncWrite for TrackedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.wake_with(cx);
         if self.gone() {
@@ -465,9 +228,9 @@
 }
 
 /// Takes connections, each for a free place.
-pub async fn accept<F>(listener: TcpListener, places: Rc<Places>, manners: Manners, factory: F)
+pub async fn accept<F>(listener: TcpListener, places: Rc<Places>, policy: ConnectionPolicy, factory: F)
 where
-    F: ServiceFactory<(Gate, Option<SocketAddr>), Config = (), InitError = ()>,
+    F: ServiceFactory<(TrackedStream, Option<SocketAddr>), Config = (), InitError = ()>,
     F::Service: 'static,
     F::Error: Debug,
 {
@@ -476,13 +239,13 @@
         return;
     };
     let service = Rc::new(service);
-    let guests = Rc::new(Guests::default());
+    let guests = Rc::new(OpenConnections::default());
     let looking = async {
         loop {
             sleep(LOOK).await;
             let now = Instant::now();
             let leaving = places.leaving.get().is_some_and(|from| now >= from);
-            guests.look(now, &manners, leaving, places.ending.get());
+            guests.look(now, &policy, leaving, places.ending.get());
         }
     };
     let taking = async {
@@ -496,7 +259,7 @@
                 match timeout(ROOM_LOOK, places.free.clone().acquire_owned()).await {
                     Ok(Ok(place)) => break place,
                     Ok(Err(_)) => return,
-                    Err(_) => guests.make_room(Instant::now(), manners.yields),
+                    Err(_) => guests.make_room(Instant::now(), policy.yields),
                 }
             };
             let mut waited = false;
@@ -522,7 +285,7 @@
                 Ok((stream, address)) => {
                     let _ = stream.set_nodelay(true);
                     let (stream, seen) = (RefCell::new(stream), guests.add(queued));
-                    let guest = Rc::new(Guest {
+                    let guest = Rc::new(ClientConnection {
                         stream,
                         seen,
                         spoken: Cell::new(None),
@@ -531,7 +294,7 @@
                     });
                     let service = service.clone();
                     actix_rt::spawn(async move {
-                        let served = service.call((Gate(guest.clone()), Some(address))).await;
+                        let served = service.call((TrackedStream(guest.clone()), Some(address))).await;
                         guest.seen.tell_end(address, served.err());
                         // Its server has let it go.
                         if let Some(guest) = Rc::into_inner(guest) {
--- a/relay/src/door/tests.rs
+++ b/relay/src/connection_limiter/tests.rs
@@ -1,10 +1,11 @@
+use super::state::ROOM_AT_ONCE;
 use super::*;
 use std::io::{Read, Write};
 use tokio::io::AsyncReadExt;
 
 #[test]
 fn where_unfinished_calls_yield_the_oldest_goes_first_and_an_answer_is_never_cut() {
-    let guests = Guests::default();
+    let guests = OpenConnections::default();
     let start = Instant::now();
     let [first, second, serving] = [0, 10, 20].map(|ms| {
         let seen = guests.add(Duration::ZERO);
@@ -25,14 +26,14 @@
 }
 
 /// A connection as a front has it, and the client's end of it. Nothing is read on either but by the test.
-async fn connected() -> (Rc<Guest>, std::net::TcpStream) {
+async fn connected() -> (Rc<ClientConnection>, std::net::TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
     let stream = RefCell::new(listener.accept().await.expect("accepted").0);
     let place = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a place");
-    let guest = Guest {
+    let guest = ClientConnection {
         stream,
-        seen: Seen::new(Duration::ZERO),
+        seen: ConnectionState::new(Duration::ZERO),
         spoken: Cell::new(None),
         over: Cell::new(false),
         _place: place,
@@ -41,7 +42,7 @@
 }
 
 /// What the server reads next; nothing where it reads an end.
-async fn next(gate: &mut Gate) -> String {
+async fn next(gate: &mut TrackedStream) -> String {
     let mut room = [0; 64];
     let read = gate.read(&mut room).await.expect("no error");
     String::from_utf8_lossy(&room[..read]).into_owned()
@@ -51,7 +52,7 @@
 fn a_request_that_came_before_its_idle_connection_is_closed_is_served_and_the_connection_stays() {
     actix_rt::System::new().block_on(async {
         let (guest, mut client) = connected().await;
-        let mut gate = Gate(guest.clone());
+        let mut gate = TrackedStream(guest.clone());
         guest.seen.answered();
         // In this order: the client writes, the front closes, the server looks.
         client.write_all(b"next").expect("written");
@@ -74,7 +75,7 @@
 fn a_request_that_came_too_slowly_is_read_as_far_as_it_is_here_and_no_further() {
     actix_rt::System::new().block_on(async {
         let (guest, mut client) = connected().await;
-        let mut gate = Gate(guest.clone());
+        let mut gate = TrackedStream(guest.clone());
         guest.seen.came();
         client.write_all(b"the rest").expect("written");
         guest.seen.close(Instant::now(), CloseReason::Idle);
@@ -93,10 +94,10 @@
 }
 
 /// A connection on which an answer is just written over bytes that nobody has read, and the client's end of it.
-async fn answered_over_unread() -> (Guest, std::net::TcpStream) {
+async fn answered_over_unread() -> (ClientConnection, std::net::TcpStream) {
     let (guest, mut client) = connected().await;
     client.write_all(b"read and unread").expect("written");
-    let mut gate = Gate(guest.clone());
+    let mut gate = TrackedStream(guest.clone());
     gate.read_exact(&mut [0; 4]).await.expect("read");
     gate.write_all(b"answer").await.expect("written");
     drop(gate);
@@ -125,7 +126,7 @@
 
 #[test]
 fn connections_that_only_wait_for_their_client_make_room_first_and_at_once() {
-    let guests = Guests::default();
+    let guests = OpenConnections::default();
     let [idle, parting] = [guests.add(Duration::ZERO), guests.add(Duration::ZERO)];
     idle.answered();
     parting.parting.set(true);
@@ -147,33 +148,33 @@
 
 #[test]
 fn a_process_that_ends_closes_all_but_what_it_owes_an_answer() {
-    let guests = Guests::default();
+    let guests = OpenConnections::default();
     let [waiting, reading, serving] =
         [guests.add(Duration::ZERO), guests.add(Duration::ZERO), guests.add(Duration::ZERO)];
     reading.came();
     serving.came();
     serving.serving();
-    let manners = Manners {
+    let policy = ConnectionPolicy {
         first: Duration::from_secs(9),
         whole: Some(Duration::from_secs(9)),
         idle: Duration::from_secs(9),
         yields: Yields::Silent,
     };
     let closed = || [&waiting, &reading, &serving].map(|seen| seen.closed.get().is_some());
-    guests.look(Instant::now(), &manners, true, false);
+    guests.look(Instant::now(), &policy, true, false);
     assert_eq!(closed(), [false; 3]);
-    guests.look(Instant::now(), &manners, true, true);
+    guests.look(Instant::now(), &policy, true, true);
     assert_eq!(closed(), [true, true, false]);
 }
 
 #[test]
 fn silent_newcomers_make_room_several_at_once_and_what_has_asked_one_by_one() {
-    let guests = Guests::default();
+    let guests = OpenConnections::default();
     let silent: Vec<_> = (0..ROOM_AT_ONCE + 4).map(|_| guests.add(Duration::ZERO)).collect();
     let asked: Vec<_> = (0..3).map(|_| guests.add(Duration::ZERO)).collect();
     asked.iter().for_each(|seen| seen.answered());
     let later = Instant::now() + Duration::from_secs(9);
-    let closed = |all: &[Rc<Seen>]| all.iter().filter(|seen| seen.closed.get().is_some()).count();
+    let closed = |all: &[Rc<ConnectionState>]| all.iter().filter(|seen| seen.closed.get().is_some()).count();
     guests.make_room(later, Yields::Silent);
     assert_eq!((closed(&silent), closed(&asked)), (ROOM_AT_ONCE, 0));
     guests.make_room(later, Yields::Silent);
@@ -189,22 +190,22 @@
     places: Rc<Places>,
     told: tokio::sync::mpsc::UnboundedSender<Duration>,
 ) {
-    let service = actix_service::fn_service(move |(gate, _): (Gate, Option<SocketAddr>)| {
+    let service = actix_service::fn_service(move |(gate, _): (TrackedStream, Option<SocketAddr>)| {
         let told = told.clone();
         async move {
-            let mut gate: Gate = gate;
+            let mut gate: TrackedStream = gate;
             let _ = told.send(gate.seen().queued());
             let _ = gate.read(&mut [0; 1]).await;
             Ok::<_, io::Error>(())
         }
     });
-    let manners = Manners {
+    let policy = ConnectionPolicy {
         first: Duration::from_secs(9),
         whole: None,
         idle: Duration::from_secs(9),
         yields: Yields::Silent,
     };
-    accept(listener, places, manners, service).await;
+    accept(listener, places, policy, service).await;
 }
 
 /// Guards against a request whose time begins when it is read, however long its connection stood in the queue.
@@ -261,7 +262,7 @@
 fn a_request_that_crosses_the_close_behind_an_answer_is_read_by_nobody() {
     actix_rt::System::new().block_on(async {
         let (guest, mut client) = connected().await;
-        let mut gate = Gate(guest.clone());
+        let mut gate = TrackedStream(guest.clone());
         gate.write_all(b"answer").await.expect("written");
         drop(gate);
         let guest = Rc::into_inner(guest).expect("nobody else has it");
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The rooms, each importing only those before it: plain values ([`clock`], [`job`]), what is read and written ([`config`],
 //! [`list`], [`tls`], [`journal`], [`notice`], [`import`], [`figures`], [`disabled`]), plug-ins ([`hook`]), what waits on disk ([`backlog`]), jobs' lives ([`core`]), what fronts
-//! share ([`availability`], [`door`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]; `admin_client` calls it), and the program that
+//! share ([`availability`], [`connection_limiter`], [`discovery`]), the fronts ([`platform`], [`push`]), the second address ([`admin`]; `admin_client` calls it), and the program that
 //! wires them ([`run`]).
 #![forbid(unsafe_code)]
 
@@ -12,10 +12,10 @@
 pub mod backlog;
 pub mod clock;
 pub mod config;
+pub mod connection_limiter;
 pub mod core;
 pub mod disabled;
 pub mod discovery;
-pub mod door;
 pub mod estate;
 pub mod figures;
 pub mod handover;
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -13,8 +13,8 @@
 use super::KEY;
 use crate::availability::Availability;
 use crate::clock;
+use crate::connection_limiter::{self, ConnectionPolicy, ConnectionState, Places, TrackedStream, Yields};
 use crate::core::{Carrier, Core};
-use crate::door::{self, Gate, Manners, Places, Seen, Yields};
 use crate::job::{Answer, Job};
 
 /// Largest body; the platform sends none larger.
@@ -23,8 +23,8 @@
 const LONGEST_NAME: usize = 512;
 /// Longest time that a message may still have; a longer one is no sensible figure.
 const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
-/// A connection's manners. They end silently: a 408 would be taken for the answer to what is sent just then.
-const MANNERS: Manners = Manners {
+/// How long connections may take. They end silently: a 408 would be taken for the answer to what is sent just then.
+const CONNECTION_POLICY: ConnectionPolicy = ConnectionPolicy {
     first: Duration::from_millis(2500),
     whole: Some(Duration::from_millis(2500)),
     idle: Duration::from_secs(5),
@@ -47,22 +47,22 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener, places: Rc<Places>) {
         let taken = places.clone();
         let service = HttpService::build()
-            // The door sees to time, with manners of its own.
+            // The connection limiter sees to time, by the policy above.
             .keep_alive(KeepAlive::Os)
             .client_request_timeout(Duration::ZERO)
             .client_disconnect_timeout(LINGER)
-            .on_connect_ext(|gate: &Gate, data| drop(data.insert(gate.seen())))
+            .on_connect_ext(|gate: &TrackedStream, data| drop(data.insert(gate.seen())))
             .h1(fn_service(move |request: Request| {
                 let (server, places) = (self.clone(), places.clone());
                 async move { Ok::<_, Infallible>(server.serve(request, &places).await) }
             }));
-        door::accept(listener, taken, MANNERS, service).await;
+        connection_limiter::accept(listener, taken, CONNECTION_POLICY, service).await;
     }
 }
 
 impl<C: Carrier> Server<C> {
     async fn serve(&self, mut request: Request, places: &Places) -> Response<&'static str> {
-        let seen = request.conn_data::<Rc<Seen>>().cloned();
+        let seen = request.conn_data::<Rc<ConnectionState>>().cloned();
         let mut response = match (request.method(), request.path()) {
             (&Method::GET, "/ready") if self.availability.get().is_ready() => {
                 Response::with_body(StatusCode::OK, "ready\n")
@@ -93,9 +93,9 @@
     }
 
     /// Decodes a job, once.
-    async fn read(&self, request: &mut Request, seen: Option<&Seen>) -> Result<Job, Unfit> {
+    async fn read(&self, request: &mut Request, seen: Option<&ConnectionState>) -> Result<Job, Unfit> {
         // Its time runs from when it may have come, not from when it is read.
-        let arrived = clock::now() - seen.map_or(Duration::ZERO, Seen::queued);
+        let arrived = clock::now() - seen.map_or(Duration::ZERO, ConnectionState::queued);
         // Read even where the rest is bad: a connection with an unread body has to be closed.
         let body = read_body(request).await?;
         let text = |name: &str| match request.headers().get(name) {
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -21,8 +21,8 @@
 use super::{PATH, TOPIC, TTL};
 use crate::clock;
 use crate::config::{Location, Push, Urgency};
+use crate::connection_limiter::{self, ConnectionPolicy, Places, TrackedStream, Yields};
 use crate::core::{Carrier, Core};
-use crate::door::{self, Gate, Manners, Places, Yields};
 use crate::job::{Answer, Job};
 use crate::tls;
 
@@ -31,7 +31,8 @@
 /// HTTP/2's opening must be done, and a body be whole, within this time.
 const READ_TIME: Duration = Duration::from_millis(2500);
 /// Silent connections make room; the rest is HTTP/2's own, with pings.
-const MANNERS: Manners = Manners { first: READ_TIME, whole: None, idle: KEEP_ALIVE, yields: Yields::Silent };
+const CONNECTION_POLICY: ConnectionPolicy =
+    ConnectionPolicy { first: READ_TIME, whole: None, idle: KEEP_ALIVE, yields: Yields::Silent };
 /// Where a message that was taken on can be asked for while it is open.
 const MESSAGE: &str = "/message/";
 /// All header names and values that a job carries.
@@ -94,11 +95,11 @@
                 let server = self.clone();
                 async move { Ok::<_, Infallible>(server.serve(request).await) }
             }));
-        let greet = fn_service(move |(gate, peer): (Gate, Option<SocketAddr>)| {
+        let greet = fn_service(move |(gate, peer): (TrackedStream, Option<SocketAddr>)| {
             let secured = greeter.secured.borrow().clone();
             async move { Ok::<_, DispatchError>((greeted(gate, secured).await?, peer)) }
         });
-        door::accept(listener, places, MANNERS, greet.and_then(service)).await;
+        connection_limiter::accept(listener, places, CONNECTION_POLICY, greet.and_then(service)).await;
     }
 
     async fn serve(&self, mut request: Request) -> Response<String> {
@@ -193,9 +194,9 @@
 }
 
 /// A submitter's connection, by TLS or without.
-type Line = Either<Gate, TlsStream<Gate>>;
+type Line = Either<TrackedStream, TlsStream<TrackedStream>>;
 
-async fn greeted(gate: Gate, secured: Option<Arc<ServerConfig>>) -> Result<Line, DispatchError> {
+async fn greeted(gate: TrackedStream, secured: Option<Arc<ServerConfig>>) -> Result<Line, DispatchError> {
     let Some(config) = secured else { return Ok(Either::Left(gate)) };
     // Guards against submitters that begin a handshake and go no further.
     let handshake = tokio::time::timeout(READ_TIME, TlsAcceptor::from(config).accept(gate)).await;
