The promise answered goes by one clock, and by when new connections arrive

Change: one clock; what connects more than 0.4 s after SIGTERM may find nobody, with a test for both sides of that bound.

--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -120,13 +120,27 @@
 /// What a process's end does to its connections may be read so much before or after it is known to be gone.
 const END_READ: Duration = Duration::from_millis(100);
 
+/// After SIGTERM new connections arrive for so long (the platform's page, "Figures"): what connects later may find nobody.
+const STILL_ARRIVING: Duration = Duration::from_millis(400);
+
 fn unanswered(history: &History) -> Option<String> {
+    let of = |request: &Unanswered| {
+        let relay = request.relay;
+        history.events.iter().filter(move |event| event.relay == relay)
+    };
     let killed = |request: &Unanswered| {
-        let mut gone =
-            history.events.iter().filter(|event| event.relay == request.relay && event.what == What::Gone);
+        let mut gone = of(request).filter(|event| event.what == What::Gone);
         gone.any(|event| event.at + END_READ >= request.connected && event.at <= request.ended + END_READ)
     };
-    let lost: Vec<_> = history.unanswered.iter().filter(|request| !killed(request)).collect();
+    let came_too_late = |request: &Unanswered| {
+        let last = of(request)
+            .filter(|event| event.at <= request.connected)
+            .rfind(|event| matches!(event.what, What::Started | What::Ended));
+        let told_to_end = last.filter(|event| event.what == What::Ended);
+        told_to_end.is_some_and(|event| request.connected > event.at + STILL_ARRIVING)
+    };
+    let owed = |request: &&Unanswered| !killed(request) && !came_too_late(request);
+    let lost: Vec<_> = history.unanswered.iter().filter(owed).collect();
     lost.first().map(|first| {
         let Unanswered { relay, msg, ended, why, .. } = first;
         let at = ended.as_secs_f64();
--- a/rig/src/check/tests.rs
+++ b/rig/src/check/tests.rs
@@ -60,9 +60,19 @@
     let request = Unanswered { relay: 1, msg: 3, why: "reset".into(), connected, ended };
     only("answered", |h| h.unanswered.push(request.clone()));
     let mut killed = sound();
-    killed.unanswered.push(request);
+    killed.unanswered.push(request.clone());
     killed.events.push(Event { at: Duration::from_millis(7500), relay: 1, what: What::Gone });
     assert_eq!(all(&killed), []);
+    // Told to end at 6.9 s it owes an answer to what connects at 7 s, at 6.5 s no more.
+    let told = |ms| Event { at: Duration::from_millis(ms), relay: 1, what: What::Ended };
+    only("answered", |h| {
+        h.unanswered.push(request.clone());
+        h.events.push(told(6900));
+    });
+    let mut late = sound();
+    late.unanswered.push(request);
+    late.events.push(told(6500));
+    assert_eq!(all(&late), []);
     only("drains", |h| {
         let (drained, first) = (Duration::from_secs(2), Duration::from_secs(9));
         h.drained_calls.push((0, DrainedCall { msg: 1, node: 1, drained, first }));
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -265,7 +265,8 @@
     history.rules_broken = world.checker.total();
     let figures = world.record.figures();
     (history.handed_in, history.delivered) = (figures["handed_in"] as u32, figures["delivered"] as u32);
-    let since = |at: Instant| at.saturating_duration_since(stage.start);
+    // By the same clock as what is seen of processes.
+    let since = |at: Instant| at.saturating_duration_since(start);
     let unanswered = submitters.iter().enumerate().flat_map(|(relay, clients)| {
         clients.unanswered().into_iter().map(move |request| Unanswered {
             relay,
