--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -179,7 +179,7 @@
     /// When the file cannot be written anew in the format that this takes.
     pub fn enable_backlog(&mut self) -> io::Result<()> {
         self.has_backlog = true;
-        let written = self.settle_clock().and_then(|()| self.rewrite());
+        let written = self.clock.record().and_then(|()| self.rewrite());
         self.told(written)
     }
 
@@ -446,7 +446,8 @@
         if self.storage.is_none() {
             return Err(io::Error::other("another process has the journal"));
         }
-        self.settle_clock()?;
+        // Times are recorded only once it is recorded how they are reckoned.
+        self.clock.record()?;
         match self.tail {
             Tail::Inherited => self.rewrite()?,
             Tail::Doubtful => self.cut_tail().or_else(|_| self.rewrite())?,
@@ -463,11 +464,6 @@
         written
     }
 
-    /// Times are recorded only once it is recorded how they are reckoned.
-    fn settle_clock(&mut self) -> io::Result<()> {
-        self.clock.record()
-    }
-
     fn cut_tail(&mut self) -> io::Result<()> {
         let storage = self.storage.as_mut().expect("just seen");
         storage.truncate(self.size)?;
--- a/relay/src/journal/tests_of_faults.rs
+++ b/relay/src/journal/tests_of_faults.rs
@@ -14,7 +14,7 @@
     let clock = FolderClock::open(folder.path()).expect("it can be read");
     // The clock's record is not what is tested here; its folder goes after it was written.
     let (mut journal, open) = Journal::over(Box::new(disk.clone()), clock, LIMIT).expect("it opens");
-    journal.settle_clock().expect("written");
+    journal.clock.record().expect("written");
     (journal, open)
 }
 
--- a/relay/src/platform/carrier/tests.rs
+++ b/relay/src/platform/carrier/tests.rs
@@ -81,7 +81,7 @@
                 let endpoint = closing.take();
                 if let Some((stream, how)) = endpoint {
                     close(stream, how);
-                    // ConnectionState by the system that the relay runs on.
+                    // Seen by the system that the relay runs on.
                     std::future::poll_fn(|cx| line.poll_read_ready(cx)).await?;
                 }
                 Ok(line)
