Health of endpoints is a module of its own, out of src/choice.rs

Change: judging outcomes, silence, suspicion, shunned classes and the cold budget moved to src/health.rs as they were. Nothing else.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,6 @@
 //! All decisions of a courier. Its types, events and actions are in `src/interface.rs`.
 use crate::discovery_schedule::{ASK_NONCE, DiscoverySchedule};
+use crate::health::BAD_STEP;
 use crate::hold::{Hold, Rank, Turn};
 use crate::interface::*;
 use crate::roster::Roster;
@@ -20,22 +21,10 @@
 const SHARE_CAP: f64 = 0.75;
 /// The same while it is failing or slow (design page).
 const SHARE_CAP_ILL: f64 = 0.5;
-/// Weight of the newest outcome in an endpoint's failure average: two failures in a row pass ILL.
-const BAD_STEP: f64 = 0.25;
-/// Failure average from which an endpoint counts as in outage ("most calls fail", seen early).
-const ILL: f64 = 0.4;
 /// Weight of the newest latency in the mean used for silence, a usual smoothing.
 const MEAN_STEP: f64 = 0.2;
-/// A call out for this many mean latencies, plus SILENT_AIM, is silence: beyond an exponential tail.
-const SILENT_MEANS: f64 = 3.0;
-/// Part of the tightest aim added to the silence threshold, so that short stalls are not outages.
-const SILENT_AIM: f64 = 0.3;
 /// Share of the slots that calls past the silence threshold may hold: the rest is for calls that answer.
 const LOST_SHARE: f64 = 0.25;
-/// Answers less than so many `rules.fall` apart, with no failure but silence between, end an outage at once.
-const LAPSE: u64 = 2;
-/// Part of the cold budget that is used; the rest is room for chance and for calls already under way.
-pub(crate) const COLD_PART: f64 = 0.8;
 /// Least pace, in calls a second: a small part of a limit is no measure of when one message may go.
 pub(crate) const LEAST_RATE: f64 = 2.0;
 /// Pace left after a refusal above a limit; milder than halving since the window halves as well.
@@ -141,7 +130,7 @@
     }
 
     /// Whether an even share of the limit is so small that what one courier is told has to hold for all.
-    fn scarce(&self) -> bool {
+    pub(crate) fn scarce(&self) -> bool {
         self.even < LEAST_RATE / 2.0
     }
 
@@ -175,7 +164,7 @@
     pub(crate) by_dest: BTreeMap<DestId, Vec<EndpointId>>,
     pub(crate) units: BTreeMap<UnitId, Unit>,
     /// Units whose predictor may not be idle, or that have calls out: only these bear on L.
-    active: BTreeSet<UnitId>,
+    pub(crate) active: BTreeSet<UnitId>,
     /// No call may begin, and some could again since the last round.
     pub(crate) calls_paused: bool,
     pub(crate) calls_resumed: bool,
@@ -202,7 +191,7 @@
     pub(crate) fall: Nanos,
     pub(crate) slots: usize,
     /// Slots that calls without hope of a quick answer may hold.
-    lost_slots: usize,
+    pub(crate) lost_slots: usize,
     /// Time before a deadline at which nothing more is begun.
     pub(crate) guard: Nanos,
     load: f64,
@@ -291,12 +280,6 @@
         self.load = if least > 0.0 { (measured / least).max(1.0) } else { 1.0 };
     }
 
-    /// Whether no endpoint of the unit is up.
-    fn ailing(&self, id: UnitId) -> bool {
-        let mut ids = self.endpoints(id).peekable();
-        ids.peek().is_some() && ids.all(|e| self.suspect(e))
-    }
-
     /// Endpoints of a destination that the list names, neither draining nor gone.
     pub(crate) fn listed(&self, dest: DestId) -> impl Iterator<Item = &Peer> {
         let peers = self.by_dest.get(&dest).into_iter().flatten().filter_map(|e| self.peers.get(e));
@@ -335,133 +318,6 @@
         (f64::from(slots) * if slow { SHARE_CAP_ILL } else { SHARE_CAP }).floor().max(1.0)
     }
 
-    /// An endpoint not up, or one of a destination in which another failed after this one last served:
-    /// a mere suspicion is treated as knowledge.
-    fn suspect(&self, peer: &Peer) -> bool {
-        let sibling = |p: &Peer| p.health != Health::Up && peer.served < p.since;
-        peer.health != Health::Up || self.endpoints(peer.unit).any(sibling)
-    }
-
-    /// Age from which an unanswered call counts as silence; an aim where nothing is measured yet.
-    fn silence(&self, id: UnitId) -> f64 {
-        let aim = secs(self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND));
-        let predictor = self.units.get(&id).map(|u| &u.predictor).filter(|p| p.least.is_some());
-        predictor.map_or(aim, |p| SILENT_MEANS * p.mean + SILENT_AIM * aim)
-    }
-
-    /// Takes an endpoint as down once its calls stay unanswered, before any time-out, and calls off the
-    /// oldest such calls beyond LOST_SHARE of the slots (exception 3). Guards against hangs, silent drops
-    /// and long stalls, at many destinations at once, filling the slots.
-    fn watch_silence(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let mut overdue = Vec::new();
-        for unit in &self.active {
-            let Some(calls) = self.units.get(unit).map(|u| &u.predictor.out) else { continue };
-            let silence = self.silence(*unit);
-            for (sent, id) in calls.iter().take_while(|(sent, _)| secs(now - *sent) > silence) {
-                let Some(message) = self.messages.get(id) else { continue };
-                let Some(out) = message.out.as_ref().filter(|out| out.sent == *sent) else { continue };
-                let Some(peer) = self.peers.get(&out.endpoint) else { continue };
-                overdue.push((out.sent, out.call, *id, out.endpoint, out.sent > peer.served, message.class));
-            }
-        }
-        overdue.sort_unstable();
-        // Messages of one call hold one slot.
-        let calls: BTreeSet<_> = overdue.iter().map(|o| (o.0, o.1)).collect();
-        let kept = calls.iter().nth(calls.len().saturating_sub(self.lost_slots)).copied();
-        for (sent, call, id, endpoint, silent, class) in overdue {
-            self.shun(now, endpoint, class);
-            if silent {
-                self.mark_down(now, endpoint, "silent", actions);
-            }
-            let out = self.messages.get_mut(&id).and_then(|m| m.out.as_mut()).filter(|o| !o.called_off);
-            if let Some(out) = out.filter(|_| kept.is_none_or(|kept| (sent, call) < kept)) {
-                out.called_off = true;
-                actions.push(Action::Cancel { msg: id, attempt: out.number });
-            }
-        }
-    }
-
-    /// Sends a class elsewhere for a cold start's time after a call without an answer, while another endpoint
-    /// is there for it (exception 9). Guards against endpoints that leave one class alone unanswered.
-    fn shun(&mut self, now: Nanos, id: EndpointId, class: usize) {
-        if let Some(peer) = self.peers.get_mut(&id) {
-            peer.shun.insert(class, now + self.cold);
-        }
-    }
-
-    fn mark_down(&mut self, now: Nanos, id: EndpointId, why: &str, actions: &mut Vec<Action>) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        if peer.health != Health::Down {
-            actions.push(Action::Log { line: format!("endpoint {} down: {why}", id.0) });
-            // At a time of each courier's own: a clump in an outage has all fail once, to return together.
-            let first = peer.health == Health::Up;
-            peer.health = Health::Down;
-            let within = self.cold_gap(now, &self.peers[&id]).min(self.cold);
-            let next = now + nanos(secs(within) * self.random.unit());
-            let Some(peer) = self.peers.get_mut(&id).filter(|_| first) else { return };
-            (peer.since, peer.next_trial) = (now, next);
-            // An outage mostly takes all endpoints: siblings that serve nothing just now wait as well.
-            let (unit, dest, fall) = (peer.unit, peer.entry.dest, self.fall);
-            for sibling in self.by_dest.get(&dest).into_iter().flatten() {
-                let sibling = self.peers.get_mut(sibling).filter(|p| p.unit == unit && p.served + fall < now);
-                sibling.into_iter().for_each(|p| p.next_trial = p.next_trial.max(next));
-            }
-        }
-    }
-
-    /// Feeds one outcome of a call or probe to the endpoint's health.
-    fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        let rare = self.units[&peer.unit].scarce();
-        // A full answer is a limit's while others are served there or calls are few; else it is shut.
-        let at_limit = rare || now - peer.served < self.fall;
-        let failed = match outcome {
-            Outcome::Ok => false,
-            Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => return,
-            Outcome::Full { .. } if at_limit => return,
-            _ => true,
-        };
-        let bad = peer.bad;
-        peer.bad += (f64::from(u8::from(failed)) - bad) * BAD_STEP;
-        peer.refused = if failed && outcome != Outcome::Timeout { now } else { peer.refused };
-        if !failed {
-            // A lone failure ends with the first answer, since lost answers and stalls are no outages, else
-            // two close ones do; a courier with few calls there seldom has them (design.md, 4).
-            let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
-            peer.served = now;
-            if peer.health == Health::Down && (close || bad <= BAD_STEP) {
-                peer.health = Health::Up;
-                peer.bad = 0.0;
-            } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
-                // Where calls are few, it came back between the last failure and now: on average half way.
-                peer.health = Health::Returning(if rare { now - (now - peer.refused) / 2 } else { now });
-                let gap = self.cold_gap(now, &self.peers[&id]);
-                let peer = self.peers.get_mut(&id).expect("just found");
-                peer.next_trial = peer.next_trial.min(now + gap);
-                actions.push(Action::Log { line: format!("endpoint {} returning", id.0) });
-            }
-        } else if peer.bad > ILL || peer.health != Health::Up {
-            self.mark_down(now, id, "failing", actions);
-        }
-    }
-
-    /// Time between sends to an endpoint that may be cold: the budget in `rules`, growing as it warms, taken
-    /// of this courier's own demand there (at first of its part of a listed rate). All demands add up to
-    /// about what the destination takes, so the parts add up to the budget, however many and uneven couriers.
-    fn cold_gap(&self, now: Nanos, peer: &Peer) -> Nanos {
-        let rules = &self.settings.rules;
-        let share = rules.cold_share.unwrap_or(0.1);
-        let cold = secs(self.cold);
-        let warmth = if let Health::Returning(since) = peer.health { secs(now - since) / cold } else { 0.0 };
-        let unit = &self.units[&peer.unit];
-        let count = self.endpoints(peer.unit).count().max(1) as f64;
-        let prior = if unit.even.is_finite() { unit.even } else { 0.0 };
-        let rate = (unit.arrived + prior * cold) / (secs(now - unit.known) + cold) / count;
-        let rate = if unit.scarce() { rate.max(unit.even / count) } else { rate };
-        let part = share + (1.0 - share) * warmth.min(1.0);
-        nanos(1.0 / (COLD_PART * rules.fall_multiple.unwrap_or(1.0) * part * rate))
-    }
-
     fn take_request(
         &mut self,
         now: Nanos,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod call_pause;
 mod choice;
 mod discovery_schedule;
+mod health;
 mod heir;
 mod hold;
 mod interface;
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -3,7 +3,8 @@
 //! Owns the way between the roster's compact records and the full ones that [`crate::choice`] decides on: made when a
 //! message comes for a destination, handed back once it has had nothing to do for a while. It decides on no call.
 use crate::base::{nanos, secs};
-use crate::choice::{COLD_PART, Courier, FORGET, LEAST_RATE};
+use crate::choice::{Courier, FORGET, LEAST_RATE};
+use crate::health::COLD_PART;
 use crate::interface::*;
 use crate::ramp::{Ramp, Warming};
 use crate::roster::Change;
