A destination that comes back cold is paced by an even part of what the settings allow

Cause: src/health.rs (then src/choice.rs), judge: two answers within two times rules.fall ended any outage as if it had been a lost answer, also one of eight seconds of refused connections, so that no budget was in force from 0.5 s after the return on; and Unit::grow let each courier's pace grow to the whole listed rate, so that nothing bounded the sum.

Change: src/cold_return.rs says by evidence whether a return is cold (connections failed for longer than rules.fall, or the list tells of a start; or a longer outage whose answers do not settle), and bounds the destination's pace then: an even part of 0.8 x fall_multiple x what it takes as it warms. The parts add up whatever it answers. The endpoint itself is up, so that a lone failure does not begin the outage anew. Where a sibling served throughout, only the endpoint that was gone is spaced, as before. An upgrade hands it on as a spaced return.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,7 +100,8 @@
 }
 
 impl Unit {
-    fn grow(&mut self) {
+    fn grow(&mut self, now: Nanos) {
+        let before = self.pace;
         if f64::from(self.calls) + 1.0 >= self.window {
             self.window += 1.0;
         }
@@ -110,6 +111,8 @@
         if self.scarce() && self.held == 0 {
             self.pace = self.pace.max(LEAST_RATE);
         }
+        // Nor does it grow past the bound of a cold return, from where it would go on once that is over.
+        self.pace = self.pace.min(self.rate(now).max(before));
     }
 
     /// Takes up what an answer tells of the limit; it is not exact, so it moves the figure part of the way.
@@ -804,7 +807,7 @@
         }
         match outcome {
             _ if !first => {}
-            Outcome::Ok => unit.grow(),
+            Outcome::Ok => unit.grow(now),
             Outcome::Full { .. } => {
                 unit.shrink();
                 if limited {
@@ -880,6 +883,7 @@
         for peer in self.peers.values_mut() {
             if matches!(peer.health, Health::Returning(since) if now >= since + self.cold) {
                 peer.health = Health::Up;
+                peer.connect_failed = false;
             }
             peer.warm.retain(|used| now < used + idle);
             let keep = self.by_kind.get(peer.entry.kind.0).map_or(0, |k| k.keep);
@@ -907,6 +911,7 @@
                 }
         });
         for unit in self.units.values_mut() {
+            unit.cold_return.take_if(|cold_return| cold_return.is_over(now));
             if let Some(ramp) = unit.ramp.take_if(|ramp| ramp.is_over(now, self.cold)) {
                 unit.pace = ramp.limit().map_or(unit.pace, |felt| unit.pace.min(felt));
             }
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,8 +1,9 @@
-//! Whether an endpoint is up, as far as its calls tell, and how slowly one is called that may be cold.
+//! Whether an endpoint is up, as far as its calls tell.
 //!
-//! Owns the step from outcomes and silence to [`Health`], and the budget of calls while an endpoint is not up. Which
-//! messages go where is decided in [`crate::choice`].
+//! Owns the step from outcomes and silence to [`Health`]. How slowly one is called that may be cold is decided in
+//! [`crate::cold_return`], which messages go where in [`crate::choice`].
 use crate::choice::Courier;
+use crate::cold_return::{Recovery, Return};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::BTreeSet;
@@ -17,8 +18,6 @@
 const SILENT_AIM: f64 = 0.3;
 /// Answers less than so many `rules.fall` apart, with no failure but silence between, end an outage at once.
 const LAPSE: u64 = 2;
-/// Part of the cold budget that is used; the rest is room for chance and for calls already under way.
-pub(crate) const COLD_PART: f64 = 0.8;
 
 impl Courier {
     /// Whether no endpoint of the unit is up.
@@ -104,53 +103,51 @@
     /// Feeds one outcome of a call or probe to the endpoint's health.
     pub(crate) fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
-        let rare = self.units[&peer.unit].scarce();
         // A full answer is a limit's while others are served there or calls are few; else it is shut.
-        let at_limit = rare || now - peer.served < self.fall;
-        let failed = match outcome {
-            Outcome::Ok => false,
+        let at_limit = self.units[&peer.unit].scarce() || now - peer.served < self.fall;
+        match outcome {
+            Outcome::Ok => return self.note_answer(now, id, actions),
             Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => return,
             Outcome::Full { .. } if at_limit => return,
-            _ => true,
-        };
-        let bad = peer.bad;
-        peer.bad += (f64::from(u8::from(failed)) - bad) * BAD_STEP;
-        peer.refused = if failed && outcome != Outcome::Timeout { now } else { peer.refused };
-        if !failed {
-            // A lone failure ends with the first answer, since lost answers and stalls are no outages, else
-            // two close ones do; a courier with few calls there seldom has them (design.md, 4).
-            let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
-            peer.served = now;
-            if peer.health == Health::Down && (close || bad <= BAD_STEP) {
-                peer.health = Health::Up;
-                peer.bad = 0.0;
-            } else if peer.health == Health::Down && (peer.bad <= ILL || rare) {
-                // Where calls are few, it came back between the last failure and now: on average half way.
-                peer.health = Health::Returning(if rare { now - (now - peer.refused) / 2 } else { now });
-                let gap = self.cold_gap(now, &self.peers[&id]);
-                let peer = self.peers.get_mut(&id).expect("just found");
-                peer.next_trial = peer.next_trial.min(now + gap);
-                actions.push(Action::Log { line: format!("endpoint {} returning", id.0) });
-            }
-        } else if peer.bad > ILL || peer.health != Health::Up {
+            _ => {}
+        }
+        peer.bad += (1.0 - peer.bad) * BAD_STEP;
+        peer.refused = if outcome == Outcome::Timeout { peer.refused } else { now };
+        peer.connect_failed |= outcome == Outcome::ConnectFailed;
+        if peer.bad > ILL || peer.health != Health::Up {
             self.mark_down(now, id, "failing", actions);
         }
     }
 
-    /// Time between sends to an endpoint that may be cold: the budget in `rules`, growing as it warms, taken
-    /// of this courier's own demand there (at first of its part of a listed rate). All demands add up to
-    /// about what the destination takes, so the parts add up to the budget, however many and uneven couriers.
-    pub(crate) fn cold_gap(&self, now: Nanos, peer: &Peer) -> Nanos {
-        let rules = &self.settings.rules;
-        let share = rules.cold_share.unwrap_or(0.1);
-        let cold = secs(self.cold);
-        let warmth = if let Health::Returning(since) = peer.health { secs(now - since) / cold } else { 0.0 };
-        let unit = &self.units[&peer.unit];
-        let count = self.endpoints(peer.unit).count().max(1) as f64;
-        let prior = if unit.even.is_finite() { unit.even } else { 0.0 };
-        let rate = (unit.arrived + prior * cold) / (secs(now - unit.known) + cold) / count;
-        let rate = if unit.scarce() { rate.max(unit.even / count) } else { rate };
-        let part = share + (1.0 - share) * warmth.min(1.0);
-        nanos(1.0 / (COLD_PART * rules.fall_multiple.unwrap_or(1.0) * part * rate))
+    /// Feeds an answer to the endpoint's health. A lone failure ends with the first one, since lost answers and stalls
+    /// are no outages, else two close ones do; a courier with few calls there seldom has them (design.md, 4).
+    fn note_answer(&mut self, now: Nanos, id: EndpointId, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
+        let settled = close || peer.bad <= BAD_STEP;
+        let answered = if close { peer.served } else { now };
+        peer.bad -= peer.bad * BAD_STEP;
+        peer.served = now;
+        match peer.health {
+            Health::Up => peer.connect_failed = false,
+            Health::Returning(_) => {}
+            Health::Down => self.end_outage(now, id, Recovery { answered, settled }, actions),
+        }
+    }
+
+    /// Takes up that an endpoint which was down answers again, once its answers are enough for that.
+    fn end_outage(&mut self, now: Nanos, id: EndpointId, recovery: Recovery, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get(&id) else { return };
+        if !recovery.settled && peer.bad > ILL && !self.units[&peer.unit].scarce() {
+            return;
+        }
+        let kind = self.kind_of_return(now, peer, recovery.settled);
+        match kind {
+            Return::Warm => {}
+            Return::ColdDestination => self.begin_cold_return(now, id, recovery),
+            Return::SpacedEndpoint => return self.begin_spacing(now, id, actions),
+        }
+        self.peers.get_mut(&id).expect("just found").recover();
+        actions.push(Action::Log { line: format!("endpoint {} up again: {kind:?}", id.0) });
     }
 }
--- a/src/heir.rs
+++ b/src/heir.rs
@@ -68,7 +68,12 @@
             let peers = self.peers.values().filter(|peer| peer.unit == *id).map(|peer| LearnedPeer {
                 id: peer.entry.id,
                 down: peer.health == Health::Down,
-                returning_ago: if let Health::Returning(at) = peer.health { Some(ago(at)) } else { None },
+                returning_ago: match peer.health {
+                    Health::Down => None,
+                    Health::Returning(at) => Some(ago(at)),
+                    // The next courier spaces its calls, where this one bounds its destination's pace.
+                    Health::Up => unit.cold_return.map(|cold_return| ago(cold_return.since())),
+                },
                 since_ago: ago(peer.since),
                 bad: peer.bad,
                 trial_left: peer.next_trial.saturating_sub(now),
@@ -114,7 +119,8 @@
                 None if told.down => Health::Down,
                 None => Health::Up,
             };
-            (peer.since, peer.bad) = (at(told.since_ago), told.bad);
+            // How its calls failed is not told, so the worst is assumed.
+            (peer.since, peer.bad, peer.connect_failed) = (at(told.since_ago), told.bad, told.down);
             (peer.next_trial, peer.served) = (now + told.trial_left, told.served_ago.map_or(0, at));
         }
         self.told_wait(now, learned.dest, learned.route, learned.wait_left);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 mod base;
 mod call_pause;
 mod choice;
+mod cold_return;
 mod discovery_schedule;
 mod health;
 mod heir;
--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -31,8 +31,8 @@
 }
 
 impl Warming {
-    /// What it takes by then, in calls a second.
-    fn most(&self, age: Nanos) -> f64 {
+    /// What it takes at that age, in calls a second.
+    pub fn most(&self, age: Nanos) -> f64 {
         let warm = (secs(age) / secs(self.time.max(1))).min(1.0);
         self.limit * (self.share + (1.0 - self.share) * warm)
     }
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -4,7 +4,7 @@
 //! message comes for a destination, handed back once it has had nothing to do for a while. It decides on no call.
 use crate::base::{nanos, secs};
 use crate::choice::{Courier, FORGET, LEAST_RATE};
-use crate::health::COLD_PART;
+use crate::cold_return::COLD_PART;
 use crate::interface::*;
 use crate::ramp::{Ramp, Warming};
 use crate::roster::Change;
@@ -117,6 +117,7 @@
         if let Some(ill) = self.roster.wake_peer(peer.entry.id) {
             (peer.health, peer.since, peer.bad, peer.next_trial) =
                 (ill.health, ill.since, ill.bad, ill.next_trial);
+            peer.connect_failed = ill.connect_failed;
         } else if self.settings.cold_after.is_some() && (came || started) {
             (peer.health, peer.since) = (Health::Returning(now.min(peer.entry.started)), now);
         }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -43,6 +43,7 @@
     pub since: Nanos,
     pub bad: f64,
     pub next_trial: Nanos,
+    pub connect_failed: bool,
 }
 
 /// What has become of an endpoint's entry.
@@ -163,14 +164,21 @@
 
     /// An endpoint at rest is back from a start of its own.
     pub fn returned(&mut self, id: EndpointId, now: Nanos) {
-        self.ill.insert(id, Illness { health: Health::Returning(now), since: now, bad: 0.0, next_trial: 0 });
+        let returning = Illness {
+            health: Health::Returning(now),
+            since: now,
+            bad: 0.0,
+            next_trial: 0,
+            connect_failed: false,
+        };
+        self.ill.insert(id, returning);
     }
 
     /// Puts an endpoint to rest; only one that is not up leaves anything behind.
     pub fn rest_peer(&mut self, peer: &Peer) {
         if peer.health != Health::Up && self.listed.contains_key(&(peer.entry.dest, peer.entry.id)) {
-            let Peer { health, since, bad, next_trial, .. } = *peer;
-            self.ill.insert(peer.entry.id, Illness { health, since, bad, next_trial });
+            let Peer { health, since, bad, next_trial, connect_failed, .. } = *peer;
+            self.ill.insert(peer.entry.id, Illness { health, since, bad, next_trial, connect_failed });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! Plain records and bookkeeping that `src/choice.rs` works on. No decision and no tuned value is here.
 pub use crate::base::{SECOND, UnitId, nanos, secs};
+use crate::cold_return::ColdReturn;
 use crate::hold::{Lane, Turn, Waiting};
 use crate::interface::*;
 use crate::ramp::Ramp;
@@ -93,6 +94,8 @@
     pub proven: f64,
     /// Its pace while it may be cold.
     pub ramp: Option<Ramp>,
+    /// Bound on its pace while it warms up after an outage.
+    pub cold_return: Option<ColdReturn>,
 }
 
 impl Unit {
@@ -121,18 +124,24 @@
         self.even = self.share(couriers);
     }
 
-    /// Fills the tokens at the pace, up to `burst` seconds of it and at least one.
+    /// Calls a second that may go now: the pace, within the bound of a cold return.
+    pub fn rate(&self, now: Nanos) -> f64 {
+        self.cold_return.map_or(self.pace, |cold_return| self.pace.min(cold_return.rate(now)))
+    }
+
+    /// Fills the tokens at that rate, up to `burst` seconds of it and at least one.
     pub fn refill(&mut self, now: Nanos, burst: f64) {
-        let most = (self.pace * burst).max(1.0);
+        let rate = self.rate(now);
+        let most = (rate * burst).max(1.0);
         let time = secs(now.saturating_sub(self.filled));
-        let gained = if self.pace.is_finite() { self.pace * time } else { f64::INFINITY };
+        let gained = if rate.is_finite() { rate * time } else { f64::INFINITY };
         self.tokens = (self.tokens + gained).min(most);
         self.filled = self.filled.max(now);
     }
 
     /// When a call may go as far as a told wait, pace and ramp are concerned, once the tokens are filled.
     pub fn opens_at(&self, now: Nanos) -> Nanos {
-        let token = if self.tokens < 1.0 { nanos((1.0 - self.tokens) / self.pace.max(1e-9)) } else { 0 };
+        let token = if self.tokens < 1.0 { nanos((1.0 - self.tokens) / self.rate(now).max(1e-9)) } else { 0 };
         let ramp = self.ramp.as_ref().map_or(0, Ramp::next);
         (now.max(self.filled) + token).max(self.wait_until).max(ramp)
     }
@@ -163,6 +172,8 @@
     pub called: Nanos,
     /// When a call last failed other than by silence.
     pub refused: Nanos,
+    /// A connection to it failed since it was last up.
+    pub connect_failed: bool,
     /// When the last call found no connection, if one before it was served.
     pub unmet: Option<Nanos>,
     /// Idle connections, by the time they were last used.
@@ -184,11 +195,19 @@
             next_trial: 0,
             called: 0,
             refused: 0,
+            connect_failed: false,
             unmet: None,
             warm: Vec::new(),
             shun: BTreeMap::new(),
         }
     }
+
+    /// Its outage is over.
+    pub fn recover(&mut self) {
+        self.health = Health::Up;
+        self.bad = 0.0;
+        self.connect_failed = false;
+    }
 }
 
 /// An attempt that is out.
