Couriers with few calls leave the others the time to learn of an outage

Cause: src/health.rs, mark_down cut the span of the first trial's lot to rules.cold, 10 s, where the courier's budget allows a call in 23 s: more than twice the budget.

Change: where one call of each courier is more than the budget bears (few calls a second, many couriers), the lot is not cut, begins after the time in which a message tells the others, and one failed connection is enough to wait for it. Elsewhere nothing changes; messages that have just come still go after rules.cold without a call.

--- a/src/cold_return.rs
+++ b/src/cold_return.rs
@@ -115,6 +115,29 @@
         actions.push(Action::Log { line: format!("endpoint {} returning", id.0) });
     }
 
+    /// Whether one call of each courier at about the same time is more than a destination bears as it comes back: more
+    /// than is allowed within `fall`, and two standard deviations and two calls over for chance. What one courier does
+    /// on its own account is too much then if all do it.
+    pub(crate) fn outnumbers_cold_budget(&self, unit: &Unit) -> bool {
+        let multiple = self.settings.rules.fall_multiple.unwrap_or(1.0);
+        let listed = unit.even * self.couriers;
+        let allowed = multiple * self.cold_share() * listed * secs(self.fall);
+        unit.scarce() && self.couriers > allowed + 2.0 * allowed.sqrt() + 2.0
+    }
+
+    /// By lot, how long the first call after an outage's begin is put off. Guards against all couriers that fail
+    /// together coming back together. Where they outnumber the budget the lots are never narrowed, and a courier first
+    /// leaves the others the time in which a message of their own tells them of the outage: until then they call as ever.
+    pub(crate) fn first_trial_delay(&self, now: Nanos, peer: &Peer, lot: f64) -> Nanos {
+        let gap = self.cold_gap(now, peer);
+        let unit = &self.units[&peer.unit];
+        if self.outnumbers_cold_budget(unit) {
+            let others_learn = nanos(1.0 / self.demand(now, unit).max(unit.even));
+            return others_learn + nanos(secs(gap) * lot);
+        }
+        nanos(secs(gap.min(self.cold)) * lot)
+    }
+
     /// Time between sends to an endpoint that may be cold: the budget in `rules`, growing as it warms, taken of this
     /// courier's own demand there. All demands add up to about what the destination takes, so the parts add up to the
     /// budget, however many and uneven couriers.
--- a/src/health.rs
+++ b/src/health.rs
@@ -87,8 +87,8 @@
             // At a time of each courier's own: a clump in an outage has all fail once, to return together.
             let first = peer.health == Health::Up;
             peer.health = Health::Down;
-            let within = self.cold_gap(now, &self.peers[&id]).min(self.cold);
-            let next = now + nanos(secs(within) * self.random.unit());
+            let lot = self.random.unit();
+            let next = now + self.first_trial_delay(now, &self.peers[&id], lot);
             let Some(peer) = self.peers.get_mut(&id).filter(|_| first) else { return };
             (peer.since, peer.next_trial) = (now, next);
             // An outage mostly takes all endpoints: siblings that serve nothing just now wait as well.
@@ -102,9 +102,11 @@
 
     /// Feeds one outcome of a call or probe to the endpoint's health.
     pub(crate) fn judge(&mut self, now: Nanos, id: EndpointId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(unit) = self.peers.get(&id).map(|peer| &self.units[&peer.unit]) else { return };
+        let (scarce, outnumbers) = (unit.scarce(), self.outnumbers_cold_budget(unit));
         let Some(peer) = self.peers.get_mut(&id) else { return };
         // A full answer is a limit's while others are served there or calls are few; else it is shut.
-        let at_limit = self.units[&peer.unit].scarce() || now - peer.served < self.fall;
+        let at_limit = scarce || now - peer.served < self.fall;
         match outcome {
             Outcome::Ok => return self.note_answer(now, id, actions),
             Outcome::Cancelled | Outcome::Moot | Outcome::LocalFault => return,
@@ -114,7 +116,9 @@
         peer.bad += (1.0 - peer.bad) * BAD_STEP;
         peer.refused = if outcome == Outcome::Timeout { peer.refused } else { now };
         peer.connect_failed |= outcome == Outcome::ConnectFailed;
-        if peer.bad > ILL || peer.health != Health::Up {
+        // Where couriers have few calls, each one's second to see whether the first was a chance is too many.
+        let enough = outcome == Outcome::ConnectFailed && outnumbers;
+        if peer.bad > ILL || peer.health != Health::Up || enough {
             self.mark_down(now, id, "failing", actions);
         }
     }
