--- a/src/cold_return.rs
+++ b/src/cold_return.rs
@@ -83,7 +83,13 @@
     }
 
     /// Bounds the pace of an endpoint's destination, unless another endpoint's return from the same outage has done so.
-    pub(crate) fn begin_cold_return(&mut self, now: Nanos, id: EndpointId, recovery: Recovery) {
+    pub(crate) fn begin_cold_return(
+        &mut self,
+        now: Nanos,
+        id: EndpointId,
+        recovery: Recovery,
+        actions: &mut Vec<Action>,
+    ) {
         let Peer { unit: unit_id, since: down_since, .. } = self.peers[&id];
         let unit = &self.units[&unit_id];
         if unit.cold_return.is_some_and(|bound| bound.until >= down_since + self.cold) {
@@ -95,12 +101,15 @@
         let since = self.back_since(&self.peers[&id], recovery.answered);
         let cold_return = Some(ColdReturn { since, until: recovery.answered + self.cold, budget });
         self.units.entry(unit_id).and_modify(|unit| unit.cold_return = cold_return);
+        let line = format!("endpoint {} returning: its destination is paced until it is warm", id.0);
+        actions.push(Action::Log { line });
     }
 
     /// When an endpoint came back that answered then. Where calls are few, that was between the last failure and the
-    /// answer: in the mean half way.
+    /// answer: in the mean half way. Silence is no failure with a time of its own, but the outage had begun by then.
     fn back_since(&self, peer: &Peer, answered: Nanos) -> Nanos {
-        let unseen = if self.units[&peer.unit].scarce() { answered.saturating_sub(peer.refused) } else { 0 };
+        let failed = peer.refused.max(peer.since);
+        let unseen = if self.units[&peer.unit].scarce() { answered.saturating_sub(failed) } else { 0 };
         answered - unseen / 2
     }
 
--- a/src/health.rs
+++ b/src/health.rs
@@ -145,13 +145,11 @@
         if !recovery.settled && peer.bad > ILL && !self.units[&peer.unit].scarce() {
             return;
         }
-        let kind = self.kind_of_return(now, peer, recovery.settled);
-        match kind {
+        match self.kind_of_return(now, peer, recovery.settled) {
             Return::Warm => {}
-            Return::ColdDestination => self.begin_cold_return(now, id, recovery),
+            Return::ColdDestination => self.begin_cold_return(now, id, recovery, actions),
             Return::SpacedEndpoint => return self.begin_spacing(now, id, actions),
         }
         self.peers.get_mut(&id).expect("just found").recover();
-        actions.push(Action::Log { line: format!("endpoint {} up again: {kind:?}", id.0) });
     }
 }
