--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -230,13 +230,13 @@
     check_return(&CAPACITIES[1..], &[Answers::WithinCapacity]);
 }
 
-/// Known to fail (KNOWN-RED.txt): couriers learn a limit by being refused, each up to the whole listed rate.
+/// Guards against couriers that learn a limit by being refused, each up to the whole listed rate.
 #[test]
 fn a_destination_that_comes_back_and_refuses_late_or_never_is_not_pushed_over() {
     check_return(&[8.0, 60.0, 250.0], &[Answers::UntilItFalls, Answers::All]);
 }
 
-/// Known to fail (KNOWN-RED.txt): one of these seeds has twelve calls where ten may be.
+/// Guards against couriers with few calls that all try within the same seconds.
 #[test]
 fn a_destination_of_four_calls_a_second_that_comes_back_is_not_pushed_over() {
     check_return(&CAPACITIES[..1], &[Answers::WithinCapacity]);
