--- a/src/cold_return.rs
+++ b/src/cold_return.rs
@@ -1,12 +1,13 @@
 //! Destinations that come back from an outage cold: which do, and how much one is sent while it warms up.
 //!
-//! Owns what an outage's calls tell of a cold start ([`Return`]), the bound on the pace afterwards ([`ColdReturn`]) and
-//! the spacing of calls to single endpoints that may be cold ([`Courier::cold_gap`]). A process was gone where
-//! connections failed for longer than `rules.fall`, or where the list tells of a start; lost answers, stalls and errors
-//! that two close answers end are no starts. The settings say how a cold destination warms (evenly, from `cold_share`
-//! within `cold`) and what makes it fall over (`fall_multiple` times what it takes, for `fall`). Each relay keeps to an
-//! even part of that: all of them together stay within it, whatever the destination answers. Which outcomes make an
-//! outage is decided in [`crate::health`].
+//! Owns what an outage's calls tell of a cold start ([`Return`]), the bound on the pace afterwards
+//! ([`ColdReturn`]) and the spacing of calls to single endpoints that may be cold ([`Courier::cold_gap`]). A
+//! process was gone where connections failed for longer than `rules.fall`, or where the list tells of a
+//! start; lost answers, stalls and errors that two close answers end are no starts. The settings say how a
+//! cold destination warms (evenly, from `cold_share` within `cold`) and what makes it fall over
+//! (`fall_multiple` times what it takes, for `fall`). Each relay keeps to an even part of that: all of them
+//! together stay within it, whatever the destination answers. Which outcomes make an outage is decided in
+//! [`crate::health`].
 use crate::choice::Courier;
 use crate::interface::*;
 use crate::ramp::Warming;
@@ -82,7 +83,8 @@
         }
     }
 
-    /// Bounds the pace of an endpoint's destination, unless another endpoint's return from the same outage has done so.
+    /// Bounds the pace of an endpoint's destination, unless another endpoint's return from the same outage
+    /// has done so.
     pub(crate) fn begin_cold_return(
         &mut self,
         now: Nanos,
@@ -105,8 +107,9 @@
         actions.push(Action::Log { line });
     }
 
-    /// When an endpoint came back that answered then. Where calls are few, that was between the last failure and the
-    /// answer: in the mean half way. Silence is no failure with a time of its own, but the outage had begun by then.
+    /// When an endpoint came back that answered then. Where calls are few, that was between the last failure
+    /// and the answer: in the mean half way. Silence is no failure with a time of its own, but the outage had
+    /// begun by then.
     fn back_since(&self, peer: &Peer, answered: Nanos) -> Nanos {
         let failed = peer.refused.max(peer.since);
         let unseen = if self.units[&peer.unit].scarce() { answered.saturating_sub(failed) } else { 0 };
@@ -124,9 +127,9 @@
         actions.push(Action::Log { line: format!("endpoint {} returning", id.0) });
     }
 
-    /// Whether one call of each courier at about the same time is more than a destination bears as it comes back: more
-    /// than is allowed within `fall`, and two standard deviations and two calls over for chance. What one courier does
-    /// on its own account is too much then if all do it.
+    /// Whether one call of each courier at about the same time is more than a destination bears as it comes
+    /// back: more than is allowed within `fall`, and two standard deviations and two calls over for chance.
+    /// What one courier does on its own account is too much then if all do it.
     pub(crate) fn outnumbers_cold_budget(&self, unit: &Unit) -> bool {
         let multiple = self.settings.rules.fall_multiple.unwrap_or(1.0);
         let listed = unit.even * self.couriers;
@@ -134,9 +137,10 @@
         unit.scarce() && self.couriers > allowed + 2.0 * allowed.sqrt() + 2.0
     }
 
-    /// By lot, how long the first call after an outage's begin is put off. Guards against all couriers that fail
-    /// together coming back together. Where they outnumber the budget the lots are never narrowed, and a courier first
-    /// leaves the others the time in which a message of their own tells them of the outage: until then they call as ever.
+    /// By lot, how long the first call after an outage's begin is put off. Guards against all couriers that
+    /// fail together coming back together. Where they outnumber the budget the lots are never narrowed, and a
+    /// courier first leaves the others the time in which a message of their own tells them of the outage:
+    /// until then they call as ever.
     pub(crate) fn first_trial_delay(&self, now: Nanos, peer: &Peer, lot: f64) -> Nanos {
         let gap = self.cold_gap(now, peer);
         let unit = &self.units[&peer.unit];
@@ -147,9 +151,9 @@
         nanos(secs(gap.min(self.cold)) * lot)
     }
 
-    /// Time between sends to an endpoint that may be cold: the budget in `rules`, growing as it warms, taken of this
-    /// courier's own demand there. All demands add up to about what the destination takes, so the parts add up to the
-    /// budget, however many and uneven couriers.
+    /// Time between sends to an endpoint that may be cold: the budget in `rules`, growing as it warms, taken
+    /// of this courier's own demand there. All demands add up to about what the destination takes, so the
+    /// parts add up to the budget, however many and uneven couriers.
     pub(crate) fn cold_gap(&self, now: Nanos, peer: &Peer) -> Nanos {
         let warmth = if let Health::Returning(since) = peer.health {
             secs(now - since) / secs(self.cold)
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,7 +1,7 @@
 //! Whether an endpoint is up, as far as its calls tell.
 //!
-//! Owns the step from outcomes and silence to [`Health`]. How slowly one is called that may be cold is decided in
-//! [`crate::cold_return`], which messages go where in [`crate::choice`].
+//! Owns the step from outcomes and silence to [`Health`]. How slowly one is called that may be cold is
+//! decided in [`crate::cold_return`], which messages go where in [`crate::choice`].
 use crate::choice::Courier;
 use crate::cold_return::{Recovery, Return};
 use crate::interface::*;
@@ -123,8 +123,9 @@
         }
     }
 
-    /// Feeds an answer to the endpoint's health. A lone failure ends with the first one, since lost answers and stalls
-    /// are no outages, else two close ones do; a courier with few calls there seldom has them (design.md, 4).
+    /// Feeds an answer to the endpoint's health. A lone failure ends with the first one, since lost answers
+    /// and stalls are no outages, else two close ones do; a courier with few calls there seldom has them
+    /// (design.md, 4).
     fn note_answer(&mut self, now: Nanos, id: EndpointId, actions: &mut Vec<Action>) {
         let Some(peer) = self.peers.get_mut(&id) else { return };
         let close = now - peer.served < self.fall * LAPSE && peer.refused <= peer.served;
