Where calls are few, a cold return begins with no call saved up

The test stays as it is.

Cause: src/cold_return.rs, begin_cold_return: beside the trial that ended the outage each relay had a call saved up, so that with shares below a call a second two calls of each came within seconds.

Change: where an even share is small, the tokens begin at none.

--- a/src/cold_return.rs
+++ b/src/cold_return.rs
@@ -102,7 +102,11 @@
             Warming { limit: self.cold_multiple() * part, share: self.cold_share(), time: self.cold };
         let since = self.back_since(&self.peers[&id], recovery.answered);
         let cold_return = Some(ColdReturn { since, until: recovery.answered + self.cold, budget });
-        self.units.entry(unit_id).and_modify(|unit| unit.cold_return = cold_return);
+        self.units.entry(unit_id).and_modify(|unit| {
+            unit.cold_return = cold_return;
+            // Where calls are few, the trial was this relay's part of the first ones.
+            unit.tokens = if unit.scarce() { unit.tokens.min(0.0) } else { unit.tokens };
+        });
         let line = format!("endpoint {} returning: its destination is paced until it is warm", id.0);
         actions.push(Action::Log { line });
     }
