Review, case 3: a hook that loops on one partner's messages stops the relay

A hook is bounded by steps of its interpreter, not by time, and runs on the thread of all rounds and sockets: one that loops for ever over arrays costs half a second for each message of one partner, and messages for another one are neither delivered nor ended in time.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=review/3
 standin=target/review/release/review-standin
 [ -x "$standin" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$standin" shutdown "$PWD" "$here/record.txt"
+exec "$standin" hook "$PWD" "$here/record.txt"
--- a/review/standin/src/h2.rs
+++ b/review/standin/src/h2.rs
@@ -181,8 +181,6 @@
     pub body: String,
     /// When its last byte had been written.
     pub written: Instant,
-    /// When a PING that was written behind it was acknowledged: the relay has read the request by then.
-    pub read: Option<Instant>,
     /// When it was answered, with the status and the location of the message.
     pub answered: Option<(Instant, u16, String)>,
     /// Whether the relay has reset its stream, or named a lower one as the last that it took (GOAWAY).
@@ -227,8 +225,8 @@
         Ok(Client { state, writer })
     }
 
-    /// Writes a whole request, and a PING behind it. Returns its number on this connection.
-    pub fn post(&self, path: &str, ttl: u32, body: &str) -> io::Result<usize> {
+    /// Writes a whole request.
+    pub fn post(&self, path: &str, ttl: u32, body: &str) -> io::Result<()> {
         let mut state = self.state.lock().unwrap();
         if let Some((_, end)) = &state.ended {
             return Err(io::Error::other(end.clone()));
@@ -250,30 +248,19 @@
         }
         let mut bytes = frame(HEADERS, END_HEADERS, stream, &block);
         bytes.extend(frame(DATA, END_STREAM, stream, body.as_bytes()));
-        bytes.extend(frame(PING, 0, 0, &(number as u64).to_be_bytes()));
         // The state stays locked, so that an answer is not taken in before the request is noted.
         self.writer.lock().unwrap().write_all(&bytes)?;
         state.next_stream += 2;
         state.streams.insert(stream, number);
         let written = Instant::now();
-        state.requests.push(Request {
-            body: body.into(),
-            written,
-            read: None,
-            answered: None,
-            turned_away: false,
-        });
-        Ok(number)
+        state.requests.push(Request { body: body.into(), written, answered: None, turned_away: false });
+        Ok(())
     }
 
     pub fn requests(&self) -> Vec<Request> {
         self.state.lock().unwrap().requests.clone()
     }
 
-    pub fn ended(&self) -> Option<(Instant, String)> {
-        self.state.lock().unwrap().ended.clone()
-    }
-
     /// How many requests are neither answered nor turned away.
     pub fn open(&self) -> usize {
         let state = self.state.lock().unwrap();
@@ -296,12 +283,6 @@
             PING if received.flags & ACK == 0 => {
                 let _ = writer.lock().unwrap().write_all(&frame(PING, ACK, 0, &received.payload));
             }
-            PING => {
-                let number = u64::from_be_bytes(received.payload[..8].try_into().unwrap()) as usize;
-                for request in self.requests.iter_mut().take(number + 1) {
-                    request.read.get_or_insert(now);
-                }
-            }
             HEADERS => {
                 if let Some(request) = number.and_then(|number| self.requests.get_mut(number)) {
                     let (status, location) = status_and_location(&received.payload);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,6 +1,6 @@
 //! Plays one case of the review: `review-standin CASE ROOT RECORD`. With TROUBLE=0 it plays it without the disruption.
 //! The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-mod case_shutdown;
+mod case_hook;
 mod case_twice;
 mod case_upgrade;
 mod h2;
@@ -32,8 +32,8 @@
     let root = Path::new(root);
     let played = match case.as_str() {
         "twice" => case_twice::play(root, &record, trouble),
+        "hook" => case_hook::play(root, &record, trouble),
         "upgrade" => case_upgrade::play(root, &record, trouble),
-        "shutdown" => case_shutdown::play(root, &record, trouble),
         other => Err(std::io::Error::other(format!("there is no case {other}"))),
     };
     match played {
