--- a/relay/src/core/backlog/tests.rs
+++ b/relay/src/core/backlog/tests.rs
@@ -6,7 +6,7 @@
 use crate::core::{Node, SendPermit};
 use crate::disabled::DisabledNodes;
 use crate::job::Outcome;
-use crate::journal::Journal;
+use crate::journal::open_journal;
 use crate::list::{Lifecycle, NodeList};
 use crate::metrics::{BacklogMetrics, Metrics};
 use bytes::Bytes;
@@ -215,7 +215,7 @@
             })
             .is_none()
         {}
-        let (_, open) = Journal::open(self.folder.path(), self.journal_bytes).expect("it opens");
+        let (_, open) = open_journal(self.folder.path(), self.journal_bytes).expect("it opens");
         assert!(
             open.is_empty(),
             "still open: {:?}",
@@ -256,7 +256,7 @@
         let control = Control { mode, deliveries_left: Cell::new(0), calls: Cell::new(0), changed };
         let control = Rc::new(control);
         let partner = Partner { world: site.world.clone(), control: control.clone() };
-        let (journal, open) = Journal::open(site.folder.path(), site.journal_bytes).expect("it opens");
+        let (journal, open) = open_journal(site.folder.path(), site.journal_bytes).expect("it opens");
         let metrics = Metrics::new(&[]);
         let backlog_metrics = BacklogMetrics::register(&metrics);
         let disabled = DisabledNodes::open(site.folder.path());
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::disabled::DisabledNodes;
 use crate::job::{Job, Outcome};
-use crate::journal::FinalNotice;
+use crate::journal::{FinalNotice, open_journal};
 use crate::metrics::Metrics;
 
 /// A node that accepts claims or not.
@@ -69,7 +69,7 @@
 }
 
 fn core(folder: &std::path::Path) -> Rc<Core<NoTransport>> {
-    let (journal, _) = Journal::open(folder, 1_000_000).expect("it opens");
+    let (journal, _) = open_journal(folder, 1_000_000).expect("it opens");
     let rules = Rules { settings: slatethread::Settings::default(), names: Default::default() };
     Core::new(NoTransport, rules, None, 1, journal, DisabledNodes::open(folder), Metrics::new(&[]))
 }
@@ -179,6 +179,8 @@
         assert_eq!(apply(&core, true, list(Lifecycle::Draining)).await, [(1, Condition::Draining)]);
         assert_eq!(apply(&core, false, vec![entry(1, 1, Deleted)]).await, [(1, Removed)]);
         assert_eq!(apply(&core, false, list(Serving)).await, [(3, Condition::Draining)]);
+        // As when the process exits: the folder is released.
+        core.journal.borrow_mut().close();
         let after = self::core(folder.path());
         assert_eq!(apply(&after, true, list(Serving)).await, [(1, Condition::Draining), (2, Active)]);
         core.set_disabled("n1", false).expect("disabled");
--- a/relay/src/handover/mod.rs
+++ b/relay/src/handover/mod.rs
@@ -1,7 +1,7 @@
 //! Upgrades: a second process, the successor, takes the relay over from the running one, its predecessor. The whole
 //! protocol is described in `docs/handover.md`.
 //!
-//! This module owns the lock on the journal, the socket between the two processes, and the exchange of frames over it.
+//! This module owns the socket between the two processes and the exchange of frames over it.
 //! [`owners`] decides which process owns the relay, and the core runs the jobs; this module does only the I/O.
 mod frame;
 mod owners;
@@ -9,7 +9,7 @@
 use futures_util::future::LocalBoxFuture;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::File;
 use std::io;
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
@@ -25,11 +25,11 @@
 use crate::handover_state::{FinishedClaim, HandoverState};
 use crate::job::{Answer, Job};
 use crate::journal::Key;
+use crate::state_lock::{LockError, StateLock};
 use frame::{Frame, VERSION};
 use owners::{Action, Event, Ownership};
 
-/// Names of files in the state folder.
-const LOCK: &str = "lock";
+/// Name of the socket in the state folder.
 const SOCKET: &str = "handover";
 /// Longest path that is used as a socket address as it is; the address of a Unix socket has at most 107 bytes.
 const MAX_SOCKET_PATH: usize = 100;
@@ -42,14 +42,12 @@
 /// The answer to a submitter whose job can no longer be forwarded to the successor.
 const RETRY_LATER: Answer = Answer::Refused { after: Some(Duration::from_secs(1)) };
 
-/// Takes the lock on a folder's journal unless another process has it. The lock is released when the process exits.
-fn try_lock(folder: &Path) -> io::Result<Option<File>> {
-    std::fs::create_dir_all(folder)?;
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(LOCK))?;
-    match file.try_lock() {
-        Ok(()) => Ok(Some(file)),
-        Err(TryLockError::WouldBlock) => Ok(None),
-        Err(TryLockError::Error(e)) => Err(e),
+/// Locks a folder unless another process has the lock.
+fn try_lock(folder: &Path) -> io::Result<Option<StateLock>> {
+    match StateLock::acquire(folder) {
+        Ok(lock) => Ok(Some(lock)),
+        Err(LockError::InUse { .. }) => Ok(None),
+        Err(error) => Err(error.into_io()),
     }
 }
 
@@ -75,7 +73,7 @@
 /// Waits until this process may open the journal in the folder. If another process has the lock, `waiting` is called as
 /// soon as that process has replied to the hello, or has failed to; the state that it hands over is returned with the lock. If it
 /// crashes or cannot hand over, its lock is released when it exits, and only the journal is left to recover from.
-pub async fn acquire(folder: &Path, waiting: impl FnOnce()) -> io::Result<(File, Option<Predecessor>)> {
+pub async fn acquire(folder: &Path, waiting: impl FnOnce()) -> io::Result<(StateLock, Option<Predecessor>)> {
     if let Some(lock) = try_lock(folder)? {
         return Ok((lock, None));
     }
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -9,7 +9,6 @@
 //! ([`Acceptance`], [`FinalNotice`], a claim) takes effect only once it is written.
 use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::fs::File;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -20,6 +19,7 @@
 
 use crate::clock::FolderClock;
 use crate::job::{Job, Notice};
+use crate::state_lock::StateLock;
 
 mod health;
 mod queued;
@@ -92,8 +92,8 @@
     /// None once the journal is closed for another process.
     storage: Option<Box<dyn Storage>>,
     clock: FolderClock,
-    /// Keeps other processes from the journal while it is open.
-    lock: Option<File>,
+    /// Keeps other processes from the folder while the journal is open.
+    lock: Option<Rc<StateLock>>,
     tail: Tail,
     /// Bytes of whole records.
     size: u64,
@@ -115,17 +115,20 @@
         folder.join(storage::NAME).exists()
     }
 
-    /// Opens the journal in `folder`, which it may fill up to `limit` bytes, and returns the open jobs. A folder that can be read but
-    /// temporarily not written is no error: nothing is recorded until it can be written.
+    /// Opens the journal in the locked folder, which it may fill up to `limit` bytes, and returns the open jobs. A folder that can be
+    /// read but temporarily not written is no error: nothing is recorded until it can be written. The journal keeps the lock until it is
+    /// closed.
     ///
     /// # Errors
     ///
     /// The folder cannot be read ([`is_transient`] says whether a retry may succeed) or can never be written, or a later version of
     /// the program wrote the file.
-    pub fn open(folder: &Path, limit: u64) -> io::Result<(Journal, Vec<OpenJob>)> {
-        let storage = FolderStorage::open(folder)?;
-        let clock = FolderClock::open(folder)?;
-        Journal::with_storage(Box::new(storage), clock, limit)
+    pub fn open(lock: &Rc<StateLock>, limit: u64) -> io::Result<(Journal, Vec<OpenJob>)> {
+        let storage = FolderStorage::open(lock)?;
+        let clock = FolderClock::open(lock.folder())?;
+        let (mut journal, open) = Journal::with_storage(Box::new(storage), clock, limit)?;
+        journal.lock = Some(lock.clone());
+        Ok((journal, open))
     }
 
     fn with_storage(
@@ -161,12 +164,7 @@
         self.health.clone()
     }
 
-    /// Keeps a lock until the journal is closed.
-    pub fn keep_lock(&mut self, lock: Option<File>) {
-        self.lock = lock;
-    }
-
-    /// Closes the journal, so that another process may open it. This process writes nothing more to it.
+    /// Closes the journal and releases its folder, so that another process may open it. This process writes nothing more to it.
     pub fn close(&mut self) {
         // Deferred records that cannot be written may be lost: see the module's documentation.
         let repaired = self.repair();
@@ -542,4 +540,6 @@
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
+pub(crate) use tests::open_journal;
+#[cfg(test)]
 mod tests_of_faults;
--- a/relay/src/journal/queued/tests.rs
+++ b/relay/src/journal/queued/tests.rs
@@ -1,4 +1,4 @@
-use super::super::tests::{accept, claim, job, rules};
+use super::super::tests::{accept, claim, job, open_journal, rules};
 use super::super::{BASIC_FORMAT, FORMAT_KEYS, LATEST_FORMAT};
 use super::*;
 use onyxglade_backlog::message::{ClassNumber, Lane};
@@ -11,7 +11,7 @@
 }
 
 fn with_backlog(folder: &Path) -> Journal {
-    let (mut journal, _) = Journal::open(folder, LIMIT).expect("it opens");
+    let (mut journal, _) = open_journal(folder, LIMIT).expect("it opens");
     journal.enable_backlog().expect("written");
     journal
 }
@@ -55,7 +55,7 @@
     drop(journal);
     // First from the appended records, then from the file that the first open rewrote.
     for _ in 0..2 {
-        let (_, open) = Journal::open(folder.path(), LIMIT).expect("it opens");
+        let (_, open) = open_journal(folder.path(), LIMIT).expect("it opens");
         assert_eq!((open.len(), open[0].place, open[0].tries), (1, Some(place(5)), 1));
         assert_eq!(open[0].job, job("a", 9));
         assert_eq!(open[0].unconfirmed_claim, Some(claim(1)));
@@ -80,7 +80,7 @@
     let key = journal.record_fetched(&again, place(5)).expect("written").expect("room");
     assert_eq!(journal.unconfirmed_claim(key), Some(claim(1)));
     drop(journal);
-    let (_, open) = Journal::open(folder.path(), LIMIT).expect("it opens");
+    let (_, open) = open_journal(folder.path(), LIMIT).expect("it opens");
     assert_eq!((open.len(), open[0].tries, open[0].unconfirmed_claim.clone()), (1, 2, Some(claim(1))));
 }
 
@@ -99,13 +99,13 @@
     let queued = QueuedRequest::new(job("a", 60_000), &rules());
     assert_eq!(journal.record_fetched(&queued, place(1)).expect("no fault"), None);
     drop(journal);
-    assert!(Journal::open(folder.path(), LIMIT).expect("it opens").1.is_empty());
+    assert!(open_journal(folder.path(), LIMIT).expect("it opens").1.is_empty());
 }
 
 #[test]
 fn a_journal_without_a_backlog_keeps_the_basic_format() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (mut journal, _) = Journal::open(folder.path(), LIMIT).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), LIMIT).expect("it opens");
     journal.record_job(&job("a", 9), &rules()).expect("written");
     drop(journal);
     assert_eq!(format_of(folder.path()), BASIC_FORMAT);
@@ -120,10 +120,10 @@
     let queued = QueuedRequest::new(job("a", 9), &rules());
     let key = journal.record_fetched(&queued, place(5)).expect("written").expect("room");
     drop(journal);
-    let (mut journal, _) = Journal::open(folder.path(), LIMIT).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), LIMIT).expect("it opens");
     assert_eq!(format_of(folder.path()), LATEST_FORMAT, "its place must not be lost");
     journal.remove_job(key).expect("written");
     drop(journal);
-    drop(Journal::open(folder.path(), LIMIT).expect("it opens"));
+    drop(open_journal(folder.path(), LIMIT).expect("it opens"));
     assert_eq!(format_of(folder.path()), BASIC_FORMAT);
 }
--- a/relay/src/journal/storage.rs
+++ b/relay/src/journal/storage.rs
@@ -2,8 +2,9 @@
 use rustix::io::Errno;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::os::unix::fs::MetadataExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+
+use crate::state_lock::{StateLock, is_at};
 
 /// The file's name in the state folder.
 pub(super) const NAME: &str = "journal";
@@ -13,7 +14,7 @@
 pub(super) trait Storage {
     /// Reads all bytes; there are none if nothing was ever written.
     fn read(&mut self) -> io::Result<Vec<u8>>;
-    /// Adds bytes at the end. If that fails, some of them may have been added.
+    /// Adds bytes at the end. If that fails, some or all of them may have been added.
     fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
     /// Drops all bytes after the first `length`.
     fn truncate(&mut self, length: u64) -> io::Result<()>;
@@ -49,20 +50,24 @@
 }
 
 impl FolderStorage {
-    pub fn open(folder: &Path) -> io::Result<FolderStorage> {
-        std::fs::create_dir_all(folder)?;
+    /// Opens the file in the locked folder, or creates an empty one.
+    pub fn open(lock: &StateLock) -> io::Result<FolderStorage> {
+        let folder = lock.folder();
         let path = folder.join(NAME);
         let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         Ok(FolderStorage { path, replacement: folder.join(REPLACEMENT_NAME), file })
     }
 
-    /// Whether the path now names `file`.
-    fn is_replaced_by(&self, file: &File) -> bool {
-        let same = || {
-            let (at_path, opened) = (std::fs::metadata(&self.path)?, file.metadata()?);
-            io::Result::Ok((at_path.dev(), at_path.ino()) == (opened.dev(), opened.ino()))
-        };
-        same().unwrap_or(false)
+    /// Checks that the path still names the open file.
+    ///
+    /// # Errors
+    /// Another process, which cannot have had the lock, has replaced, renamed or removed the file. What is written to it now is read by
+    /// nobody, and writing another one would undo what that process wrote.
+    fn check_path(&self) -> io::Result<()> {
+        match is_at(&self.path, &self.file)? {
+            true => Ok(()),
+            false => Err(io::Error::other("the journal's file was replaced or removed by another process")),
+        }
     }
 }
 
@@ -74,7 +79,9 @@
     }
 
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.file.write_all(bytes)
+        self.file.write_all(bytes)?;
+        // Checked after the write: until then the file may be replaced.
+        self.check_path()
     }
 
     fn truncate(&mut self, length: u64) -> io::Result<()> {
@@ -82,12 +89,13 @@
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.check_path()?;
         let mut file = OpenOptions::new().append(true).create(true).open(&self.replacement)?;
         file.set_len(0)?;
         file.write_all(bytes)?;
         if let Err(error) = std::fs::rename(&self.replacement, &self.path)
             // A rename may have taken effect although it returned an error; then appends to the old file would be lost.
-            && !self.is_replaced_by(&file)
+            && !is_at(&self.path, &file).unwrap_or(false)
         {
             return Err(error);
         }
--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -39,6 +39,12 @@
     RecordedClaim { sent, node: "n1".into(), zone: None }
 }
 
+/// Locks a folder and opens its journal.
+pub(crate) fn open_journal(folder: &Path, limit: u64) -> io::Result<(Journal, Vec<OpenJob>)> {
+    let lock = StateLock::acquire(folder).map_err(crate::state_lock::LockError::into_io)?;
+    Journal::open(&Rc::new(lock), limit)
+}
+
 fn disk_use(folder: &Path) -> u64 {
     let files = std::fs::read_dir(folder).expect("a folder").map(|f| f.expect("a file"));
     files.map(|f| f.metadata().expect("a file").len().div_ceil(512) * 512).sum()
@@ -47,7 +53,7 @@
 #[test]
 fn open_jobs_are_recovered_unchanged() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), 100_000).expect("it opens");
     let keys = ["a", "b", "c", "d"].map(|id| accept(&mut journal, &job(id, 9)));
     journal.record_claim(keys[0], claim(1)).expect("written");
     journal.record_never_ran(keys[0]).expect("written");
@@ -57,9 +63,10 @@
     journal.remove_job(keys[1]).expect("written");
     let notice = Notice { id: "c".into(), end: NoticeEnd::Returned { after: None } };
     journal.record_notice(keys[2], &notice).expect("written");
+    drop(journal);
     // First from the appended records, then from the file that the first open rewrote.
     for _ in 0..2 {
-        let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+        let (_, open) = open_journal(folder.path(), 100_000).expect("it opens");
         let ids: Vec<_> = open.iter().map(|o| o.job.id.as_str()).collect();
         assert_eq!(ids, ["a", "c", "d"]);
         assert_eq!((open[0].tries, open[0].unconfirmed_claim.clone()), (3, Some(claim(2))));
@@ -77,7 +84,7 @@
 #[test]
 fn a_torn_end_is_dropped_and_records_appended_afterwards_are_kept() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), 100_000).expect("it opens");
     for id in ["a", "b"] {
         journal.record_job(&job(id, 50), &rules()).expect("written");
     }
@@ -89,10 +96,11 @@
     let last = starts[starts.len() - 3];
     for cut in 1..=bytes.len() - last {
         std::fs::write(&file, &bytes[..bytes.len() - cut]).expect("written");
-        let (mut journal, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+        let (mut journal, open) = open_journal(folder.path(), 100_000).expect("it opens");
         assert_eq!(open.len(), 1, "{cut} bytes are missing");
         journal.record_job(&job("z", 5), &rules()).expect("written");
-        let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+        drop(journal);
+        let (_, open) = open_journal(folder.path(), 100_000).expect("it opens");
         assert_eq!(open.last().map(|o| o.job.id.as_str()), Some("z"));
     }
 }
@@ -101,7 +109,7 @@
 fn the_folder_never_exceeds_its_limit() {
     let folder = tempfile::tempdir().expect("a folder");
     let limit = 200_000;
-    let (mut journal, _) = Journal::open(folder.path(), limit).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), limit).expect("it opens");
     let mut open = std::collections::VecDeque::new();
     let mut refused = 0;
     for round in 0..3000 {
@@ -120,14 +128,15 @@
         assert!(disk_use(folder.path()) + journal.live_size <= limit, "round {round}");
     }
     assert!(refused > 0, "the folder was never full");
-    let (_, recovered) = Journal::open(folder.path(), limit).expect("it opens");
+    drop(journal);
+    let (_, recovered) = open_journal(folder.path(), limit).expect("it opens");
     assert_eq!(recovered.len(), open.len());
 }
 
 /// Writes a journal with these jobs; returns its folder, the file's path and the file's content.
 fn written(ids: &[&str], then: impl Fn(&mut Journal, &[Key])) -> (tempfile::TempDir, PathBuf, Vec<u8>) {
     let folder = tempfile::tempdir().expect("a folder");
-    let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), 100_000).expect("it opens");
     let keys: Vec<_> = ids.iter().map(|id| accept(&mut journal, &job(id, 50))).collect();
     then(&mut journal, &keys);
     let file = folder.path().join("journal");
@@ -202,7 +211,7 @@
     // Damages the length of the record with the body.
     damaged[records(&bytes)[4] + 3] = 0xff;
     std::fs::write(&file, &damaged).expect("written");
-    let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (_, open) = open_journal(folder.path(), 100_000).expect("it opens");
     let ids: Vec<_> = open.iter().map(|open| open.job.id.as_str()).collect();
     assert_eq!(ids, ["a", "c"]);
 }
@@ -214,19 +223,19 @@
     let newer =
         [encode(&Record::Removed(FORMAT_KEYS + LATEST_FORMAT + 1)), bytes[format..].to_vec()].concat();
     std::fs::write(&file, &newer).expect("written");
-    let fault = Journal::open(folder.path(), 100_000).err().expect("refused").to_string();
+    let fault = open_journal(folder.path(), 100_000).err().expect("refused").to_string();
     assert_eq!(fault, "it has format 3; this version reads formats up to 2");
     assert_eq!(std::fs::read(&file).expect("the file exists"), newer);
     // A file of a version without formats is read.
     std::fs::write(&file, &bytes[records(&bytes)[2]..]).expect("written");
-    let (_, open) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (_, open) = open_journal(folder.path(), 100_000).expect("it opens");
     assert_eq!(open.len(), 1);
 }
 
 #[test]
 fn a_process_killed_during_any_write_loses_no_earlier_record() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (mut journal, _) = Journal::open(folder.path(), 100_000).expect("it opens");
+    let (mut journal, _) = open_journal(folder.path(), 100_000).expect("it opens");
     let key = accept(&mut journal, &job("a", 9));
     journal.record_claim(key, claim(1)).expect("written");
     journal.record_never_ran(key).expect("written");
@@ -268,3 +277,33 @@
 fn claim_time(claim: &RecordedClaim) -> u64 {
     claim.sent.duration_since(SystemTime::UNIX_EPOCH).expect("after the epoch").as_secs()
 }
+
+// Guards against a process that goes on acknowledging from a file that nobody will read.
+#[test]
+fn a_journal_whose_file_was_replaced_or_removed_acknowledges_nothing_and_changes_nothing() {
+    type Change = fn(&Path);
+    let changes: [Change; 3] = [
+        |file| std::fs::write(file.with_extension("other"), "another's").expect("written"),
+        |file| std::fs::remove_file(file).expect("removed"),
+        |file| std::fs::rename(file, file.with_extension("old")).expect("renamed"),
+    ];
+    for (number, change) in changes.into_iter().enumerate() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut journal, _) = open_journal(folder.path(), 100_000).expect("it opens");
+        let key = accept(&mut journal, &job("a", 9));
+        let file = folder.path().join("journal");
+        change(&file);
+        if number == 0 {
+            std::fs::rename(file.with_extension("other"), &file).expect("renamed");
+        }
+        for _ in 0..2 {
+            assert!(journal.record_job(&job("b", 9), &rules()).is_err());
+            assert!(journal.record_claim(key, claim(1)).is_err());
+            assert!(journal.retry().is_err());
+        }
+        assert!(journal.health().is_failing());
+        drop(journal);
+        let left = std::fs::read(&file).ok();
+        assert_eq!(left, (number == 0).then(|| b"another's".to_vec()), "change {number}");
+    }
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -2,7 +2,7 @@
 //! this program does the I/O.
 //!
 //! A front accepts messages over one protocol and sends them to execute nodes. The modules form layers, each of which imports
-//! only those before it: plain values ([`clock`], [`job`]); data that is read and written ([`config`], [`list`], [`tls`], [`journal`],
+//! only those before it: plain values ([`clock`], [`job`]); data that is read and written ([`config`], [`list`], [`tls`], [`state_lock`], [`journal`],
 //! [`notice`], [`import`], [`metrics`], [`disabled`]); hook scripts ([`hook`]); messages queued on disk ([`backlog`]); the processing of
 //! jobs ([`core`]); what fronts share ([`availability`], [`connection_limiter`], [`discovery`]); the fronts ([`platform`],
 //! [`push`]); the admin address ([`admin`], and `admin_client` to call it); and startup and shutdown ([`run`]).
@@ -37,4 +37,5 @@
 pub mod platform;
 pub mod push;
 pub mod run;
+pub mod state_lock;
 pub mod tls;
--- a/relay/src/listener/tests.rs
+++ b/relay/src/listener/tests.rs
@@ -19,5 +19,7 @@
     let first = listen("push.listen", "127.0.0.1:0".parse().expect("an address")).expect("a free port");
     let address = first.local_addr().expect("it is bound");
     let error = listen("push.listen", address).expect_err("it is in use");
+    assert!(error.is_in_use() && !error.is_shortage());
+    let error = error.to_string();
     assert!(error.starts_with(&format!("push.listen: cannot listen on {address}")), "{error}");
 }
--- a/relay/src/main.rs
+++ b/relay/src/main.rs
@@ -11,6 +11,9 @@
 use onyxglade::backlog::report;
 use onyxglade::{config, import, run, tls};
 
+/// Exit code if another process uses a state folder or an address that this one needs.
+const EXIT_IN_USE: u8 = 3;
+
 /// Relays messages to partner systems outside its control.
 ///
 /// Without a command, runs the relay. The platform front is enabled if BALANCER_CONFIG is set, the push front if the
@@ -121,6 +124,10 @@
             tracing::error!("{message}");
             ExitCode::from(2)
         }
+        Err(run::Error::InUse(message)) => {
+            tracing::error!("{message}");
+            ExitCode::from(EXIT_IN_USE)
+        }
         Err(run::Error::Other(message)) => {
             tracing::error!("{message}");
             ExitCode::FAILURE
--- a/relay/src/run.rs
+++ b/relay/src/run.rs
@@ -22,10 +22,11 @@
 use crate::journal::{Journal, OpenJob, is_transient};
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
-use crate::listener::listen;
+use crate::listener::{ListenError, ReservedAddress, listen};
 use crate::metrics::{BacklogMetrics, GaugeValues, Metrics};
 use crate::platform::carrier::NodeClient;
 use crate::platform::refusing::refuse_all;
+use crate::state_lock::{LockError, StateLock};
 
 /// First stage of the shutdown: everything continues, since new connections arrive for up to 0.4 s after SIGTERM.
 const SHUTDOWN_SERVING_TIME: Duration = Duration::from_millis(600);
@@ -40,8 +41,12 @@
 const HANDOVER_COMPLETION_TIME: Duration = Duration::from_millis(3350);
 /// How long the outcomes of claims that were cancelled then may take to reach the successor.
 const HANDOVER_REPORT_TIME: Duration = Duration::from_millis(30);
+/// Pause between two attempts to use what another process may be about to release.
+const RETRY_PAUSE: Duration = Duration::from_millis(5);
 /// How long the previous process may keep an address that this one is to listen on.
 const BIND_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the previous process may keep a state folder that this one is to use, where this one cannot take the relay over from it.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a state folder that cannot be used is tried again.
 const FOLDER_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Share of the file descriptors that client connections may take; the others are for nodes and files.
@@ -57,6 +62,8 @@
 pub enum Error {
     /// The configuration is invalid; the text names the key. A restart does not help before it is corrected.
     Configuration(String),
+    /// Another process uses a state folder or an address that this one needs.
+    InUse(String),
     Other(String),
 }
 
@@ -66,6 +73,12 @@
     }
 }
 
+impl From<ListenError> for Error {
+    fn from(error: ListenError) -> Self {
+        if error.is_in_use() { Error::InUse(error.to_string()) } else { Error::Other(error.to_string()) }
+    }
+}
+
 /// Runs the configured fronts until SIGTERM.
 pub async fn run(file: Option<PathBuf>) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -309,9 +322,28 @@
     }
 }
 
+/// Locks a state folder; `key` is the key that names it. Waits a short time for a process that is about to exit.
+///
+/// # Errors
+/// Another process, or another front of this one, uses the folder; or the folder can never be locked.
+async fn lock_folder(key: &str, state: &Path) -> Result<StateLock, Error> {
+    let until = Instant::now() + LOCK_TIMEOUT;
+    let attempt = async || match StateLock::acquire(state) {
+        Err(error @ LockError::InUse { .. }) => Ok(Err(error)),
+        locked => locked.map(Ok).map_err(LockError::into_io),
+    };
+    loop {
+        match retry_in_folder(state, "lock", attempt).await.map_err(|e| format!("{key}: {e}"))? {
+            Ok(lock) => return Ok(lock),
+            Err(error) if Instant::now() >= until => return Err(Error::InUse(format!("{key}: {error}"))),
+            Err(_) => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
 /// Opens the journal, and reads its open jobs, as soon as its folder can be used.
-async fn open_journal(state: &Path, disk: u64) -> Result<(Journal, Vec<OpenJob>), String> {
-    retry_in_folder(state, "journal", async || Journal::open(state, disk)).await
+async fn open_journal(lock: &Rc<StateLock>, disk: u64) -> Result<(Journal, Vec<OpenJob>), String> {
+    retry_in_folder(lock.folder(), "journal", async || Journal::open(lock, disk)).await
 }
 
 /// Starts the background tasks of a front's core.
@@ -323,12 +355,12 @@
 }
 
 /// Opens the socket that submitters connect to: the one passed by the platform, if the environment names one.
-async fn listen_for_submitters(address: std::net::SocketAddr) -> Result<TcpListener, String> {
+async fn listen_for_submitters(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
     match crate::inherited_socket::listener() {
         Ok(None) => {}
         Ok(Some(socket)) => {
             let listener = socket.set_nonblocking(true).and_then(|()| TcpListener::from_std(socket));
-            return listener.map_err(|e| format!("BALANCER_PASSED_SOCKET: {e}"));
+            return listener.map_err(|e| format!("BALANCER_PASSED_SOCKET: {e}").into());
         }
         Err(error) => {
             tracing::error!(
@@ -337,14 +369,26 @@
             );
         }
     }
+    Ok(retry_socket(|| listen("BALANCER_LISTEN", address)).await?)
+}
+
+/// Retries to open a socket: for as long as the system lacks what a socket needs, and for a short time if it fails otherwise, since the
+/// previous process may be about to close its own.
+async fn retry_socket<T>(open: impl Fn() -> Result<T, ListenError>) -> Result<T, ListenError> {
     let until = Instant::now() + BIND_TIMEOUT;
+    let mut logged = false;
     loop {
-        match listen("BALANCER_LISTEN", address) {
+        match open() {
+            Err(error) if error.is_shortage() => {
+                if !std::mem::replace(&mut logged, true) {
+                    tracing::error!(%error, "a socket cannot be opened; retrying until it can");
+                }
+            }
             Err(error) if Instant::now() > until => return Err(error),
-            // The previous process may be about to close its socket.
-            Err(_) => sleep(Duration::from_millis(5)).await,
-            bound => return bound,
+            Err(_) => {}
+            opened => return opened,
         }
+        sleep(RETRY_PAUSE).await;
     }
 }
 
@@ -359,17 +403,18 @@
     upgrades: bool,
     sharing: Option<ListSharing>,
     backlog: Option<&config::BacklogConfig>,
-) -> Result<PlatformFront, String> {
+) -> Result<PlatformFront, Error> {
     let (lock, predecessor) = match upgrades {
         true => {
             let owned = retry_in_folder(&config.state, "lock", async || {
                 handover::acquire(&config.state, || admin.set_ready()).await
             });
             let (lock, predecessor) = owned.await.map_err(|e| format!("BALANCER_STATE: {e}"))?;
-            (Some(lock), predecessor)
+            (lock, predecessor)
         }
-        false => (None, None),
+        false => (lock_folder("BALANCER_STATE", &config.state).await?, None),
     };
+    let lock = Rc::new(lock);
     idle.apply(&mut config.rules);
     config.rules.settings.list_shared = sharing.is_some();
     let MachineLimits { disk_bytes, sockets } = config.limits;
@@ -381,20 +426,21 @@
     let discovery = node_client.discovery_server();
     let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
     let mut listener = None;
-    let opened = match Journal::open(&config.state, disk_bytes) {
+    let opened = match Journal::open(&lock, disk_bytes) {
         Ok(opened) => Ok(opened),
         Err(error) if !is_transient(&error) => Err(format!("journal in {}: {error}", config.state.display())),
         Err(_) => {
             let listener = listener.insert(listen_for_submitters(config.listen).await?);
             tokio::select! {
-                opened = open_journal(&config.state, disk_bytes) => opened,
+                opened = open_journal(&lock, disk_bytes) => opened,
                 () = refuse_all(listener, budget.submitter_connections()) => Err("no connections can be accepted".into()),
             }
         }
     };
-    let (mut journal, open) = opened.map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    let (journal, open) = opened.map_err(|e| format!("BALANCER_STATE: {e}"))?;
+    // From here on only the journal keeps the lock, so that closing the journal releases it.
+    drop(lock);
     tracing::info!(recovered = open.len(), "journal read");
-    journal.keep_lock(lock);
     let core = new_core(node_client, config.rules, hooks, config.seed, &config.state, journal, metrics);
     if let Some(settings) = backlog {
         settings.check_folder(Some(&config.state))?;
@@ -578,21 +624,25 @@
     config: config::PushConfig,
     hooks: Option<Hooks>,
     metrics: &Rc<Metrics>,
-) -> Result<PushFront, String> {
+) -> Result<PushFront, Error> {
+    // A process that uses the folder or the address is not disturbed: nothing is read or written before both are this one's.
+    let lock = Rc::new(lock_folder("push.state", &config.state).await?);
+    let address = retry_socket(|| ReservedAddress::reserve("push.listen", config.listen)).await?;
     // This front is given no seed: it uses a new one for each start.
     let seed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let gateways = crate::push::gateways::Gateways::new(config.pool_limits, config.notices);
     gateways.set_tls(config.gateway_tls.clone());
     let rules = config.rules.clone();
-    let opened = open_journal(&config.state, config.disk_bytes).await;
+    let opened = open_journal(&lock, config.disk_bytes).await;
     let (journal, open) = opened.map_err(|e| format!("push.state: {e}"))?;
+    drop(lock);
     tracing::info!(recovered = open.len(), "journal read");
     let core = new_core(gateways, rules, hooks, seed, &config.state, journal, metrics);
     open.into_iter().for_each(|open| core.recover(open));
     start_tasks(&core, "push");
     core.apply_list(&config.gateways).await;
     actix_rt::spawn(crate::push::gateways::maintain_connections(core.clone()));
-    let listener = listen("push.listen", config.listen)?;
+    let listener = address.listen()?;
     let address = listener.local_addr().unwrap_or(config.listen);
     let server = crate::push::server::Server::new(core.clone(), &config, seed);
     let limiter = Rc::new(ConnectionLimiter::new(config.connections));
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -4,11 +4,12 @@
 //! - `relay`: the relay's process (`relay2` and `relay3` run beside it in an upgrade). Send start, term, kill, hup or
 //!   bad-handover (bytes that are not the handover protocol, to the handover socket; truncated=yes: the beginning of a valid
 //!   hello). Words of start and hup:
-//!   - for the push front's file: drain=GATEWAY, limit=BYTES (`body_limit`);
+//!   - for the push front's file: drain=GATEWAY, limit=BYTES (`body_limit`), same_address (it listens where the process
+//!     started before did);
 //!   - for the platform's file: the keys that `settings` reads;
 //!   - at the start only: passed=yes (the platform passes the listening socket on), files=N (the system's limit on
 //!     descriptors), idle_setting=KEY:VALUE or backlog=FOLDER (a relay file with that key of `[idle]`, or with a backlog in
-//!     that folder), faulty (the configuration is refused and the process ends).
+//!     that folder), admin=off (no admin address), faulty (the process ends before it is ready).
 //!
 //!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) and `resident_mb`
 //!   (peak resident memory).
@@ -86,6 +87,11 @@
     instruction.iter().find(|(k, _)| k == key).map(|(_, v)| v.as_str())
 }
 
+/// Whether an instruction has a word.
+fn has(instruction: &[(String, String)], word: &str) -> bool {
+    argument(instruction, word).is_some()
+}
+
 struct Party {
     events: mpsc::UnboundedReceiver<Event>,
     /// Events that no `expect` has matched yet.
@@ -341,10 +347,10 @@
             }
             let file = self.folder.path().join("config.json");
             fs::write(&file, self.settings(instruction)).map_err(|e| e.to_string())?;
-            command
-                .env("BALANCER_ADMIN", "127.0.0.1:0")
-                .env("BALANCER_CONFIG", file)
-                .env("BALANCER_STATE", self.folder.path().join("state"));
+            if argument(instruction, "admin") != Some("off") {
+                command.env("BALANCER_ADMIN", "127.0.0.1:0");
+            }
+            command.env("BALANCER_CONFIG", file).env("BALANCER_STATE", self.folder.path().join("state"));
         }
         if argument(instruction, "passed").is_some() {
             let bound = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
@@ -388,11 +394,7 @@
             }
             let _ = sender.send(Event::new("exit", []));
         });
-        if ready || instruction.iter().any(|(k, _)| k == "faulty") {
-            Ok(())
-        } else {
-            Err("the relay does not start".into())
-        }
+        if ready || has(instruction, "faulty") { Ok(()) } else { Err("the relay does not start".into()) }
     }
 
     /// Writes the push front's file, with the gateway named by drain= as draining.
@@ -405,6 +407,10 @@
         }
         let limit = format!("body_limit = {}", argument(instruction, "limit").unwrap_or("100"));
         let text = text.replace("body_limit = 100", &limit);
+        let text = match self.addresses.get("push").filter(|_| has(instruction, "same_address")) {
+            Some(address) => text.replace("listen = \"127.0.0.1:0\"", &format!("listen = \"{address}\"")),
+            None => text,
+        };
         let file = self.folder.path().join("push.toml");
         let folder = self.folder.path().display().to_string();
         fs::write(self.folder.path().join("hook.rhai"), HOOK).map_err(|e| e.to_string())?;
