--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -88,10 +88,9 @@
         *self.instances.borrow_mut() = instances;
     }
 
-    /// To be called when the fronts can serve.
-    pub fn open(&self, fronts: Vec<Rc<dyn Front>>) {
-        self.set_ready();
-        *self.fronts.borrow_mut() = fronts;
+    /// To be called when a front serves.
+    pub fn add_front(&self, front: Rc<dyn Front>) {
+        self.fronts.borrow_mut().push(front);
         self.opened.notify_waiters();
     }
 
--- a/relay/src/core/handover.rs
+++ b/relay/src/core/handover.rs
@@ -95,13 +95,14 @@
             waits: waits.collect(),
             learned: learned.collect(),
             recent,
-            in_flight: state.in_flight.keys().copied().collect(),
+            // Claims that are still out at this process's own predecessor are in flight too.
+            in_flight: state.in_flight.keys().chain(&state.predecessor_claims).copied().collect(),
             drained: false,
         }
     }
 
     /// Whether the jobs belong to another process.
-    pub(super) fn is_handed_over(&self) -> bool {
+    pub fn is_handed_over(&self) -> bool {
         self.handed_over.is_cancelled()
     }
 
@@ -110,9 +111,10 @@
         self.claims_cancelled.cancel();
     }
 
-    /// Whether no claim is in flight.
+    /// Whether no claim is in flight, here or at a predecessor that reports to this process.
     pub fn no_claims_in_flight(&self) -> bool {
-        self.state.borrow().in_flight.is_empty()
+        let state = self.state.borrow();
+        state.in_flight.is_empty() && state.predecessor_claims.is_empty()
     }
 
     /// Takes over the state of another process: its list of nodes, requested waits, learned limits and jobs. Returns a
@@ -144,7 +146,7 @@
         let mut senders = Vec::new();
         let (in_flight, idle): (Vec<_>, Vec<_>) =
             open.into_iter().partition(|open| handover_state.in_flight.contains(&open.key));
-        self.predecessor_claims.set(in_flight.len());
+        self.state.borrow_mut().predecessor_claims = in_flight.iter().map(|open| open.key).collect();
         self.reserve_predecessor_slots();
         for open in in_flight {
             let (sender, finished) = oneshot::channel();
@@ -206,7 +208,10 @@
 
     /// Reserves the slots of claims that are in flight at another process.
     pub(super) fn reserve_predecessor_slots(&self) {
-        self.state.borrow_mut().dispatcher.reserve_slots(self.predecessor_claims.get());
+        let mut state = self.state.borrow_mut();
+        let claims = state.predecessor_claims.len();
+        state.dispatcher.reserve_slots(claims);
+        drop(state);
         self.wake.notify_one();
     }
 
@@ -219,7 +224,12 @@
         let key = open.key;
         let slot = self.take_slot(&open.job);
         let finished = finished.await.ok();
-        self.predecessor_claims.set(self.predecessor_claims.get() - 1);
+        self.state.borrow_mut().predecessor_claims.remove(&key);
+        if let Some(successor) = &*self.successor.borrow() {
+            // Handed over meanwhile: the successor holds the job back. A claim whose outcome is unknown may have run.
+            let unknown = || FinishedClaim { key, outcome: Outcome::Cancelled, node: String::new() };
+            return successor.claim_ended(finished.unwrap_or_else(unknown));
+        }
         self.reserve_predecessor_slots();
         let (job, mut progress) = JobProgress::from_journal(open);
         let outcome = finished.as_ref().map_or(Outcome::Cancelled, |finished| finished.outcome);
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -14,7 +14,7 @@
 use slatethread::{Dispatcher, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -93,6 +93,8 @@
     replaceable: HashMap<String, MsgId>,
     /// Send permits of claims in flight.
     in_flight: BTreeMap<Key, Rc<SendPermit>>,
+    /// Jobs whose claims are still in flight at the previous process, so that their slots are not available here.
+    predecessor_claims: BTreeSet<Key>,
 }
 
 /// Recent answers, by id.
@@ -138,7 +140,7 @@
 pub struct Core<C> {
     pub transport: C,
     rules: RefCell<Rc<Rules>>,
-    hooks: Option<Hooks>,
+    hooks: Option<Rc<Hooks>>,
     state: RefCell<State>,
     journal: Rc<RefCell<Journal>>,
     journal_health: Rc<JournalHealth>,
@@ -169,8 +171,6 @@
     /// Cancelled to cancel the claims in flight.
     claims_cancelled: CancellationToken,
     successor: RefCell<Option<Rc<dyn Successor>>>,
-    /// Number of claims still in flight at the previous process, whose slots are not available here.
-    predecessor_claims: Cell<usize>,
     /// Number of jobs that count as delivered and whose answer is not certain yet.
     unconfirmed_deliveries: Cell<usize>,
 }
@@ -188,7 +188,7 @@
     pub fn new(
         transport: C,
         rules: Rules,
-        hooks: Option<Hooks>,
+        hooks: Option<Rc<Hooks>>,
         seed: u64,
         journal: Journal,
         disabled: DisabledNodes,
@@ -207,6 +207,7 @@
             recent: RecentAnswers::default(),
             replaceable: HashMap::new(),
             in_flight: BTreeMap::new(),
+            predecessor_claims: BTreeSet::new(),
         };
         let start = Instant::now();
         Rc::new(Core {
@@ -233,7 +234,6 @@
             handed_over: CancellationToken::new(),
             claims_cancelled: CancellationToken::new(),
             successor: RefCell::new(None),
-            predecessor_claims: Cell::new(0),
             unconfirmed_deliveries: Cell::new(0),
         })
     }
@@ -285,7 +285,10 @@
         if let Some(successor) = successor {
             return successor.admit(job).await;
         }
-        let in_memory = self.state.borrow().order_senders.len() + self.predecessor_claims.get();
+        let in_memory = {
+            let state = self.state.borrow();
+            state.order_senders.len() + state.predecessor_claims.len()
+        };
         let full = self.rules().settings.max_open_messages.is_some_and(|m| in_memory >= m as usize);
         let winding_down = self.winding_down.get();
         if full || winding_down || !self.knows_destination(job.dest) {
--- a/relay/src/handover/mod.rs
+++ b/relay/src/handover/mod.rs
@@ -25,7 +25,7 @@
 use crate::handover_state::{FinishedClaim, HandoverState};
 use crate::job::{Answer, Job};
 use crate::journal::Key;
-use crate::state_lock::{LockError, StateLock};
+use crate::state_lock::{Holder, LockError, StateLock};
 use frame::{Frame, VERSION};
 use owners::{Action, Event, Ownership};
 
@@ -70,39 +70,82 @@
     write: OwnedWriteHalf,
 }
 
-/// Waits until this process may open the journal in the folder. If another process has the lock, `waiting` is called as
-/// soon as that process has replied to the hello, or has failed to; the state that it hands over is returned with the lock. If it
-/// crashes or cannot hand over, its lock is released when it exits, and only the journal is left to recover from.
-pub async fn acquire(folder: &Path, waiting: impl FnOnce()) -> io::Result<(StateLock, Option<Predecessor>)> {
-    if let Some(lock) = try_lock(folder)? {
-        return Ok((lock, None));
+/// How a front of this process comes to use its state folder.
+pub enum FolderClaim {
+    /// The folder is this process's.
+    Owned(StateLock),
+    /// A predecessor uses it.
+    Pending(PendingHandover),
+}
+
+/// A folder that a predecessor uses.
+pub struct PendingHandover {
+    folder: PathBuf,
+    /// The connection on which the predecessor hands over; none if it cannot.
+    connection: Option<UnixStream>,
+}
+
+/// Claims a folder: locks it, or else tells the process that has the lock that this one waits for it. The predecessor has answered, or
+/// has failed to, when this returns.
+///
+/// # Errors
+/// The file system's, and [`LockError::InUse`] if another front of this process uses the folder.
+pub async fn claim_folder(folder: &Path) -> Result<FolderClaim, LockError> {
+    match StateLock::acquire(folder) {
+        Ok(lock) => return Ok(FolderClaim::Owned(lock)),
+        Err(LockError::InUse { holder, .. }) if holder != Holder::ThisProcess => {}
+        Err(error) => return Err(error),
     }
     let connected =
         timeout(HELLO_TIMEOUT, connect(folder)).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+    let folder = folder.to_owned();
     match &connected {
         Ok(_) => {
-            tracing::info!("upgrade: another process runs the relay; it hands over when it receives SIGTERM")
+            tracing::info!(folder = %folder.display(), "upgrade: another process runs the relay; it hands over when it receives SIGTERM")
         }
         Err(fault) => {
-            tracing::warn!(%fault, "upgrade: another process runs the relay and cannot hand it over; waiting for it to exit");
+            tracing::warn!(folder = %folder.display(), %fault, "upgrade: another process runs the relay and cannot hand it over; waiting for it to exit");
         }
     }
-    waiting();
-    let predecessor = match connected {
-        Ok(stream) => match receive_state(stream).await {
-            Ok(predecessor) => Some(predecessor),
-            Err(fault) => {
-                tracing::warn!(%fault, "upgrade: the predecessor is gone; its journal is taken over");
-                None
+    Ok(FolderClaim::Pending(PendingHandover { folder, connection: connected.ok() }))
+}
+
+impl FolderClaim {
+    /// Whether a predecessor uses the folder.
+    pub fn is_pending(&self) -> bool {
+        matches!(self, FolderClaim::Pending(_))
+    }
+
+    /// Waits until the folder is this process's. The state that a predecessor hands over is returned with the lock. If it crashes or
+    /// cannot hand over, its lock is released when it exits, and only the journal is left to recover from.
+    pub async fn complete(self) -> (Rc<StateLock>, Option<Predecessor>) {
+        let PendingHandover { folder, connection } = match self {
+            FolderClaim::Owned(lock) => return (Rc::new(lock), None),
+            FolderClaim::Pending(pending) => pending,
+        };
+        let predecessor = match connection {
+            Some(stream) => match receive_state(stream).await {
+                Ok(predecessor) => Some(predecessor),
+                Err(fault) => {
+                    tracing::warn!(%fault, "upgrade: the predecessor is gone; its journal is taken over");
+                    None
+                }
+            },
+            None => None,
+        };
+        let mut logged = false;
+        loop {
+            match try_lock(&folder) {
+                Ok(Some(lock)) => return (Rc::new(lock), predecessor),
+                Ok(None) => {}
+                Err(error) => {
+                    if !std::mem::replace(&mut logged, true) {
+                        tracing::error!(%error, folder = %folder.display(), "upgrade: the state folder cannot be locked; retrying until it can");
+                    }
+                }
             }
-        },
-        Err(_) => None,
-    };
-    loop {
-        if let Some(lock) = try_lock(folder)? {
-            return Ok((lock, predecessor));
+            sleep(LOCK_RETRY_PAUSE).await;
         }
-        sleep(LOCK_RETRY_PAUSE).await;
     }
 }
 
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -9,7 +9,8 @@
 //! ([`Acceptance`], [`FinalNotice`], a claim) takes effect only once it is written.
 use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::io;
+use std::fs::File;
+use std::io::{self, Read};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::SystemTime;
@@ -77,6 +78,19 @@
 /// at two fifths, a fifth of the limit can be appended between two rewrites.
 const MAX_JOB_SHARE: f64 = 0.4;
 
+/// Bytes that are read of a file to find its format: more than the record has.
+const FORMAT_RECORD_BYTES: u64 = 64;
+
+/// Checks the key of a record that may tell the format of the file.
+fn check_format(key: Key) -> io::Result<()> {
+    if key <= FORMAT_KEYS + LATEST_FORMAT {
+        return Ok(());
+    }
+    let format = key - FORMAT_KEYS;
+    let fault = format!("it has format {format}; this version reads formats up to {LATEST_FORMAT}");
+    Err(io::Error::new(io::ErrorKind::InvalidData, fault))
+}
+
 /// State of the file after its last whole record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Tail {
@@ -115,6 +129,23 @@
         folder.join(storage::NAME).exists()
     }
 
+    /// Checks that this version can read the journal in a folder, which another process may be using. Changes nothing.
+    ///
+    /// # Errors
+    /// A later version of the program wrote it, or it cannot be read.
+    pub fn check_format(folder: &Path) -> io::Result<()> {
+        let mut start = Vec::new();
+        match File::open(folder.join(storage::NAME)) {
+            Ok(file) => file.take(FORMAT_RECORD_BYTES).read_to_end(&mut start)?,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        match next_record(&Bytes::from(start), 0) {
+            Some((_, Record::Removed(key))) => check_format(key),
+            _ => Ok(()),
+        }
+    }
+
     /// Opens the journal in the locked folder, which it may fill up to `limit` bytes, and returns the open jobs. A folder that can be
     /// read but temporarily not written is no error: nothing is recorded until it can be written. The journal keeps the lock until it is
     /// closed.
@@ -242,13 +273,10 @@
                     self.update(key, |live| live.claims = claims);
                 }
                 Record::Notice(key, notice) => self.update(key, |live| live.pending_notice = Some(notice)),
-                Record::Removed(key) if key > FORMAT_KEYS + LATEST_FORMAT => {
-                    let format = key - FORMAT_KEYS;
-                    let fault =
-                        format!("it has format {format}; this version reads formats up to {LATEST_FORMAT}");
-                    return Err(io::Error::new(io::ErrorKind::InvalidData, fault));
+                Record::Removed(key) if key > FORMAT_KEYS => {
+                    check_format(key)?;
+                    formats += 1;
                 }
-                Record::Removed(key) if key > FORMAT_KEYS => formats += 1,
                 Record::Removed(key) => self.remove_live(key),
             }
         }
--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -225,6 +225,7 @@
     std::fs::write(&file, &newer).expect("written");
     let fault = open_journal(folder.path(), 100_000).err().expect("refused").to_string();
     assert_eq!(fault, "it has format 3; this version reads formats up to 2");
+    assert_eq!(Journal::check_format(folder.path()).expect_err("refused").to_string(), fault);
     assert_eq!(std::fs::read(&file).expect("the file exists"), newer);
     // A file of a version without formats is read.
     std::fs::write(&file, &bytes[records(&bytes)[2]..]).expect("written");
--- a/relay/src/listener.rs
+++ b/relay/src/listener.rs
@@ -2,12 +2,16 @@
 use rustix::io::Errno;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
 
 /// Length of the accept queue. Tokio's default, 128, overflows in a burst: the kernel drops further connections, and ordinary clients
 /// among them connect only after 1, 3 or 7 s. This many are accepted within the 0.4 s that are at most charged to a message for its
 /// time in the queue (16 in 5 ms, [`crate::connection_limiter`]).
 const ACCEPT_QUEUE: u32 = 1024;
+/// Pause between two attempts to listen.
+const LISTEN_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
 /// Why an address cannot be listened on.
 #[derive(Debug, thiserror::Error)]
@@ -62,6 +66,28 @@
         let ReservedAddress { key, address, socket } = self;
         socket.listen(ACCEPT_QUEUE).map_err(|source| ListenError { key, address, source })
     }
+
+    /// Listens on the address as soon as the system allows it.
+    pub async fn listen_until_possible(self) -> TcpListener {
+        let (key, address) = (self.key, self.address);
+        let mut reserved = Some(self);
+        let mut logged = false;
+        loop {
+            let listening = match reserved.take() {
+                Some(reserved) => reserved.listen(),
+                // The socket is gone with the failed attempt.
+                None => listen(key, address),
+            };
+            match listening {
+                Ok(listener) => return listener,
+                Err(error) if !std::mem::replace(&mut logged, true) => {
+                    tracing::error!(%error, "a reserved address cannot be listened on; retrying until it can");
+                }
+                Err(_) => {}
+            }
+            sleep(LISTEN_RETRY_PAUSE).await;
+        }
+    }
 }
 
 fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -104,6 +104,7 @@
     unwritten_records: IntGauge,
     loads: IntCounter,
     load_errors: IntCounter,
+    fronts_waiting: IntGauge,
     surplus_answers: SurplusCounter,
     doubtful_answers: IntCounter,
 }
@@ -183,6 +184,10 @@
             ),
             loads: counter("loads_total", "Configurations taken up, the first one counted."),
             load_errors: counter("load_errors_total", "Configurations that were faulty and not taken up."),
+            fronts_waiting: gauge(
+                "fronts_waiting",
+                "Fronts that this process is to serve and that wait for the previous process, or cannot start.",
+            ),
             surplus_answers: SurplusCounter(register(
                 &registry,
                 IntCounterVec::new(
@@ -241,6 +246,16 @@
         if applied { self.loads.inc() } else { self.load_errors.inc() }
     }
 
+    /// Sets how many fronts are to start once the previous process lets them.
+    pub fn fronts_waiting(&self, count: usize) {
+        self.fronts_waiting.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts one of them as started.
+    pub fn waiting_front_started(&self) {
+        self.fronts_waiting.dec();
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self, now: GaugeValues) -> String {
         let as_gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/relay/src/metrics/backlog.rs
+++ b/relay/src/metrics/backlog.rs
@@ -28,6 +28,7 @@
 }
 
 /// Counters and gauges of a backlog.
+#[derive(Clone)]
 pub struct BacklogMetrics {
     /// Messages written to disk on arrival.
     pub stored: IntCounter,
--- a/relay/src/metrics/tests.rs
+++ b/relay/src/metrics/tests.rs
@@ -10,6 +10,8 @@
     metrics.config_loaded(false);
     metrics.discovery_call_ended(DiscoveryResult::ErrorStatus, Duration::from_millis(2500));
     metrics.list_lapsed();
+    metrics.fronts_waiting(2);
+    metrics.waiting_front_started();
     metrics.answer_in_doubt();
     metrics.record_round_delay(Duration::from_millis(250));
     metrics.record_round_delay(Duration::from_millis(50));
@@ -35,6 +37,7 @@
             "edge_balancer_discovery_calls_total{heard=\"silent\"} 0",
             "edge_balancer_discovery_calls_total{heard=\"turned_away\"} 1",
             "edge_balancer_doubtful_answers_total 1",
+            "edge_balancer_fronts_waiting 1",
             "edge_balancer_handled_total{category=\"notice\",outcome=\"bad_gateway\"} 0",
             "edge_balancer_handled_total{category=\"notice\",outcome=\"dropped\"} 0",
             "edge_balancer_handled_total{category=\"notice\",outcome=\"passed\"} 0",
@@ -53,8 +56,8 @@
             "edge_balancer_upstream_tries_total 1",
         ]
     );
-    assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 14);
-    assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 14);
+    assert_eq!(text.lines().filter(|line| line.starts_with("# TYPE ")).count(), 15);
+    assert_eq!(text.lines().filter(|line| line.starts_with("# HELP ")).count(), 15);
 }
 
 #[test]
--- /dev/null
+++ b/relay/src/run/mod.rs
@@ -0,0 +1,396 @@
+//! Starts the configured fronts, handles signals, and shuts down.
+//!
+//! A start is a list of steps, in this order:
+//!
+//! 1. all settings, scripts and keys are read and checked;
+//! 2. the admin address is opened;
+//! 3. the state folder of each front is claimed: this process has its lock, or a predecessor runs the front and will hand it over;
+//! 4. a front without a predecessor takes its address, opens its folder and serves. Whatever fails up to here ends the process;
+//! 5. if a front has a predecessor, this process says that it is ready. Now the predecessor may be told to end, so that nothing ends this
+//!    process any more but a signal: a step that fails for one front is repeated while the other serves;
+//! 6. each front that has a predecessor is taken over once that hands over or ends, whichever front comes first.
+mod descriptor_budget;
+mod platform_front;
+mod push_front;
+mod running_front;
+mod settings;
+mod step;
+
+use std::cell::{Cell, RefCell};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::admin::{Admin, AvailabilityControl, Front};
+use crate::availability::{Availability, AvailabilityEvent};
+use crate::clock;
+use crate::config::PushConfig;
+use crate::connection_limiter::ConnectionLimiter;
+use crate::handover::FolderClaim;
+use crate::hook::Hooks;
+use crate::instances::{self, Instances};
+use crate::journal::Journal;
+use crate::listener::{ListenError, listen};
+use crate::metrics::Metrics;
+use platform_front::{PlatformFront, PlatformStart};
+use push_front::{OpenedPushFront, PushFront};
+use running_front::SHUTDOWN_SERVING_TIME;
+use settings::Settings;
+use step::{StartMode, claim, retry_socket};
+
+/// How many of the reserved descriptors connections to the admin address may use. Guards against callers that do not complete a call
+/// keeping others out.
+const ADMIN_CONNECTIONS: usize = 12;
+
+/// Why the relay did not start, or has stopped.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The configuration is invalid; the text names the key. A restart does not help before it is corrected.
+    #[error("{0}")]
+    Configuration(String),
+    /// Another process uses a state folder or an address that this one needs.
+    #[error("{0}")]
+    InUse(String),
+    #[error("{0}")]
+    Other(String),
+}
+
+impl From<String> for Error {
+    fn from(text: String) -> Self {
+        Error::Other(text)
+    }
+}
+
+impl From<ListenError> for Error {
+    fn from(error: ListenError) -> Self {
+        if error.is_in_use() { Error::InUse(error.to_string()) } else { Error::Other(error.to_string()) }
+    }
+}
+
+/// What the starts of both fronts share.
+pub struct StartContext {
+    metrics: Rc<Metrics>,
+    process: Rc<ProcessAvailability>,
+    hooks: Option<Rc<Hooks>>,
+    /// A successor can be asked whether it is ready, and take over.
+    upgrades: bool,
+}
+
+/// Runs the configured fronts until SIGTERM.
+pub async fn run(file: Option<PathBuf>) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let settings = Settings::load(file.as_deref()).map_err(Error::Configuration)?;
+    // Before the clock is used for anything else. The folder that is named first decides, if both have a record.
+    settings.platform.iter().for_each(|platform| clock::restore_epoch(&platform.state));
+    settings.push().into_iter().for_each(|push| clock::restore_epoch(&push.state));
+    let hooks = settings.hook().map(Hooks::load).transpose().map_err(Error::Configuration)?;
+    let metrics = Metrics::new(settings.classes());
+    let process = Rc::new(ProcessAvailability::default());
+    let admin = Admin::new(metrics.clone(), process.clone());
+    let upgrades = settings.admin.is_some();
+    if let Some(address) = settings.admin {
+        let listener = retry_socket(|| listen("BALANCER_ADMIN", address)).await?;
+        tracing::info!(listen = %listener.local_addr().unwrap_or(address), "admin address is ready");
+        actix_rt::spawn(admin.clone().accept(listener, Rc::new(ConnectionLimiter::new(ADMIN_CONNECTIONS))));
+    }
+    let context = StartContext { metrics, process, hooks: hooks.map(Rc::new), upgrades };
+    let mut fronts = Fronts::new(context, admin, &settings);
+    let (started, mut starting) = mpsc::unbounded_channel();
+    tokio::select! {
+        begun = fronts.start(settings, started) => begun?,
+        // No job has been accepted yet beyond those in the journals.
+        _ = terminate.recv() => return Ok(()),
+    }
+    let mut reloaded = false;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => {
+                reloaded = true;
+                fronts.reload(&file).await;
+            }
+            Some(front) = starting.recv() => {
+                fronts.add(front);
+                fronts.context.metrics.waiting_front_started();
+                if reloaded {
+                    // It has started with the settings of the process's start.
+                    fronts.reload(&file).await;
+                }
+            }
+        }
+    }
+    tracing::info!("SIGTERM: shutting down");
+    fronts.stop().await;
+    Ok(())
+}
+
+/// A front that has started.
+enum StartedFront {
+    Platform(PlatformFront),
+    Push(PushFront),
+}
+
+/// The fronts of this process. One that is not there is not enabled, or waits for its predecessor.
+struct Fronts {
+    context: Rc<StartContext>,
+    admin: Rc<Admin>,
+    instances: Option<Rc<Instances>>,
+    platform: Option<PlatformFront>,
+    push: Option<PushFront>,
+}
+
+impl Fronts {
+    fn new(context: StartContext, admin: Rc<Admin>, settings: &Settings) -> Fronts {
+        let instances = start_instances(settings);
+        admin.set_instances(instances.clone());
+        Fronts { context: Rc::new(context), admin, instances, platform: None, push: None }
+    }
+
+    /// Starts the fronts (steps 3 to 6 of the module's list). Those that wait for a predecessor go to `started` later.
+    ///
+    /// # Errors
+    /// A step failed before this process said that it was ready.
+    async fn start(
+        &mut self,
+        settings: Settings,
+        started: mpsc::UnboundedSender<StartedFront>,
+    ) -> Result<(), Error> {
+        let upgrades = self.context.upgrades;
+        let Settings { platform, relay, .. } = settings;
+        let platform = platform.map(|config| PlatformStart {
+            config,
+            idle: relay.idle,
+            backlog: relay.backlog,
+            sharing: self.instances.as_ref().and_then(|instances| instances.list_sharing()),
+        });
+        let platform = match platform {
+            Some(start) => Some((claim("BALANCER_STATE", &start.config.state, upgrades).await?, start)),
+            None => None,
+        };
+        let push = match relay.push {
+            Some(config) => Some((claim("push.state", &config.state, upgrades).await?, Rc::new(config))),
+            None => None,
+        };
+        let platform_waits = platform.as_ref().is_some_and(|(claim, _)| claim.is_pending());
+        let push = match push {
+            Some((claim, config)) => self.open_push(claim, config, platform_waits).await?,
+            None => None,
+        };
+        let platform = match platform {
+            Some((claim, start)) if claim.is_pending() => {
+                check_before_waiting(&start)?;
+                Some((claim, start))
+            }
+            Some((claim, start)) => {
+                let front = start.run(claim, &self.context, StartMode::Fresh).await?;
+                self.add(StartedFront::Platform(front));
+                None
+            }
+            None => None,
+        };
+        let push = match push {
+            Some(PushStart::Opened(opened)) => {
+                let front = opened.serve(&self.context).await;
+                self.add(StartedFront::Push(front));
+                None
+            }
+            Some(PushStart::Waiting(claim, config)) => Some((claim, config)),
+            None => None,
+        };
+        self.context.metrics.config_loaded(true);
+        self.context.metrics.fronts_waiting(usize::from(platform.is_some()) + usize::from(push.is_some()));
+        // The point of no return: from here on no error of a front ends this process.
+        self.admin.set_ready();
+        if let Some((claim, start)) = platform {
+            let (context, started) = (self.context.clone(), started.clone());
+            actix_rt::spawn(async move {
+                if let Ok(front) = start.run(claim, &context, StartMode::Successor).await {
+                    let _ = started.send(StartedFront::Platform(front));
+                }
+            });
+        }
+        if let Some((claim, config)) = push {
+            let (context, started) = (self.context.clone(), started);
+            actix_rt::spawn(async move {
+                let opened = OpenedPushFront::open(config, claim, &context, StartMode::Successor).await;
+                if let Ok(opened) = opened {
+                    let _ = started.send(StartedFront::Push(opened.serve(&context).await));
+                }
+            });
+        }
+        Ok(())
+    }
+
+    /// Opens the push front, unless it waits for a predecessor. A predecessor that does not lock the front's folder (a version before
+    /// the lock) is known by its address, which it keeps until it ends; it is waited for only if it hands the platform front over.
+    async fn open_push(
+        &self,
+        claimed: FolderClaim,
+        config: Rc<PushConfig>,
+        platform_waits: bool,
+    ) -> Result<Option<PushStart>, Error> {
+        if claimed.is_pending() {
+            check_journal("push.state", &config.state)?;
+            return Ok(Some(PushStart::Waiting(claimed, config)));
+        }
+        let opened = OpenedPushFront::open(config.clone(), claimed, &self.context, StartMode::Fresh).await;
+        match opened {
+            Ok(opened) => Ok(Some(PushStart::Opened(Box::new(opened)))),
+            Err(Error::InUse(message)) if platform_waits => {
+                tracing::warn!(message, "upgrade: the push front waits until its address is free");
+                let claimed = claim("push.state", &config.state, self.context.upgrades).await?;
+                Ok(Some(PushStart::Waiting(claimed, config)))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Takes a front that has started into service for operators and other instances.
+    fn add(&mut self, front: StartedFront) {
+        let divides_limits = self.instances.clone().filter(|instances| instances.shares_limits());
+        match front {
+            StartedFront::Platform(platform) => {
+                let core = platform.front.core.clone();
+                self.admin.add_front(core.clone() as Rc<dyn Front>);
+                if let Some(instances) = divides_limits {
+                    actix_rt::spawn(instances::divide_limits(core, instances));
+                }
+                self.platform = Some(platform);
+            }
+            StartedFront::Push(push) => {
+                let core = push.front.core.clone();
+                self.admin.add_front(core.clone() as Rc<dyn Front>);
+                if let Some(instances) = divides_limits {
+                    actix_rt::spawn(instances::divide_limits(core, instances));
+                }
+                self.push = Some(push);
+            }
+        }
+        self.context.process.apply(AvailabilityEvent::Started);
+    }
+
+    /// Reloads all settings. If any of them is invalid, nothing changes on either front.
+    async fn reload(&self, file: &Option<PathBuf>) {
+        let loaded = Settings::load(file.as_deref()).and_then(|settings| match self.push.is_some() {
+            true if settings.push().is_none() => Err("push: the table is gone".into()),
+            _ => Ok(settings),
+        });
+        self.context.metrics.config_loaded(loaded.is_ok());
+        let settings = match loaded {
+            Ok(settings) => settings,
+            Err(error) => {
+                // Guards against applying a part of a configuration: none of it is applied.
+                tracing::error!(fault = error, "SIGHUP: the configuration is faulty; nothing changes");
+                return;
+            }
+        };
+        if let (Some(platform), Some(config)) = (&self.platform, settings.platform) {
+            platform.apply(config, settings.relay.idle);
+        }
+        if let (Some(push), Some(config)) = (&self.push, settings.relay.push) {
+            push.apply(config).await;
+        }
+    }
+
+    /// Stops both fronts after SIGTERM: each hands over to its successor, or winds down.
+    async fn stop(&self) {
+        self.context.process.apply(AvailabilityEvent::Terminate);
+        if let Some(instances) = &self.instances {
+            instances.leave().await;
+        }
+        let drained = self.context.process.availability.get().is_drained();
+        let platform = async {
+            if let Some(platform) = &self.platform {
+                platform.stop(drained).await;
+            }
+        };
+        let push = async {
+            if let Some(push) = &self.push {
+                push.stop(drained).await;
+            }
+        };
+        tokio::join!(platform, push);
+    }
+}
+
+/// A push front before its process says that it is ready.
+enum PushStart {
+    Opened(Box<OpenedPushFront>),
+    /// Its folder or its address is a predecessor's.
+    Waiting(FolderClaim, Rc<PushConfig>),
+}
+
+/// Checks before a successor says that it is ready what it can know of the folders that it will take over.
+fn check_before_waiting(start: &PlatformStart) -> Result<(), Error> {
+    if let Some(backlog) = &start.backlog {
+        backlog.check_folder(Some(&start.config.state)).map_err(Error::Configuration)?;
+    }
+    check_journal("BALANCER_STATE", &start.config.state)
+}
+
+fn check_journal(key: &str, state: &std::path::Path) -> Result<(), Error> {
+    let checked = Journal::check_format(state);
+    checked.map_err(|error| Error::Other(format!("{key}: journal in {}: {error}", state.display())))
+}
+
+/// Connects to other instances, if the settings name any. They share the lists of the platform front only: the gateways of the push
+/// front are in the file.
+fn start_instances(settings: &Settings) -> Option<Rc<Instances>> {
+    let lists = settings.platform.as_ref().map(|platform| instances::ListSharingLimits {
+        max_age: platform.rules.list_max_age(),
+        max_bytes: settings.relay.idle.list_limit,
+    });
+    let name = settings.platform.as_ref().map(|platform| platform.name.clone());
+    let config = settings.relay.instances.clone()?;
+    let shared = lists.filter(|_| config.lists);
+    let instances = Instances::start(config, name, shared);
+    if lists.is_none() && instances.shares_lists() {
+        tracing::warn!("instances.lists has no effect: there is no list to share without the platform front");
+    }
+    Some(instances)
+}
+
+/// The process's availability to submitters, and the connection limiter that it controls.
+#[derive(Default)]
+struct ProcessAvailability {
+    availability: Rc<Cell<Availability>>,
+    limiter: RefCell<Option<Rc<ConnectionLimiter>>>,
+}
+
+impl ProcessAvailability {
+    fn availability(&self) -> Rc<Cell<Availability>> {
+        self.availability.clone()
+    }
+
+    fn set_limiter(&self, limiter: Rc<ConnectionLimiter>) {
+        *self.limiter.borrow_mut() = Some(limiter);
+    }
+
+    fn apply_event(&self, event: AvailabilityEvent) {
+        self.apply(event);
+    }
+}
+
+impl AvailabilityControl for ProcessAvailability {
+    fn apply(&self, event: AvailabilityEvent) -> bool {
+        let before = self.availability.get();
+        let Some(after) = before.after(event) else { return false };
+        self.availability.set(after);
+        if let Some(limiter) = &*self.limiter.borrow() {
+            // Set only on a change, so that a drain in progress keeps its start time.
+            if before.closes_connections() != after.closes_connections() {
+                limiter.drain(after.closes_connections().then(|| Instant::now() + SHUTDOWN_SERVING_TIME));
+            }
+        }
+        if before.is_drained() != after.is_drained() {
+            tracing::info!(
+                drained = after.is_drained(),
+                "draining of client connections has started or stopped"
+            );
+        }
+        true
+    }
+}
--- /dev/null
+++ b/relay/src/run/platform_front.rs
@@ -0,0 +1,236 @@
+//! Starts the platform front, and reloads its settings.
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+use super::descriptor_budget::DescriptorBudget;
+use super::running_front::{RunningFront, start_tasks};
+use super::step::{StartMode, listen_for_submitters, open_journal};
+use super::{Error, StartContext};
+use crate::availability::AvailabilityEvent;
+use crate::backlog::{Backlog, BacklogClass};
+use crate::config::{BacklogConfig, IdleConfig, MachineLimits, PlatformConfig};
+use crate::connection_limiter::ConnectionLimiter;
+use crate::core::{Core, Transport};
+use crate::disabled::DisabledNodes;
+use crate::handover::{FolderClaim, Predecessor};
+use crate::instances::{self, ListSharing};
+use crate::journal::{Journal, OpenJob, is_transient};
+use crate::lease_record::LeaseRecord;
+use crate::list::NodeList;
+use crate::metrics::BacklogMetrics;
+use crate::platform::carrier::NodeClient;
+use crate::platform::refusing::refuse_all;
+use crate::state_lock::StateLock;
+
+/// What the platform front's start needs beside what both fronts share.
+pub struct PlatformStart {
+    pub config: PlatformConfig,
+    pub idle: IdleConfig,
+    pub backlog: Option<BacklogConfig>,
+    pub sharing: Option<ListSharing>,
+}
+
+pub struct PlatformFront {
+    pub front: RunningFront<NodeClient>,
+    budget: Rc<DescriptorBudget>,
+    discovery_task: actix_rt::task::JoinHandle<()>,
+    listen: SocketAddr,
+}
+
+impl PlatformStart {
+    /// Takes the folder over, opens what is in it, and serves.
+    ///
+    /// # Errors
+    /// The first step that failed, in a fresh start.
+    pub async fn run(
+        mut self,
+        claim: FolderClaim,
+        context: &StartContext,
+        mode: StartMode,
+    ) -> Result<PlatformFront, Error> {
+        let (lock, predecessor) = claim.complete().await;
+        self.config.rules.settings.list_shared = self.sharing.is_some();
+        let PlatformStart { config, idle, backlog, sharing } = self;
+        let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
+        let node_client = NodeClient::new(
+            &config.rules,
+            config.discovery,
+            idle.list_limit,
+            context.metrics.surplus_answers(),
+        );
+        node_client.set_max_connections(budget.node_connections(&idle));
+        let discovery = node_client.discovery_server();
+        let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
+        let early_listener = RefCell::new(None);
+        let attempt = async || open_or_refuse(&lock, &config, &budget, &early_listener).await;
+        let (journal, open) = mode.run("platform", "journal", attempt).await?;
+        // From here on only the journal keeps the lock, so that closing the journal releases it.
+        drop(lock);
+        tracing::info!(recovered = open.len(), "journal read");
+        let disabled = DisabledNodes::open(&config.state);
+        let (hooks, metrics) = (context.hooks.clone(), context.metrics.clone());
+        let core = Core::new(node_client, config.rules, hooks, config.seed, journal, disabled, metrics);
+        if let Some(settings) = &backlog {
+            let figures = BacklogMetrics::register(core.metrics());
+            let attempt = async || {
+                attach_backlog(&core, settings, &config.state, &config.name, &open, figures.clone()).await
+            };
+            mode.run("platform", "backlog", attempt).await?;
+        }
+        let limiter = Rc::new(ConnectionLimiter::new(budget.submitter_connections()));
+        context.process.set_limiter(limiter.clone());
+        let known_generation = match predecessor {
+            Some(predecessor) => {
+                if predecessor.state.drained {
+                    context.process.apply_event(AvailabilityEvent::Drain);
+                }
+                take_over(&core, &limiter, &budget, idle, predecessor, open).await
+            }
+            None => {
+                open.into_iter().for_each(|open| core.recover(open));
+                // Where instances share lists, the configured list is used only if no newer one arrives in time; an empty list lets the
+                // first decision round run without it.
+                let empty = NodeList::default();
+                core.apply_list(if sharing.is_some() { &empty } else { &config.known_nodes }).await;
+                (!config.known_nodes.is_empty()).then_some(config.known_nodes.generation)
+            }
+        };
+        if core.rules().settings.list_on_request && sharing.is_none() {
+            start_list_lease(&core, &config.state, first_start);
+        }
+        start_tasks(&core, "platform");
+        if let Some(sharing) = &sharing {
+            actix_rt::spawn(instances::apply_lists(core.clone(), sharing.clone(), config.known_nodes));
+        }
+        let discovery_task =
+            actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, known_generation, sharing));
+        actix_rt::spawn(crate::platform::carrier::close_idle_connections(core.clone()));
+        let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context.upgrades);
+        let listener = match early_listener.into_inner() {
+            Some(listener) => listener,
+            None => {
+                let attempt = async || listen_for_submitters(config.listen).await;
+                mode.run("platform", "listen", attempt).await?
+            }
+        };
+        let address = listener.local_addr().unwrap_or(config.listen);
+        let server = crate::platform::server::Server::new(core, context.process.availability());
+        actix_rt::spawn(server.accept(listener, limiter));
+        context.process.apply_event(AvailabilityEvent::Started);
+        tracing::info!(name = config.name, listen = %address, "platform front is ready");
+        Ok(PlatformFront { front, budget, discovery_task, listen: config.listen })
+    }
+}
+
+/// Opens the journal. While the folder fails for a reason that may pass, submitters are refused, on the socket that is left in
+/// `listener`.
+async fn open_or_refuse(
+    lock: &Rc<StateLock>,
+    config: &PlatformConfig,
+    budget: &DescriptorBudget,
+    listener: &RefCell<Option<TcpListener>>,
+) -> Result<(Journal, Vec<OpenJob>), Error> {
+    let MachineLimits { disk_bytes, .. } = config.limits;
+    let failed = |error: String| Error::from(format!("BALANCER_STATE: {error}"));
+    match Journal::open(lock, disk_bytes) {
+        Ok(opened) => return Ok(opened),
+        Err(error) if !is_transient(&error) => {
+            return Err(failed(format!("journal in {}: {error}", config.state.display())));
+        }
+        Err(_) => {}
+    }
+    let socket = match listener.take() {
+        Some(socket) => socket,
+        None => listen_for_submitters(config.listen).await?,
+    };
+    let opened = tokio::select! {
+        opened = open_journal(lock, disk_bytes) => opened,
+        () = refuse_all(&socket, budget.submitter_connections()) => Err("no connections can be accepted".into()),
+    };
+    *listener.borrow_mut() = Some(socket);
+    opened.map_err(failed)
+}
+
+/// Takes over what the predecessor held in memory. Returns the version of its list.
+async fn take_over(
+    core: &Rc<Core<NodeClient>>,
+    limiter: &Rc<ConnectionLimiter>,
+    budget: &Rc<DescriptorBudget>,
+    idle: IdleConfig,
+    predecessor: Predecessor,
+    open: Vec<OpenJob>,
+) -> Option<u64> {
+    let pending_outcomes = core.take_over(&predecessor.state, open).await;
+    let known_generation = predecessor.state.generation;
+    let (successor, limiter, budget) = (core.clone(), limiter.clone(), budget.clone());
+    actix_rt::spawn(predecessor.follow(core.clone(), pending_outcomes, move || {
+        budget.stop_sharing();
+        successor.transport.set_max_connections(budget.node_connections(&idle));
+        limiter.set_limit(budget.submitter_connections());
+    }));
+    known_generation
+}
+
+/// Allows claims by the list only while it is confirmed, by this process or, as its record says, by the previous one.
+fn start_list_lease<C: Transport>(core: &Core<C>, state: &Path, first_start: bool) {
+    let (record, previous) = match LeaseRecord::open(state) {
+        Ok((record, previous)) => (Some(record), previous),
+        Err(error) => {
+            tracing::error!(%error, "the lease on the list cannot be recorded; after a restart, claims wait for a new list");
+            (None, None)
+        }
+    };
+    // The record does not confirm a list that is older than the one it was written for.
+    let previous =
+        previous.filter(|previous| core.generation().is_some_and(|known| known >= previous.generation));
+    core.start_list_lease(record, previous, first_start);
+}
+
+/// Opens the backlog on disk and attaches it to the core.
+async fn attach_backlog<C: Transport>(
+    core: &Rc<Core<C>>,
+    settings: &BacklogConfig,
+    state: &Path,
+    owner: &str,
+    journaled: &[OpenJob],
+    figures: BacklogMetrics,
+) -> Result<(), Error> {
+    settings.check_folder(Some(state))?;
+    let rules = core.rules();
+    let classes = rules.names.classes.iter().zip(&rules.settings.classes);
+    let classes: Vec<_> = classes
+        .map(|(name, class)| BacklogClass { name: name.clone(), worth: class.worth.unwrap_or(1.0) })
+        .collect();
+    let max_open_messages = rules.settings.max_open_messages;
+    let opened = Backlog::open(settings, owner, &classes, max_open_messages, journaled, figures).await;
+    let (backlog, actions) = opened.map_err(|error| format!("backlog.folder: {error}"))?;
+    core.attach_backlog(backlog, actions).map_err(|error| format!("BALANCER_STATE: {error}").into())
+}
+
+impl PlatformFront {
+    /// Stops the front after SIGTERM.
+    pub async fn stop(&self, drained: bool) {
+        let handed_over = |transport: &NodeClient| {
+            self.discovery_task.abort();
+            transport.close_all_idle();
+        };
+        self.front.stop(drained, handed_over).await;
+    }
+
+    /// Applies reloaded settings without dropping a job or a connection.
+    pub fn apply(&self, config: PlatformConfig, idle: IdleConfig) {
+        if config.listen != self.listen {
+            tracing::warn!(listen = %config.listen, "SIGHUP: the new listen address takes effect at the next start");
+        }
+        let RunningFront { core, limiter, .. } = &self.front;
+        core.transport.reconfigure(&config.rules, config.discovery, idle.list_limit);
+        self.budget.set_sockets(config.limits.sockets);
+        core.transport.set_max_connections(self.budget.node_connections(&idle));
+        core.apply_rules(config.rules, config.limits.disk_bytes);
+        limiter.set_limit(self.budget.submitter_connections());
+        tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
+    }
+}
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -5,11 +5,12 @@
 //!   bad-handover (bytes that are not the handover protocol, to the handover socket; truncated=yes: the beginning of a valid
 //!   hello). Words of start and hup:
 //!   - for the push front's file: drain=GATEWAY, limit=BYTES (`body_limit`), same_address (it listens where the process
-//!     started before did);
+//!     started before did), own_folder (a state folder that no other process uses);
 //!   - for the platform's file: the keys that `settings` reads;
 //!   - at the start only: passed=yes (the platform passes the listening socket on), files=N (the system's limit on
 //!     descriptors), idle_setting=KEY:VALUE or backlog=FOLDER (a relay file with that key of `[idle]`, or with a backlog in
-//!     that folder), admin=off (no admin address), faulty (the process ends before it is ready).
+//!     that folder), admin=off (no admin address; admin=on: one for a push front alone), both (the
+//!     platform front beside the push front; the process is ready once both are), faulty (the process ends before it is ready).
 //!
 //!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) and `resident_mb`
 //!   (peak resident memory).
@@ -328,30 +329,21 @@
             command.args(["-c", "ulimit -n \"$1\" && exec \"$0\"", program, files]);
         }
         command.env_clear().env("ONYXGLADE_LOG", "onyxglade=debug").stdout(Stdio::piped()).kill_on_drop(true);
-        if let Some(file) = self.write_file(instruction)? {
+        let push_file = self.write_file(instruction)?;
+        let platform = push_file.is_none() || has(instruction, "both");
+        if let Some(file) = push_file {
             command.arg("--config").arg(file);
-        } else {
-            if let Some((key, value)) =
-                argument(instruction, "idle_setting").and_then(|setting| setting.split_once(':'))
-            {
-                let relay_file = self.folder.path().join("relay.toml");
-                fs::write(&relay_file, format!("[idle]\n{key} = {value}\n")).map_err(|e| e.to_string())?;
-                command.arg("--config").arg(relay_file);
-            }
-            if let Some(name) = argument(instruction, "backlog") {
-                let relay_file = self.folder.path().join("relay.toml");
-                let folder = self.folder.path().join(name);
-                let table = format!("[backlog]\nfolder = {folder:?}\nmemory_mb = 16\ndisk_mb = 256\n");
-                fs::write(&relay_file, table).map_err(|e| e.to_string())?;
-                command.arg("--config").arg(relay_file);
-            }
+        } else if let Some(file) = self.write_relay_file(instruction)? {
+            command.arg("--config").arg(file);
+        }
+        if platform {
             let file = self.folder.path().join("config.json");
             fs::write(&file, self.settings(instruction)).map_err(|e| e.to_string())?;
-            if argument(instruction, "admin") != Some("off") {
-                command.env("BALANCER_ADMIN", "127.0.0.1:0");
-            }
             command.env("BALANCER_CONFIG", file).env("BALANCER_STATE", self.folder.path().join("state"));
         }
+        if argument(instruction, "admin").map_or(platform, |admin| admin == "on") {
+            command.env("BALANCER_ADMIN", "127.0.0.1:0");
+        }
         if argument(instruction, "passed").is_some() {
             let bound = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
             let socket = self.socket.get_or_insert(bound).try_clone().map_err(|e| e.to_string())?;
@@ -366,7 +358,9 @@
         }
         let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
         self.relays.insert(name.into(), relay);
-        let mut ready = false;
+        // Fronts that serve, or wait for a predecessor.
+        let mut fronts = 0;
+        let expected_fronts = if has(instruction, "both") { 2 } else { 1 };
         while let Ok(Ok(Some(line))) = timeout(TIMEOUT, lines.next_line()).await {
             for (front, logged_name) in
                 [("admin", "admin address"), ("platform", "platform front"), ("push", "push front")]
@@ -374,15 +368,17 @@
                 if line.contains(&format!("{logged_name} is ready")) {
                     let at = line.split("listen=").nth(1).and_then(|a| a.trim().parse().ok());
                     self.addresses.insert(front, at.ok_or("the log line has no address")?);
-                    ready |= front != "admin";
+                    fronts += usize::from(front != "admin");
                 }
             }
-            ready |= line.contains("upgrade: another process runs the relay");
+            let waits = ["upgrade: another process runs the relay", "upgrade: the push front waits"];
+            fronts += usize::from(waits.iter().any(|text| line.contains(text)));
             let _ = sender.send(Event::new("log", [("log", line.as_str())]));
-            if ready {
+            if fronts >= expected_fronts {
                 break;
             }
         }
+        let ready = fronts >= expected_fronts;
         let party = self.party(name);
         (party.events, party.unmatched) = (events, Vec::new());
         tokio::spawn(async move {
@@ -397,6 +393,22 @@
         if ready || has(instruction, "faulty") { Ok(()) } else { Err("the relay does not start".into()) }
     }
 
+    /// Writes the relay's own file of a platform front, if the instruction sets something in it.
+    fn write_relay_file(&self, instruction: &Instruction) -> Result<Option<PathBuf>, String> {
+        let setting = argument(instruction, "idle_setting").and_then(|setting| setting.split_once(':'));
+        let mut text = setting.map_or(String::new(), |(key, value)| format!("[idle]\n{key} = {value}\n"));
+        if let Some(name) = argument(instruction, "backlog") {
+            let folder = self.folder.path().join(name);
+            text += &format!("[backlog]\nfolder = {folder:?}\nmemory_mb = 16\ndisk_mb = 256\n");
+        }
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let file = self.folder.path().join("relay.toml");
+        fs::write(&file, text).map_err(|e| e.to_string())?;
+        Ok(Some(file))
+    }
+
     /// Writes the push front's file, with the gateway named by drain= as draining.
     fn write_file(&mut self, instruction: &Instruction) -> Result<Option<PathBuf>, String> {
         let Some(mut text) = self.push.clone() else { return Ok(None) };
@@ -411,6 +423,10 @@
             Some(address) => text.replace("listen = \"127.0.0.1:0\"", &format!("listen = \"{address}\"")),
             None => text,
         };
+        let text = match has(instruction, "own_folder") {
+            true => text.replace("FOLDER/push", "FOLDER/own"),
+            false => text,
+        };
         let file = self.folder.path().join("push.toml");
         let folder = self.folder.path().display().to_string();
         fs::write(self.folder.path().join("hook.rhai"), HOOK).map_err(|e| e.to_string())?;
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -60,6 +60,28 @@
     );
 }
 
+// Guards against a second upgrade, while the first process still waits for an answer, that has the message called twice at once.
+#[test]
+fn a_claim_in_flight_over_two_upgrades_is_not_repeated() {
+    upgrade(
+        "send s1 POST /order id=j1 dest=7 timeout=20000 key=k
+         expect s1 202
+         expect n1 POST x-request-id=j1",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send relay3 start passed=yes
+         send relay2 term
+         expect relay3 log=platform_front_is_ready
+         expect n1 nothing 500                         # well within the time that the call may take
+         send n1 200
+         expect relay3 log=claim_of_the_previous_process_has_ended
+         expect relay exit
+         expect relay2 exit
+         expect n1 nothing 300
+         expect list nothing 50",
+    );
+}
+
 #[test]
 fn outcomes_at_the_predecessor_reach_the_successor() {
     upgrade(
