Push submitters get GOAWAY, and an answer to each request that was read

Cause: the HTTP server told the connection limiter neither of requests nor of answers, so that each connection counted as half a request, and it cannot send GOAWAY. Why this works: the front serves connections with h2, as it does towards gateways; requests and answers are counted, a close sends GOAWAY and serves what was sent before it.

--- a/relay/src/connection_limiter.rs
+++ b/relay/src/connection_limiter.rs
@@ -25,7 +25,7 @@
 mod state;
 
 use state::{CLOSE_GRACE, OpenConnections, Phase};
-pub use state::{CloseReason, ConnectionPolicy, ConnectionState, EvictionPolicy};
+pub use state::{CloseReason, ConnectionPolicy, ConnectionState, EvictionPolicy, OpenRequest};
 
 /// Delay after a connection could not be accepted, most often because no file descriptor was available.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -125,6 +125,9 @@
     /// if the next request arrived before the close. If a request was too slow, the bytes that have already arrived are still read.
     fn may_read(&self) -> bool {
         let Some(closed_at) = self.state.closed_at.get() else { return true };
+        if self.state.multiplexed.get() {
+            return !self.state.is_expired();
+        }
         if self.read_closed.get() || closed_at.elapsed() >= CLOSE_GRACE || !self.has_unread() {
             self.read_closed.set(true);
             return false;
@@ -184,7 +187,7 @@
 
     /// Whether the connection was closed from this side, and the time for a last response is over.
     fn is_expired(&self) -> bool {
-        self.0.state.closed_at.get().is_some_and(|closed_at| closed_at.elapsed() >= CLOSE_GRACE)
+        self.0.state.is_expired()
     }
 
     fn with_stream<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
--- a/relay/src/connection_limiter/state.rs
+++ b/relay/src/connection_limiter/state.rs
@@ -84,6 +84,10 @@
     pub(super) waker: RefCell<Option<Waker>>,
     /// Why it was last closed from this side.
     pub(super) close_reason: Cell<Option<CloseReason>>,
+    /// The front reads requests while others are open (HTTP/2), and ends the connection in order once it is closed from this side.
+    pub(super) multiplexed: Cell<bool>,
+    /// Complete requests that are not answered yet.
+    pub(super) open_requests: Cell<u32>,
     /// Numbers of complete requests and of responses.
     pub(super) requests: Cell<u32>,
     pub(super) answers: Cell<u32>,
@@ -102,6 +106,8 @@
             evicted: Cell::new(false),
             waker: RefCell::new(None),
             close_reason: Cell::new(None),
+            multiplexed: Cell::new(false),
+            open_requests: Cell::new(0),
             requests: Cell::new(0),
             answers: Cell::new(0),
             queued: queued.min(MAX_QUEUED),
@@ -116,6 +122,7 @@
     /// To be called once a request is complete and must be answered.
     pub fn request_complete(&self) {
         self.requests.set(self.requests.get() + 1);
+        self.open_requests.set(self.open_requests.get() + 1);
         self.enter(Phase::Serving);
     }
 
@@ -123,9 +130,32 @@
     pub fn response_ready(&self) {
         self.answers.set(self.answers.get() + 1);
         self.has_answered.set(true);
+        self.open_requests.set(self.open_requests.get().saturating_sub(1));
+        if self.open_requests.get() == 0 {
+            self.enter(Phase::Idle);
+        }
+    }
+
+    /// To be called once it is certain that the front serves several requests at a time on this connection. From then on it is idle
+    /// whenever no request is open, whatever else is received, and a close leaves it to the front to end it in order.
+    pub fn multiplex(&self) {
+        self.multiplexed.set(true);
+        self.has_answered.set(true);
         self.enter(Phase::Idle);
     }
 
+    /// Whether it was closed from this side.
+    pub fn is_closed(&self) -> bool {
+        self.closed_at.get().is_some()
+    }
+
+    /// Whether the time is over that the submitter had to take its last responses. A multiplexed connection serves open requests
+    /// to their end.
+    pub(super) fn is_expired(&self) -> bool {
+        let serves = self.multiplexed.get() && self.phase.get() == Phase::Serving;
+        !serves && self.closed_at.get().is_some_and(|closed_at| closed_at.elapsed() >= CLOSE_GRACE)
+    }
+
     /// Logs how the connection ended, unless the client closed it between requests and nothing went wrong.
     pub(super) fn log_end(&self, client: SocketAddr, error: Option<impl Debug>) {
         let (requests, answers) = (self.requests.get(), self.answers.get());
@@ -138,7 +168,7 @@
     }
 
     pub(super) fn bytes_received(&self) {
-        if self.phase.get() == Phase::Idle {
+        if self.phase.get() == Phase::Idle && !self.multiplexed.get() {
             let accepted_at = self.since.get();
             self.enter(Phase::Reading);
             if !self.has_answered.get() {
@@ -178,6 +208,9 @@
 
     /// Whether a drain may close it.
     pub(super) fn may_drain(&self, now: Instant) -> bool {
+        if self.multiplexed.get() {
+            return true;
+        }
         let min_age = if self.has_answered.get() { Duration::ZERO } else { FIRST_BYTES_TIME };
         self.phase.get() == Phase::Idle && now >= self.since.get() + min_age
     }
@@ -194,6 +227,22 @@
     }
 }
 
+/// A complete request that is to be answered; it counts as answered when this is dropped.
+pub struct OpenRequest(Rc<ConnectionState>);
+
+impl OpenRequest {
+    pub fn begin(state: &Rc<ConnectionState>) -> OpenRequest {
+        state.request_complete();
+        OpenRequest(state.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.response_ready();
+    }
+}
+
 /// The open connections of a front.
 #[derive(Default)]
 pub(super) struct OpenConnections(RefCell<Vec<Weak<ConnectionState>>>);
@@ -229,7 +278,9 @@
             }
             () if state.is_overdue(now, policy) => Some(CloseReason::RequestTimeout),
             () if draining && state.may_drain(now) => Some(CloseReason::Draining),
-            () if terminating && state.phase.get() != Phase::Serving => Some(CloseReason::Terminating),
+            () if terminating && (state.multiplexed.get() || state.phase.get() != Phase::Serving) => {
+                Some(CloseReason::Terminating)
+            }
             () => None,
         };
         for state in self.all().into_iter().filter(|state| state.closed_at.get().is_none()) {
@@ -253,6 +304,11 @@
             state.evicted.set(true);
             return state.wake();
         }
+        // These make room as soon as their clients have answered.
+        let closing = |state: &Rc<ConnectionState>| state.multiplexed.get() && state.is_closed();
+        if self.all().iter().filter(|state| closing(state)).count() >= EVICTED_AT_ONCE {
+            return;
+        }
         let mut candidates: Vec<_> =
             self.all().into_iter().filter(|state| state.may_evict(now, eviction)).collect();
         // Connections without an answered request first, then the longest idle.
--- a/relay/src/connection_limiter/tests.rs
+++ b/relay/src/connection_limiter/tests.rs
@@ -279,3 +279,49 @@
         assert_eq!(socket.recv(&mut unread).expect("the request has arrived"), b"a whole request".len());
     });
 }
+
+#[test]
+fn a_multiplexed_connection_is_idle_without_requests_and_is_asked_to_end_while_it_serves() {
+    let connections = OpenConnections::default();
+    let policy = ConnectionPolicy {
+        first_request_timeout: Duration::from_secs(2),
+        request_timeout: None,
+        idle_timeout: Duration::from_secs(60),
+        eviction: EvictionPolicy::IdleOnly,
+    };
+    let [idle, serving] = [0, 1].map(|_| connections.add(Duration::ZERO));
+    for state in [&idle, &serving] {
+        state.bytes_received();
+        state.multiplex();
+        // Frames that belong to no request.
+        state.bytes_received();
+    }
+    let requests = [0, 1].map(|_| OpenRequest::begin(&serving));
+    let start = Instant::now();
+    let closed = || [&idle, &serving].map(|state| state.is_closed());
+    connections.close_expired(start + Duration::from_secs(30), &policy, false, false);
+    connections.evict(start, EvictionPolicy::IdleOnly);
+    assert_eq!(closed(), [false, false]);
+    connections.evict(start + Duration::from_secs(3), EvictionPolicy::IdleOnly);
+    assert_eq!(closed(), [true, false]);
+    connections.close_expired(start, &policy, true, false);
+    assert_eq!(closed(), [true, true]);
+    // It is read and written until its requests are answered.
+    serving.closed_at.set(Some(start - CLOSE_GRACE));
+    assert!(!serving.is_expired());
+    let [first, second] = requests;
+    drop(first);
+    assert!(!serving.is_expired());
+    drop(second);
+    assert!(serving.is_expired());
+}
+
+#[test]
+fn only_so_many_multiplexed_connections_are_asked_to_end_at_a_time() {
+    let connections = OpenConnections::default();
+    let states: Vec<_> = (0..3 * EVICTED_AT_ONCE).map(|_| connections.add(Duration::ZERO)).collect();
+    states.iter().for_each(|state| state.multiplex());
+    let later = Instant::now() + Duration::from_secs(9);
+    (0..states.len()).for_each(|_| connections.evict(later, EvictionPolicy::IdleOnly));
+    assert_eq!(states.iter().filter(|state| state.is_closed()).count(), EVICTED_AT_ONCE);
+}
--- a/relay/src/push/mod.rs
+++ b/relay/src/push/mod.rs
@@ -2,6 +2,7 @@
 pub mod gateways;
 pub mod pool;
 pub mod server;
+mod submitter_connection;
 
 /// Names of the job fields that this module interprets: the target path, the TTL and the topic.
 const PATH: &str = ":path";
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -1,14 +1,12 @@
 //! Receives push messages from submitters over HTTP/2 (RFC 8030).
-use actix_http::error::DispatchError;
-use actix_http::header::{self, HeaderMap, HeaderValue};
-use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode};
-use actix_service::{ServiceFactoryExt, fn_service};
+use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use h2::RecvStream;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use rustls::ServerConfig;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +16,7 @@
 use tokio_rustls::server::TlsStream;
 use tokio_util::either::Either;
 
+use super::submitter_connection::{self, ConnectionError};
 use super::{PATH, TOPIC, TTL};
 use crate::config::{Location, PushConfig, Urgency};
 use crate::connection_limiter::{self, ConnectionLimiter, ConnectionPolicy, EvictionPolicy, TrackedStream};
@@ -26,18 +25,20 @@
 use crate::job::{Answer, Job};
 use crate::{clock, tls};
 
-/// Idle time after which a submitter's connection is pinged, and closed if it does not answer.
-const KEEP_ALIVE: Duration = Duration::from_secs(60);
-/// Time allowed for the HTTP/2 connection preface, and for reading a request body.
+/// How long a submitter's connection may be open without a request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+/// Time allowed for a TLS handshake, and for reading a request body.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// At the connection limit, connections without an open request may be closed for new ones. Other timeouts are left to
 /// HTTP/2 and its keep-alive pings.
 const CONNECTION_POLICY: ConnectionPolicy = ConnectionPolicy {
     first_request_timeout: READ_TIMEOUT,
     request_timeout: None,
-    idle_timeout: KEEP_ALIVE,
+    idle_timeout: IDLE_TIMEOUT,
     eviction: EvictionPolicy::IdleOnly,
 };
+/// When to ask again on a new connection.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
 /// Path prefix at which the state of an accepted message can be queried while it is open.
 const MESSAGE_PATH: &str = "/message/";
 /// Maximum total size of the header names and values of a job.
@@ -93,25 +94,30 @@
 
     /// Accepts submitters' connections and serves their requests.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, limiter: Rc<ConnectionLimiter>) {
-        let tls_server = self.clone();
-        let service = HttpService::build()
-            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-            .client_request_timeout(READ_TIMEOUT)
-            .on_connect_ext(|_: &ServerStream, _| ())
-            .h2(fn_service(move |request: Request| {
-                let server = self.clone();
-                async move { Ok::<_, Infallible>(server.serve(request).await) }
-            }));
-        let handshake = fn_service(move |(stream, peer): (TrackedStream, Option<SocketAddr>)| {
-            let tls = tls_server.tls.borrow().clone();
-            async move { Ok::<_, DispatchError>((tls_handshake(stream, tls).await?, peer)) }
+        let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
+            let server = self.clone();
+            async move { server.serve_connection(stream).await }
         });
-        connection_limiter::accept(listener, limiter, CONNECTION_POLICY, handshake.and_then(service)).await;
+        connection_limiter::accept(listener, limiter, CONNECTION_POLICY, service).await;
     }
 
-    async fn serve(&self, mut request: Request) -> Response<String> {
-        if let (&Method::GET, Some(id)) = (request.method(), request.path().strip_prefix(MESSAGE_PATH)) {
+    async fn serve_connection(self: Rc<Self>, stream: TrackedStream) -> Result<(), ConnectionError> {
+        let state = stream.state();
+        let tls = self.tls.borrow().clone();
+        let stream = tls_handshake(stream, tls).await.map_err(ConnectionError::Tls)?;
+        let handle = |request| {
+            let server = self.clone();
+            async move { server.serve(request).await }
+        };
+        submitter_connection::serve(stream, state, handle).await
+    }
+
+    async fn serve(&self, mut request: Request<RecvStream>) -> Response<String> {
+        if let (&Method::GET, Some(id)) = (request.method(), request.uri().path().strip_prefix(MESSAGE_PATH))
+        {
             return match self.core.is_open(id) {
+                // After a handover the successor knows.
+                _ if self.core.is_handed_over() => refused_response(Some(RETRY_ELSEWHERE)),
                 true => text_response(StatusCode::OK, "open"),
                 false => text_response(StatusCode::NOT_FOUND, "no open message has this id"),
             };
@@ -138,7 +144,7 @@
                 tracing::debug!(
                     why = reason,
                     field,
-                    path = request.path(),
+                    path = request.uri().path(),
                     "request is not a valid push message; rejecting it"
                 );
                 let mut response = problem_response(&error);
@@ -151,10 +157,10 @@
     }
 
     /// Decodes and validates a push message.
-    async fn read(&self, request: &mut Request) -> Result<PushRequest, RequestError> {
+    async fn read(&self, request: &mut Request<RecvStream>) -> Result<PushRequest, RequestError> {
         let arrived = clock::now();
         let path_and_query = request.uri().path_and_query().map_or("/", |p| p.as_str());
-        let path = request.path();
+        let path = request.uri().path();
         let (class, dest, target) = {
             let locations = self.locations.borrow();
             let location = find_location(&locations, path).ok_or(RequestError::not_found())?;
@@ -185,10 +191,11 @@
             Duration::from_secs(ttl).min(longest)
         };
         let fields = job_fields(request.headers(), target, ttl)?;
-        let preferences = request.headers().get_all("prefer").filter_map(|v| v.to_str().ok());
+        let preferences = request.headers().get_all("prefer").iter().filter_map(|v| v.to_str().ok());
         let receipt =
             preferences.flat_map(|v| v.split(',')).any(|p| p.trim().eq_ignore_ascii_case("respond-async"));
-        let body = tokio::time::timeout(READ_TIMEOUT, read_body(request, self.body_limit.get())).await;
+        let body =
+            tokio::time::timeout(READ_TIMEOUT, read_body(request.body_mut(), self.body_limit.get())).await;
         self.next_id.set(self.next_id.get() + 1);
         let job = Job {
             id: format!("{}-{}", self.id_prefix, self.next_id.get()),
@@ -208,16 +215,13 @@
 /// A submitter's connection, with or without TLS.
 type ServerStream = Either<TrackedStream, TlsStream<TrackedStream>>;
 
-async fn tls_handshake(
-    stream: TrackedStream,
-    tls: Option<Arc<ServerConfig>>,
-) -> Result<ServerStream, DispatchError> {
+async fn tls_handshake(stream: TrackedStream, tls: Option<Arc<ServerConfig>>) -> io::Result<ServerStream> {
     let Some(config) = tls else { return Ok(Either::Left(stream)) };
     // Guards against submitters that start a TLS handshake and do not finish it.
     let handshake = tokio::time::timeout(READ_TIMEOUT, TlsAcceptor::from(config).accept(stream)).await;
-    let tls_stream = handshake.map_err(|_| DispatchError::SlowRequestTimeout)?.map_err(DispatchError::Io)?;
+    let tls_stream = handshake.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     if !tls::negotiated_h2(tls_stream.get_ref().1.alpn_protocol()) {
-        return Err(DispatchError::Io(std::io::Error::other("HTTP/2 was not negotiated over TLS")));
+        return Err(io::Error::other("HTTP/2 was not negotiated over TLS"));
     }
     Ok(Either::Right(tls_stream))
 }
@@ -263,7 +267,7 @@
     let title = status.canonical_reason().unwrap_or("Unfit");
     let problem = Problem { title, status: status.as_u16(), detail: format!("{field}: {reason}"), field };
     let body = serde_json::to_string(&problem).expect("strings and numbers always serialize");
-    let mut response = Response::with_body(status, body);
+    let mut response = text_response(status, &body);
     let kind = HeaderValue::from_static("application/problem+json");
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
@@ -274,7 +278,7 @@
     headers: &'a HeaderMap,
     name: &'static str,
 ) -> Result<Option<&'a HeaderValue>, RequestError> {
-    let mut values = headers.get_all(name);
+    let mut values = headers.get_all(name).iter();
     let first = values.next();
     if values.next().is_some() {
         Err(RequestError::bad(name, "it is given more than once"))
@@ -330,22 +334,25 @@
     Ok(fields)
 }
 
-async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, RequestError> {
-    let mut payload = request.take_payload();
+async fn read_body(stream: &mut RecvStream, limit: usize) -> Result<Bytes, RequestError> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+    while let Some(chunk) = stream.data().await {
         let chunk = chunk.map_err(|_| RequestError::bad("body", "it cannot be read"))?;
         if body.len() + chunk.len() > limit {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(RequestError { status, field: "body", reason: "it is too large" });
         }
+        // Fails only if the stream has ended.
+        let _ = stream.flow_control().release_capacity(chunk.len());
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
 }
 
 fn text_response(status: StatusCode, text: &str) -> Response<String> {
-    Response::with_body(status, text.to_owned())
+    let mut response = Response::new(text.to_owned());
+    *response.status_mut() = status;
+    response
 }
 
 /// 201, or 202 if a receipt was requested; the end notice serves as the receipt.
@@ -357,7 +364,7 @@
         header::LOCATION,
         format!("{MESSAGE_PATH}{id}").parse().expect("ids are hexadecimal digits and a decimal number"),
     );
-    headers.insert(header::HeaderName::from_static(TTL), HeaderValue::from(ttl));
+    headers.insert(HeaderName::from_static(TTL), HeaderValue::from(ttl));
     response
 }
 
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -2,9 +2,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::SystemTime;
+use std::time::{Instant, SystemTime};
 
-use super::running_front::{RunningFront, start_tasks};
+use super::running_front::{RunningFront, SHUTDOWN_SERVING_TIME, start_tasks};
 use super::step::{StartMode, open_journal, retry_socket};
 use super::{Error, StartContext};
 use crate::config::PushConfig;
@@ -98,6 +98,8 @@
 impl PushFront {
     /// Stops the front after SIGTERM.
     pub async fn stop(&self, drained: bool) {
+        // Submitters are sent GOAWAY then; a handover brings that forward.
+        self.front.limiter.drain(Some(Instant::now() + SHUTDOWN_SERVING_TIME));
         self.front.stop(drained, |_| {}).await;
     }
 
