--- a/relay/src/core/backlog.rs
+++ b/relay/src/core/backlog.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use super::decision::{Decision, Refusal};
+use super::hooks::HookAdmission;
 use super::job_task::JobProgress;
 use super::rounds::{Order, send_order};
 use super::{Core, Transport};
@@ -279,16 +280,17 @@
         mut job: Job,
         answer: oneshot::Sender<Decision>,
     ) {
-        if let Some(hooks) = &self.hooks {
-            let hook_decision = hooks.admit(&job, job.time_left());
-            if hook_decision.refuse {
+        match self.admit_by_hook(&mut job).await {
+            HookAdmission::Admitted => {}
+            HookAdmission::Refused { after } => {
                 self.handle_backlog_event(&backlog, Event::SpillDropped { lane, count: 1 });
-                let refusal = Refusal::Refused { after: hook_decision.retry_after };
-                return self.answer_and_release(&job.id, answer, Decision::Refused(refusal));
+                return self.answer_and_release(
+                    &job.id,
+                    answer,
+                    Decision::Refused(Refusal::Refused { after }),
+                );
             }
-            job.deadline =
-                hook_decision.time_left.map_or(job.deadline, |left| job.deadline.min(clock::now() + left));
-            job.label = hook_decision.label;
+            HookAdmission::HandedOver => return self.forward_to_successor(job, Some(answer)).await,
         }
         let rules = self.rules();
         let Some(class) = rules.class_index(&job.class) else {
--- a/relay/src/core/job_task.rs
+++ b/relay/src/core/job_task.rs
@@ -12,11 +12,13 @@
 use super::backlog::{MemorySlot, PutBackRequest};
 use super::bundle::Share;
 use super::decision::{Decision, Refusal};
+use super::hooks::HookAdmission;
 use super::rounds::{ORDER_CAPACITY, Order};
 use super::{Confirmation, Core, DEFAULT_BACKOFF, IDLE_WAKEUP, Node, SendPermit, Transport, Verdict};
 use crate::clock;
 use crate::count_guard::CountGuard;
 use crate::handover_state::FinishedClaim;
+use crate::hook::{HookCall, Moment};
 use crate::job::{Job, Notice, Outcome, nanos};
 use crate::journal::{Acceptance, Key, OpenJob, QueuedRequest, RecordedClaim};
 use crate::metrics::MessageResult;
@@ -134,14 +136,14 @@
         progress.class = class;
         progress.rules =
             progress.accepted_rules.take().unwrap_or_else(|| self.rules().settings.classes[class].clone());
-        if let (Some(hooks), Some(_)) = (&self.hooks, &answer) {
-            let hook_decision = hooks.admit(&job, job.time_left());
-            if hook_decision.refuse {
-                return self.refuse_job(&job, answer, Refusal::Refused { after: hook_decision.retry_after });
+        if answer.is_some() {
+            match self.admit_by_hook(&mut job).await {
+                HookAdmission::Admitted => {}
+                HookAdmission::Refused { after } => {
+                    return self.refuse_job(&job, answer, Refusal::Refused { after });
+                }
+                HookAdmission::HandedOver => return self.forward_to_successor(job, answer).await,
             }
-            job.deadline =
-                hook_decision.time_left.map_or(job.deadline, |left| job.deadline.min(clock::now() + left));
-            job.label = hook_decision.label;
         }
         let mut registration = self.register(&job, &progress);
         if progress.from_backlog {
@@ -256,13 +258,10 @@
                         _ => {}
                     }
                     if let Some(hooks) = &self.hooks {
-                        let hook_decision = hooks.outcome(
-                            &job,
-                            job.time_left(),
-                            outcome,
-                            registration.next_attempt,
-                            &node.name,
-                        );
+                        let (tries, node) = (registration.next_attempt, node.name.to_string());
+                        let moment = Moment::Outcome { outcome, tries, node };
+                        let decision = hooks.decide(HookCall::new(&job, moment));
+                        let Some(hook_decision) = self.await_hook(&job, decision).await else { return };
                         job.label = hook_decision.label.or(job.label);
                         let time_left =
                             if hook_decision.refuse { Some(Duration::ZERO) } else { hook_decision.time_left };
@@ -496,7 +495,7 @@
     }
 
     /// Forwards a job whose submitter still waits for an answer to the successor.
-    async fn forward_to_successor(&self, job: Job, answer: Option<oneshot::Sender<Decision>>) {
+    pub(super) async fn forward_to_successor(&self, job: Job, answer: Option<oneshot::Sender<Decision>>) {
         let successor = self.successor.borrow().clone();
         if let (Some(successor), Some(answer)) = (successor, answer) {
             let id = job.id.clone();
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod decision;
 mod ends;
 mod handover;
+mod hooks;
 mod job_task;
 mod list_confirmation;
 mod nodes;
@@ -171,6 +172,8 @@
     /// Cancelled to cancel the claims in flight.
     claims_cancelled: CancellationToken,
     successor: RefCell<Option<Rc<dyn Successor>>>,
+    /// Number of jobs that wait for a hook's decision.
+    jobs_in_hooks: Cell<usize>,
     /// Number of jobs that count as delivered and whose answer is not certain yet.
     unconfirmed_deliveries: Cell<usize>,
 }
@@ -234,6 +237,7 @@
             handed_over: CancellationToken::new(),
             claims_cancelled: CancellationToken::new(),
             successor: RefCell::new(None),
+            jobs_in_hooks: Cell::new(0),
             unconfirmed_deliveries: Cell::new(0),
         })
     }
@@ -287,7 +291,7 @@
         }
         let in_memory = {
             let state = self.state.borrow();
-            state.order_senders.len() + state.predecessor_claims.len()
+            state.order_senders.len() + state.predecessor_claims.len() + self.jobs_in_hooks.get()
         };
         let full = self.rules().settings.max_open_messages.is_some_and(|m| in_memory >= m as usize);
         let winding_down = self.winding_down.get();
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 mod backlog;
+mod hook;
 
 pub use backlog::{BacklogMetrics, BacklogRefusal};
+pub use hook::{HookMetrics, HookResult};
 
 /// The namespace of all metric names.
 const PREFIX: &str = "edge_balancer";
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -29,11 +29,11 @@
 use crate::config::PushConfig;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::handover::FolderClaim;
-use crate::hook::Hooks;
+use crate::hook::{Hooks, Script};
 use crate::instances::{self, Instances};
 use crate::journal::Journal;
 use crate::listener::{ListenError, listen};
-use crate::metrics::Metrics;
+use crate::metrics::{HookMetrics, Metrics};
 use platform_front::{PlatformFront, PlatformStart};
 use push_front::{OpenedPushFront, PushFront};
 use running_front::SHUTDOWN_SERVING_TIME;
@@ -86,7 +86,7 @@
     // Before the clock is used for anything else. The folder that is named first decides, if both have a record.
     settings.platform.iter().for_each(|platform| clock::restore_epoch(&platform.state));
     settings.push().into_iter().for_each(|push| clock::restore_epoch(&push.state));
-    let hooks = settings.hook().map(Hooks::load).transpose().map_err(Error::Configuration)?;
+    let script = settings.hook().map(Script::load).transpose().map_err(Error::Configuration)?;
     let metrics = Metrics::new(settings.classes());
     let process = Rc::new(ProcessAvailability::default());
     let admin = Admin::new(metrics.clone(), process.clone());
@@ -96,7 +96,10 @@
         tracing::info!(listen = %listener.local_addr().unwrap_or(address), "admin address is ready");
         actix_rt::spawn(admin.clone().accept(listener, Rc::new(ConnectionLimiter::new(ADMIN_CONNECTIONS))));
     }
-    let context = StartContext { metrics, process, hooks: hooks.map(Rc::new), upgrades };
+    let hooks = script
+        .zip(settings.hook())
+        .map(|(script, table)| Rc::new(Hooks::start(script, table, HookMetrics::register(&metrics))));
+    let context = StartContext { metrics, process, hooks, upgrades };
     let mut fronts = Fronts::new(context, admin, &settings);
     let (started, mut starting) = mpsc::unbounded_channel();
     tokio::select! {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -9,7 +9,7 @@
 //!   - for the platform's file: the keys that `settings` reads;
 //!   - at the start only: passed=yes (the platform passes the listening socket on), files=N (the system's limit on
 //!     descriptors), idle_setting=KEY:VALUE or backlog=FOLDER (a relay file with that key of `[idle]`, or with a backlog in
-//!     that folder), admin=off (no admin address; admin=on: one for a push front alone), both (the
+//!     that folder), slow_hook (with a script that loops for ever, in long steps, on messages for destination 8), admin=off (no admin address; admin=on: one for a push front alone), both (the
 //!     platform front beside the push front; the process is ready once both are), faulty (the process ends before it is ready).
 //!
 //!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) and `resident_mb`
@@ -68,6 +68,17 @@
         if outcome.kind == "full" { return #{ left_ms: 200 }; }
     }"##;
 
+/// A script that compares two arrays for ever.
+const SLOW_HOOK: &str = r#"
+    fn admit(job) {
+        if job.dest == 8 {
+            let numbers = [];
+            for number in 0..250 { numbers.push(number); }
+            let same = numbers;
+            while numbers == same { }
+        }
+    }"#;
+
 const TIMEOUT: Duration = Duration::from_secs(8);
 /// How many events a failed `expect` reports.
 const REPORTED_EVENTS: usize = 40;
@@ -401,6 +412,11 @@
             let folder = self.folder.path().join(name);
             text += &format!("[backlog]\nfolder = {folder:?}\nmemory_mb = 16\ndisk_mb = 256\n");
         }
+        if has(instruction, "slow_hook") {
+            let script = self.folder.path().join("hook.rhai");
+            fs::write(&script, SLOW_HOOK).map_err(|e| e.to_string())?;
+            text += &format!("[hook]\nscript = {script:?}\n");
+        }
         if text.is_empty() {
             return Ok(None);
         }
