The soak draws second starts and looping scripts; a folder that fails refuses submitters

Also: since the platform front locks its folder without an admin address too, a folder that fails kept it from listening; submitters are refused meanwhile again, as docs/oncall.md says.

--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -163,14 +163,10 @@
     ) -> Result<(), Error> {
         let upgrades = self.context.upgrades;
         let Settings { platform, relay, .. } = settings;
-        let platform = platform.map(|config| PlatformStart {
-            config,
-            idle: relay.idle,
-            backlog: relay.backlog,
-            sharing: self.instances.as_ref().and_then(|instances| instances.list_sharing()),
-        });
+        let sharing = self.instances.as_ref().and_then(|instances| instances.list_sharing());
+        let platform = platform.map(|config| PlatformStart::new(config, relay.idle, relay.backlog, sharing));
         let platform = match platform {
-            Some(start) => Some((claim("BALANCER_STATE", &start.config.state, upgrades).await?, start)),
+            Some(start) => Some((start.claim(upgrades).await?, start)),
             None => None,
         };
         let push = match relay.push {
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -7,7 +7,7 @@
 
 use super::descriptor_budget::DescriptorBudget;
 use super::running_front::{RunningFront, start_tasks};
-use super::step::{StartMode, listen_for_submitters, open_journal};
+use super::step::{StartMode, claim, listen_for_submitters, open_journal};
 use super::{Error, StartContext};
 use crate::availability::AvailabilityEvent;
 use crate::backlog::{Backlog, BacklogClass};
@@ -20,10 +20,11 @@
 use crate::journal::{Journal, OpenJob, is_transient};
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
+use crate::listener::listen;
 use crate::metrics::BacklogMetrics;
 use crate::platform::carrier::NodeClient;
 use crate::platform::refusing::refuse_all;
-use crate::state_lock::StateLock;
+use crate::state_lock::{LockError, StateLock};
 
 /// What the platform front's start needs beside what both fronts share.
 pub struct PlatformStart {
@@ -31,6 +32,8 @@
     pub idle: IdleConfig,
     pub backlog: Option<BacklogConfig>,
     pub sharing: Option<ListSharing>,
+    /// Where submitters are refused already, while the folder fails.
+    early_listener: RefCell<Option<TcpListener>>,
 }
 
 pub struct PlatformFront {
@@ -41,6 +44,40 @@
 }
 
 impl PlatformStart {
+    pub fn new(
+        config: PlatformConfig,
+        idle: IdleConfig,
+        backlog: Option<BacklogConfig>,
+        sharing: Option<ListSharing>,
+    ) -> PlatformStart {
+        PlatformStart { config, idle, backlog, sharing, early_listener: RefCell::default() }
+    }
+
+    /// Claims the state folder. While the folder fails for a reason that may pass, submitters are refused, unless another process may be
+    /// running that an upgrade would disturb.
+    ///
+    /// # Errors
+    /// As [`claim`].
+    pub async fn claim(&self, upgrades: bool) -> Result<FolderClaim, Error> {
+        let PlatformConfig { state, listen: address, .. } = &self.config;
+        let claimed = claim("BALANCER_STATE", state, upgrades);
+        let fails = || match StateLock::acquire(state) {
+            Err(LockError::Io { source, .. }) => is_transient(&source),
+            _ => false,
+        };
+        if upgrades || !fails() {
+            return claimed.await;
+        }
+        let Ok(socket) = listen("BALANCER_LISTEN", *address) else { return claimed.await };
+        let connections = DescriptorBudget::new(self.config.limits.sockets, false).submitter_connections();
+        let claimed = tokio::select! {
+            claimed = claimed => claimed,
+            () = refuse_all(&socket, connections) => Err(Error::Other("no connections can be accepted".into())),
+        };
+        self.early_listener.replace(Some(socket));
+        claimed
+    }
+
     /// Takes the folder over, opens what is in it, and serves.
     ///
     /// # Errors
@@ -53,7 +90,7 @@
     ) -> Result<PlatformFront, Error> {
         let (lock, predecessor) = claim.complete().await;
         self.config.rules.settings.list_shared = self.sharing.is_some();
-        let PlatformStart { config, idle, backlog, sharing } = self;
+        let PlatformStart { config, idle, backlog, sharing, early_listener } = self;
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
         let node_client = NodeClient::new(
             &config.rules,
@@ -64,7 +101,6 @@
         node_client.set_max_connections(budget.node_connections(&idle));
         let discovery = node_client.discovery_server();
         let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
-        let early_listener = RefCell::new(None);
         let attempt = async || open_or_refuse(&lock, &config, &budget, &early_listener).await;
         let (journal, open) = mode.run("platform", "journal", attempt).await?;
         // From here on only the journal keeps the lock, so that closing the journal releases it.
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -27,6 +27,10 @@
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3700);
 /// How often to check whether a process is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a second start beside a running process may take to end, also while its folder fails.
+const SECOND_START_TIMEOUT: Duration = Duration::from_secs(10);
+/// The program's exit code if another process uses its state folder.
+const EXIT_IN_USE: i32 = 3;
 /// Size of the shim's control file, which is the maximum that the shim reads.
 const CONTROL_BYTES: usize = 1024;
 /// Address of the first relay; the others follow it. Each relay has an address of its own, so that the local port of no outgoing
@@ -129,26 +133,11 @@
         let describe = |what: &str, e: io::Error| format!("r{}: {what}: {e}", self.number);
         copy_files(&self.state_folder(), &self.folder.join("earlier"))
             .map_err(|e| describe("cannot prepare its folder", e))?;
-        let mut command = Command::new(&self.program);
-        command.env_clear();
-        if let Some(shim) = &self.shim {
+        if self.shim.is_some() {
             self.write_control().map_err(|e| describe("cannot write the shim's control file", e))?;
-            command
-                .env("LD_PRELOAD", shim)
-                .env("ONYXGLADE_SHIM_CONTROL", self.control_path())
-                .env("ONYXGLADE_SHIM_FOLDER", self.state_folder());
         }
-        let log = std::env::var("ONYXGLADE_LOG").unwrap_or("info".into());
-        let mut child = command
-            .env("ONYXGLADE_LOG", log)
-            .env("BALANCER_CONFIG", self.folder.join("config.json"))
-            .env("BALANCER_STATE", self.state_folder())
-            .arg("--config")
-            .arg(self.folder.join("own.toml"))
-            .stdout(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|e| describe("cannot be started", e))?;
+        let spawned = self.command().stdout(Stdio::piped()).spawn();
+        let mut child = spawned.map_err(|e| describe("cannot be started", e))?;
         let pid =
             child.id().and_then(|id| Pid::from_raw(id as i32)).ok_or("the process has already exited")?;
         let process = Rc::new(Process {
@@ -165,6 +154,44 @@
         Ok(())
     }
 
+    /// The command that runs the program.
+    fn command(&self) -> Command {
+        let mut command = Command::new(&self.program);
+        command.env_clear();
+        if let Some(shim) = &self.shim {
+            command
+                .env("LD_PRELOAD", shim)
+                .env("ONYXGLADE_SHIM_CONTROL", self.control_path())
+                .env("ONYXGLADE_SHIM_FOLDER", self.state_folder());
+        }
+        let log = std::env::var("ONYXGLADE_LOG").unwrap_or("info".into());
+        command
+            .env("ONYXGLADE_LOG", log)
+            .env("BALANCER_CONFIG", self.folder.join("config.json"))
+            .env("BALANCER_STATE", self.state_folder())
+            .arg("--config")
+            .arg(self.folder.join("own.toml"))
+            .kill_on_drop(true);
+        command
+    }
+
+    /// Starts the program a second time beside the running process, and waits until it ends. Any other end than that the folder is in
+    /// use counts as a crash.
+    pub async fn start_again(&self) -> Result<(), String> {
+        if !self.runs() {
+            return Ok(());
+        }
+        let describe = |e: io::Error| format!("r{}: cannot be started a second time: {e}", self.number);
+        let log = fs::File::create(self.folder.join("log-second")).map_err(describe)?;
+        let mut second = self.command().stdout(log).spawn().map_err(describe)?;
+        let ended = timeout(SECOND_START_TIMEOUT, second.wait()).await;
+        let code = ended.ok().and_then(Result::ok).and_then(|status| status.code());
+        if code != Some(EXIT_IN_USE) {
+            self.record(EventKind::Crashed(code));
+        }
+        Ok(())
+    }
+
     /// Reads the log of a process until it exits.
     async fn follow_log(
         self: Rc<Self>,
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -166,6 +166,15 @@
             own_file.insert("instances".into(), table.into());
         }
     }
+    if let Some(dest) = schedule.looping_script {
+        let script = folder.join("looping.rhai");
+        std::fs::write(&script, looping_script(dest)).map_err(|e| describe("cannot write the script", e))?;
+        for own_file in &mut own_files {
+            let mut table = toml::Table::new();
+            table.insert("script".into(), script.display().to_string().into());
+            own_file.insert("hook".into(), table.into());
+        }
+    }
     for (relay, own_file) in relays.iter().zip(&own_files) {
         relay.write_own(own_file)?;
     }
@@ -293,6 +302,21 @@
     Ok((Outcome::new(schedule, &history, seconds), history))
 }
 
+/// A hook script that compares two arrays for ever, on the messages for one destination.
+fn looping_script(dest: usize) -> String {
+    format!(
+        "fn admit(job) {{
+    if job.dest == {dest} {{
+        let numbers = [];
+        for number in 0..250 {{ numbers.push(number); }}
+        let same = numbers;
+        while numbers == same {{ }}
+    }}
+}}
+"
+    )
+}
+
 /// Converts spans from seconds.
 fn spans(seconds: impl Iterator<Item = (f64, f64)>) -> Vec<(Duration, Duration)> {
     let span = |(from, to)| (Duration::from_secs_f64(from), Duration::from_secs_f64(to));
@@ -350,6 +374,11 @@
             }
             FaultKind::Partner => self.apply_partner_trouble(fault),
             FaultKind::Hup => chosen.iter().for_each(|relay| relay.reload()),
+            FaultKind::SecondStart => {
+                for relay in &chosen {
+                    relay.start_again().await?;
+                }
+            }
             FaultKind::Call | FaultKind::Clock => {
                 let system_fault = fault.system_fault().expect("Schedule::check requires it");
                 chosen.iter().try_for_each(|relay| relay.inject(system_fault))?;
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -36,6 +36,9 @@
     /// Idle clients of each relay.
     #[serde(rename = "crowd", default, skip_serializing_if = "is_zero")]
     pub idle_clients: IdleClients,
+    /// The destination on whose messages every relay's hook script loops for ever; there is no script if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub looping_script: Option<usize>,
     /// How relays exchange membership with one another; they don't if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub instances: Option<Instances>,
@@ -206,6 +209,9 @@
     Stop,
     /// SIGHUP.
     Hup,
+    /// The program is started a second time beside the running process, in the same state folder. It has to end by itself, saying that
+    /// the folder is in use.
+    SecondStart,
     /// A system call of the processes fails.
     Call,
     /// The process is killed after `after_bytes` of its next write to the state folder, or after `for_s` if it writes nothing. It is
@@ -237,6 +243,10 @@
         matches!(self, FaultKind::Kill | FaultKind::Term)
     }
 
+    pub fn is_signal(self) -> bool {
+        matches!(self, FaultKind::Kill | FaultKind::Term | FaultKind::Stop | FaultKind::Hup)
+    }
+
     /// Whether the shim injects it.
     pub fn needs_shim(self) -> bool {
         matches!(self, FaultKind::Call | FaultKind::TornWrite | FaultKind::Clock)
@@ -362,6 +372,10 @@
             // Each relay's list has other addresses there, so a list from another relay would bypass the faulty link.
             return Err("instances.lists: must be false when a fault affects links to endpoints".into());
         }
+        let dests = self.experiment().dests();
+        if self.looping_script.is_some_and(|dest| dest >= dests) {
+            return Err(format!("looping_script: must be below the number of destinations ({dests})"));
+        }
         for (name, relays) in &self.groups {
             self.without_groups(relays).map_err(|e| format!("groups.{name}: {e}"))?;
         }
--- a/rig/src/soak.rs
+++ b/rig/src/soak.rs
@@ -19,6 +19,12 @@
 const LONGEST_FAULT: f64 = 2.0;
 /// Time from SIGKILL to the next start, in seconds.
 const RESTART_DELAY: f64 = 0.6;
+/// How long before and after a second start its relay receives no signal: the second process waits a second for the folder, and
+/// longer while the folder fails.
+const QUIET_BEFORE_SECOND_START: f64 = 6.0;
+const QUIET_AFTER_SECOND_START: f64 = 4.5;
+/// One run in this many has a script that loops.
+const LOOPING_SCRIPT_ONE_IN: u32 = 4;
 /// One run in this many has idle clients.
 const IDLE_CLIENTS_ONE_IN: u32 = 4;
 
@@ -62,6 +68,8 @@
     drawing.sockets();
     drawing.clock();
     drawing.repeated_answers();
+    drawing.second_starts();
+    schedule.looping_script = drawing.looping_script();
     schedule.faults = drawing.faults;
     schedule.faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     schedule.check().expect("drawn faults are valid");
@@ -207,6 +215,28 @@
             });
         }
     }
+
+    /// Draws second starts beside processes that run undisturbed for a while.
+    fn second_starts(&mut self) {
+        for relay in 0..self.relays {
+            let at = self.tenths(FIRST_SIGNAL, self.seconds - 6.0);
+            let name = format!("r{relay}");
+            let quiet = |fault: &Fault| {
+                let affected = fault.relays == name || fault.relays == "all";
+                !(affected && (fault.kind.is_signal() || fault.kind == FaultKind::TornWrite))
+                    || !(at - QUIET_BEFORE_SECOND_START..at + QUIET_AFTER_SECOND_START).contains(&fault.at_s)
+            };
+            if self.faults.iter().all(quiet) {
+                self.faults.push(Fault { relays: name, ..Fault::new(at, FaultKind::SecondStart) });
+            }
+        }
+    }
+
+    /// Draws the destination on whose messages a script loops, in some runs.
+    fn looping_script(&mut self) -> Option<usize> {
+        let dest = self.random.random_range(0..3);
+        self.random.random_ratio(1, LOOPING_SCRIPT_ONE_IN).then_some(dest)
+    }
 }
 
 #[cfg(test)]
--- a/rig/src/soak/tests.rs
+++ b/rig/src/soak/tests.rs
@@ -21,9 +21,12 @@
         FaultKind::TornWrite,
         FaultKind::Clock,
         FaultKind::Repeat,
+        FaultKind::SecondStart,
     ] {
         assert!(drawn.iter().any(|s| s.faults.iter().any(|fault| fault.kind == kind)), "{kind:?}");
     }
+    let with_script = drawn.iter().filter(|s| s.looping_script.is_some()).count();
+    assert!((5..25).contains(&with_script), "{with_script}");
     let with_idle_clients = drawn.iter().filter(|s| s.idle_clients.connections > 0).count();
     assert!((5..25).contains(&with_idle_clients), "{with_idle_clients}");
 }
