--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -243,10 +243,6 @@
         matches!(self, FaultKind::Kill | FaultKind::Term)
     }
 
-    pub fn is_signal(self) -> bool {
-        matches!(self, FaultKind::Kill | FaultKind::Term | FaultKind::Stop | FaultKind::Hup)
-    }
-
     /// Whether the shim injects it.
     pub fn needs_shim(self) -> bool {
         matches!(self, FaultKind::Call | FaultKind::TornWrite | FaultKind::Clock)
--- a/rig/src/soak.rs
+++ b/rig/src/soak.rs
@@ -19,10 +19,13 @@
 const LONGEST_FAULT: f64 = 2.0;
 /// Time from SIGKILL to the next start, in seconds.
 const RESTART_DELAY: f64 = 0.6;
-/// How long before and after a second start its relay receives no signal: the second process waits a second for the folder, and
-/// longer while the folder fails.
-const QUIET_BEFORE_SECOND_START: f64 = 6.0;
-const QUIET_AFTER_SECOND_START: f64 = 4.5;
+/// How long before a second start its relay's last process has been told to end, by SIGTERM or at once, and for how long it runs on
+/// after it: the second process waits a second for the folder, and longer while the folder fails.
+const QUIET_AFTER_TERM: f64 = 5.0;
+const QUIET_AFTER_KILL: f64 = 2.0;
+const QUIET_AFTER_SECOND_START: f64 = 3.5;
+/// How many times are tried for the second start of a relay.
+const SECOND_START_DRAWS: usize = 4;
 /// One run in this many has a script that loops.
 const LOOPING_SCRIPT_ONE_IN: u32 = 4;
 /// One run in this many has idle clients.
@@ -219,14 +222,15 @@
     /// Draws second starts beside processes that run undisturbed for a while.
     fn second_starts(&mut self) {
         for relay in 0..self.relays {
-            let at = self.tenths(FIRST_SIGNAL, self.seconds - 6.0);
             let name = format!("r{relay}");
-            let quiet = |fault: &Fault| {
-                let affected = fault.relays == name || fault.relays == "all";
-                !(affected && (fault.kind.is_signal() || fault.kind == FaultKind::TornWrite))
-                    || !(at - QUIET_BEFORE_SECOND_START..at + QUIET_AFTER_SECOND_START).contains(&fault.at_s)
+            let times: Vec<f64> =
+                (0..SECOND_START_DRAWS).map(|_| self.tenths(FIRST_SIGNAL, self.seconds - 4.0)).collect();
+            let ends: Vec<_> =
+                self.faults.iter().filter(|fault| fault.relays == name).filter_map(end_of_process).collect();
+            let undisturbed = |at: &f64| {
+                ends.iter().all(|(end, quiet)| !(at - quiet..at + QUIET_AFTER_SECOND_START).contains(end))
             };
-            if self.faults.iter().all(quiet) {
+            if let Some(at) = times.into_iter().find(undisturbed) {
                 self.faults.push(Fault { relays: name, ..Fault::new(at, FaultKind::SecondStart) });
             }
         }
@@ -239,5 +243,15 @@
     }
 }
 
+/// When a fault ends its relay's process, and how long after that no second start is drawn.
+fn end_of_process(fault: &Fault) -> Option<(f64, f64)> {
+    match fault.kind {
+        FaultKind::Term => Some((fault.at_s, QUIET_AFTER_TERM)),
+        FaultKind::Kill => Some((fault.at_s, QUIET_AFTER_KILL)),
+        FaultKind::TornWrite => Some((fault.at_s, QUIET_AFTER_KILL + fault.for_s.unwrap_or_default())),
+        _ => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/rig/src/soak/tests.rs
+++ b/rig/src/soak/tests.rs
@@ -25,6 +25,9 @@
     ] {
         assert!(drawn.iter().any(|s| s.faults.iter().any(|fault| fault.kind == kind)), "{kind:?}");
     }
+    let has_second_start = |s: &&Schedule| s.faults.iter().any(|f| f.kind == FaultKind::SecondStart);
+    let with_second_start = drawn.iter().filter(has_second_start).count();
+    assert!(with_second_start >= 10, "{with_second_start}");
     let with_script = drawn.iter().filter(|s| s.looping_script.is_some()).count();
     assert!((5..25).contains(&with_script), "{with_script}");
     let with_idle_clients = drawn.iter().filter(|s| s.idle_clients.connections > 0).count();
