--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -68,6 +68,31 @@
         if outcome.kind == "full" { return #{ left_ms: 200 }; }
     }"##;
 
+/// The file of a push front that passes orders, which may never be repeated, to the gateway g1.
+#[allow(dead_code)] // Each test file uses only a part of this module.
+pub const ORDERS_FILE: &str = r#"
+[push]
+listen = "127.0.0.1:0"
+notices = "ends"
+state = "FOLDER/push"
+
+[[class]]
+name = "order"
+aim_ms = 4000
+give_up_ms = 28000
+repeat = "never"
+
+[[upstream]]
+name = "shops"
+rate = 200.0
+server = [{ address = "g1" }]
+
+[[location]]
+path = "/order/"
+upstream = "shops"
+class = "order"
+"#;
+
 /// A script that compares two arrays for ever.
 const SLOW_HOOK: &str = r#"
     fn admit(job) {
--- a/relay/tests/second_start.rs
+++ b/relay/tests/second_start.rs
@@ -1,37 +1,14 @@
 //! A second start of the command beside a running relay, which it must not disturb.
 mod scenario;
 
-use scenario::play;
-
-const FILE: &str = r#"
-[push]
-listen = "127.0.0.1:0"
-notices = "ends"
-state = "FOLDER/push"
-
-[[class]]
-name = "order"
-aim_ms = 4000
-give_up_ms = 28000
-repeat = "never"
-
-[[upstream]]
-name = "shops"
-rate = 200.0
-server = [{ address = "g1" }]
-
-[[location]]
-path = "/order/"
-upstream = "shops"
-class = "order"
-"#;
+use scenario::{ORDERS_FILE, play};
 
 // Guards against a second start that renames a new file over the running process's journal before it finds the address taken:
 // orders were delivered twice, or lost, after the next restart.
 #[test]
 fn a_second_start_beside_a_push_front_leaves_its_journal_alone() {
     play(
-        Some(FILE),
+        Some(ORDERS_FILE),
         "send relay start
          send p POST /order/a ttl=20 body=m1
          expect p 201 to=m1
@@ -65,7 +42,7 @@
 #[test]
 fn a_second_start_says_who_uses_the_folder_of_a_push_front() {
     play(
-        Some(FILE),
+        Some(ORDERS_FILE),
         "send relay start
          send relay2 start faulty
          expect relay2 log=is_in_use_by_process
--- a/relay/tests/upgrade_of_both_fronts.rs
+++ b/relay/tests/upgrade_of_both_fronts.rs
@@ -1,37 +1,14 @@
 //! Upgrades of a relay with a push front, alone or beside the platform front, with real processes.
 mod scenario;
 
-use scenario::play;
-
-const FILE: &str = r#"
-[push]
-listen = "127.0.0.1:0"
-notices = "ends"
-state = "FOLDER/push"
-
-[[class]]
-name = "order"
-aim_ms = 4000
-give_up_ms = 28000
-repeat = "never"
-
-[[upstream]]
-name = "shops"
-rate = 200.0
-server = [{ address = "g1" }]
-
-[[location]]
-path = "/order/"
-upstream = "shops"
-class = "order"
-"#;
+use scenario::{ORDERS_FILE, play};
 
 // Guards against a successor that says that it is ready, takes the platform front over, and ends since the push front's address is
 // taken: no process was left, and accepted messages were lost.
 #[test]
 fn both_fronts_are_taken_over_by_a_successor_that_said_it_was_ready() {
     play(
-        Some(FILE),
+        Some(ORDERS_FILE),
         "send list n1:7
          send relay start both passed=yes
          expect relay log=list_of_execute_nodes
@@ -76,7 +53,7 @@
 #[test]
 fn a_push_front_alone_is_handed_over() {
     play(
-        Some(FILE),
+        Some(ORDERS_FILE),
         "send relay start admin=on
          send p POST /order/a ttl=20 body=m1
          expect p 201 to=m1
@@ -103,7 +80,7 @@
 #[test]
 fn a_push_front_whose_address_is_taken_waits_while_the_platform_front_serves() {
     play(
-        Some(FILE),
+        Some(ORDERS_FILE),
         "send list n1:7
          send relay start both passed=yes
          expect relay log=list_of_execute_nodes
