Shim: rename calls renameat, which both processors have

The other calls that the shim makes (openat, epoll_pwait, recvfrom, accept4, readlinkat) exist on both. Measured: cargo build of the whole workspace fails on on arm64 (E0425) and passes now.

--- a/shim/src/files.rs
+++ b/shim/src/files.rs
@@ -135,7 +135,9 @@
     match fault(Call::Rename, || in_folder) {
         Some(fault) => fail(fault.number),
         // SAFETY: the caller upholds the call's contract.
-        None => unsafe { libc::syscall(libc::SYS_rename, from, to) as c_int },
+        None => unsafe {
+            libc::syscall(libc::SYS_renameat, libc::AT_FDCWD, from, libc::AT_FDCWD, to) as c_int
+        },
     }
 }
 
