--- a/relay/tests/platform/discovery.rs
+++ b/relay/tests/platform/discovery.rs
@@ -154,3 +154,33 @@
          expect list nothing 50",
     );
 }
+
+#[test]
+fn a_node_at_the_address_of_another_takes_its_place_at_once() {
+    play(
+        None,
+        "send list n1:7:SERVING:old
+         send relay start
+         send s1 POST /order id=j1 dest=7 timeout=5000
+         expect s1 202
+         expect n1 POST body=j1
+         send n1 200
+         expect relay log=Delivered
+         send list n1:7:SERVING:old n1:8:SERVING:new
+         expect relay log=another_node_has_the_address
+         send s1 POST /order id=j2 dest=8 timeout=5000
+         expect s1 202
+         expect n1 POST body=j2
+         send n1 200
+         send s1 POST /order id=j3 dest=7 timeout=900
+         expect s1 202
+         expect list returned id=j3
+         expect n1 nothing 50
+         send list n1:8:SERVING:new n1:7:DRAINING:old     # in another order
+         send s2 POST /order id=j4 dest=8 timeout=5000
+         expect s2 202
+         expect n1 POST body=j4
+         send n1 200
+         expect n1 nothing 50",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -187,6 +187,23 @@
     address
 }
 
+/// An execute node that answers each request with 200 at once.
+pub fn answering_node() -> SocketAddr {
+    let (listener, address) = listener();
+    tokio::spawn(async move {
+        let listener = listener;
+        let socket = listener.socket.as_ref().expect("it listens");
+        while let Ok((mut stream, _)) = socket.accept().await {
+            tokio::spawn(async move {
+                while read(&mut stream, 0).await.is_some() {
+                    let _ = stream.write_all(b"HTTP/1.1 200 x\r\ncontent-length: 0\r\n\r\n").await;
+                }
+            });
+        }
+    });
+    address
+}
+
 /// Resets a connection, at once or after a number of bytes of the next request.
 async fn reset(mut stream: TcpStream, how: &Instruction, events: &Events) {
     if let Some(bytes) = how[0].1.strip_prefix("after=") {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -15,19 +15,22 @@
 //!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) and `resident_mb`
 //!   (peak resident memory).
 //! - `list`: discovery; `list2` (discovery=list2 in the settings) is a second server of the same list. Send
-//!   NODE:DEST[:STATE] ...: it listens, and these are all nodes. Special values of STATE: HANG answers no watch; HEAD and HALF
+//!   NODE:DEST[:STATE[:NAME]] ...: it listens, and these are all nodes (NAME: listed under another name). Special values of STATE: HANG answers no watch; HEAD and HALF
 //!   stop the answer of a watch after its head or in the middle of its body (expect silent); LOWER sets the generation to 1
 //!   and answers watches from a later generation with an empty change list. Close: it stops listening. Expect returned or
 //!   failed: a notice. Notices of the push front go to `ends`.
 //! - `s...`: a submitter's connection over HTTP/1.1. Send a request (detached=yes: does not wait for the response;
 //!   reset=yes: resets the connection after the request; answers=N: waits for N responses; flood=N: N bytes after a raw
 //!   request), expect a status. `p...`: a submitter over HTTP/2.
-//! - `m...`: many clients. Send COUNT: that many connect and send nothing (partial_line=BYTES: part of a request line);
-//!   expect connected or closed, with the `count` so far in hundreds.
+//! - `m...`: many clients. Send COUNT: that many connect and send nothing (partial_line=BYTES: part of a request line; fields=N or
+//!   field_bytes=BYTES: a head with N short fields or a long one, that does not end; body=BYTES: the head ends, and so much of a body of
+//!   64 KiB follows; per_interval=BYTES: so many in 50 ms); expect connected or closed, with the `count` so far in hundreds.
+//! - `f...`: a client that sends requests one behind another (see `flooding_client`).
 //! - `a...` to `d...`: a client of the admin address of the process started last. Send a request, or `partial`: a request
 //!   that is never completed.
 //! - `x...`: an execute node whose accept queue is full until it is sent `open`; requests that arrive then are reported as
 //!   `received`.
+//! - `o...`: an execute node that answers each request with 200 at once, and reports none.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream per connection). Expect POST, then send a status
 //!   (to=BODY selects the request), raw=TEXT in its place (_ is a space, | a line break), reset=CODE or goaway=LAST_STREAM.
 //!   Expect cancelled: the relay gave the request up.
@@ -39,6 +42,7 @@
 //!
 //! `expect` waits for an event that matches all words: `key=value`, `key=*`, `key<number`, `key>number`, `!key` (absent).
 //! `expect X nothing` and `wait` take milliseconds. `expect X never WORDS`: no event so far matches them.
+mod flooding_client;
 mod http1;
 mod http2;
 mod stalled_clients;
@@ -287,11 +291,13 @@
             };
             match &name[..1] {
                 "n" => address = Some(http1::node(sender, received)),
+                "o" => address = Some(http1::answering_node()),
                 "x" => address = Some(http1::unaccepting_node(sender, received)),
                 "l" => address = Some(http1::discovery(sender, received, self.list.subscribe())),
                 "g" => address = Some(http2::gateway(sender, received, if name == "g3" { 1 } else { 200 })),
                 "a" | "b" | "c" | "d" => http1::admin_client(front(self, "admin"), sender, received),
                 "m" => stalled_clients::stalled_clients(front(self, "platform"), sender, received),
+                "f" => flooding_client::flooding_client(front(self, "platform"), sender, received),
                 "s" => http1::submitter(front(self, "platform"), sender, received),
                 "p" => http2::submitter(front(self, "push"), sender, received),
                 "e" if self.push.is_some() => address = Some(http2::gateway(sender, received, 200)),
@@ -305,12 +311,13 @@
         self.parties.get_mut(name).expect("inserted above")
     }
 
-    /// The list entry of a NODE:DEST[:STATE] word.
+    /// The list entry of a NODE:DEST[:STATE[:NAME]] word.
     fn entry(&mut self, word: &str) -> String {
         let mut parts = word.split(':');
-        let (name, dest) = (parts.next().unwrap_or(""), parts.next().unwrap_or("0"));
+        let (party, dest) = (parts.next().unwrap_or(""), parts.next().unwrap_or("0"));
         let state = parts.next().unwrap_or("SERVING");
-        let address = self.party(name).address.expect("a node");
+        let name = parts.next().unwrap_or(party);
+        let address = self.party(party).address.expect("a node");
         format!(
             r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"z","machineType":"k","cell":{dest},"lifecycle":"{state}","weight":50.0,"startedAtMs":0}}"#
         )
