Serve one request at a time on a client's connection, and let others have their turn

Cause: actix-http's dispatcher reads up to 128 KiB and decodes every request in it at once (h1/dispatcher.rs, poll_request: its bound of 16 is looked at before the loop, not in it), encodes each answer into a write buffer without a bound, and reads on while that buffer cannot be written. Each bad head is an ERROR line, by its sender's speed. Ruled out: per-id state (recent answers are bounded at 4,096, ids end with their jobs), the decision module (the same with requests that never reach it: GET /ready). Change: http1 serves connections with actix-http's codec. A request is decoded only after the answer before it was written whole; between requests that were sent ahead the other connections have their turn; a head is at most 16 KiB (128 KiB before) and is dropped before its body is read; buffers are given up while nothing is read. A request that was sent ahead by a client that has closed its side is refused, not sent on. Errors are counted by reason (requests_rejected_total, client_connections_closed_total) in place of a line each. The server that refuses while the folder fails is the same one. What a request takes is charged to a budget, which has no limit yet. Why it holds: what a peer can have in this process on one connection is one request and one answer, whatever it sends; the rest stays in the kernel, whose buffer pushes back.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -111,7 +111,7 @@
                     Ok::<_, Infallible>(response)
                 }
             }));
-        connection_limiter::accept(listener, limiter, CONNECTION_POLICY, service).await;
+        connection_limiter::accept(Rc::new(listener), limiter, CONNECTION_POLICY, service).await;
     }
 
     async fn respond(&self, request: &Request) -> Response<String> {
--- a/relay/src/connection_limiter.rs
+++ b/relay/src/connection_limiter.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
+use tokio::io::Interest;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -22,6 +23,9 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::ClientMetrics;
+
 mod state;
 
 use state::{CLOSE_GRACE, OpenConnections, Phase};
@@ -36,6 +40,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often connections are evicted while all permits are taken.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(5);
+/// How much is read at once of what is dropped, in bytes.
+const DISCARD_BUFFER: usize = 4 * 1024;
+/// How often incomplete requests are given up while memory is short.
+const GIVE_UP_INTERVAL: Duration = Duration::from_millis(10);
 /// How long after it was written a response may still be on its way to the client.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -49,6 +57,9 @@
     terminating: Cell<bool>,
     /// Cancelled once no more connections are to be accepted.
     stop: CancellationToken,
+    /// The memory that requests are charged to.
+    memory: MemoryBudget,
+    metrics: Option<ClientMetrics>,
 }
 
 impl ConnectionLimiter {
@@ -59,6 +70,25 @@
             drain_from: Cell::new(None),
             terminating: Cell::new(false),
             stop: CancellationToken::new(),
+            memory: MemoryBudget::unlimited(),
+            metrics: None,
+        }
+    }
+
+    /// Gives up incomplete requests while this budget is short.
+    pub fn with_memory(self, memory: MemoryBudget) -> Self {
+        ConnectionLimiter { memory, ..self }
+    }
+
+    /// Counts closed connections.
+    pub fn with_metrics(self, metrics: ClientMetrics) -> Self {
+        ConnectionLimiter { metrics: Some(metrics), ..self }
+    }
+
+    fn count_end(&self, state: &ConnectionState) {
+        let reason = state.close_reason.get().filter(|_| state.is_closed());
+        if let (Some(metrics), Some(reason)) = (&self.metrics, reason) {
+            metrics.closed(reason);
         }
     }
 
@@ -181,6 +211,72 @@
         self.0.state.clone()
     }
 
+    /// Whether unread bytes have arrived.
+    pub fn has_unread(&self) -> bool {
+        self.0.has_unread()
+    }
+
+    /// Whether the client has closed its side, as far as the runtime knows; bytes before the close may still be unread.
+    pub fn is_read_closed(&self) -> bool {
+        let stream = self.0.stream.borrow();
+        let ready = stream.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
+    /// Waits until something can be read, or the connection is closed from this side.
+    pub async fn readable(&self) -> io::Result<()> {
+        poll_fn(|cx| {
+            self.store_waker(cx);
+            if !self.0.may_read() {
+                return Poll::Ready(Ok(()));
+            }
+            self.0.stream.borrow().poll_read_ready(cx)
+        })
+        .await
+    }
+
+    /// Waits until the connection is closed from this side.
+    pub async fn closed_from_this_side(&self) {
+        poll_fn(|cx| {
+            self.store_waker(cx);
+            if self.0.state.is_closed() { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await;
+    }
+
+    /// Ready once the client has reset the connection. Not noticed behind unread bytes, nor behind the client's close.
+    pub fn poll_reset(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut buffer = [0; 1];
+        match self.0.stream.borrow().poll_peek(cx, &mut ReadBuf::new(&mut buffer)) {
+            Poll::Ready(Err(_)) => Poll::Ready(()),
+            _ => Poll::Pending,
+        }
+    }
+
+    /// Ends the connection behind its last response: reads and drops what the client still sends, for at most `linger`, so that the
+    /// response is not lost in a reset.
+    pub async fn discard(self, linger: Duration) {
+        let state = self.0.state.clone();
+        if poll_fn(|cx| self.with_stream(|stream| stream.poll_shutdown(cx))).await.is_err() {
+            return;
+        }
+        state.closed_at.set(Some(Instant::now()));
+        state.lingering.set(true);
+        let client_closed = poll_fn(|cx| {
+            self.store_waker(cx);
+            let mut buffer = [0; DISCARD_BUFFER];
+            loop {
+                let mut buffer = ReadBuf::new(&mut buffer);
+                let read = self.with_stream(|stream| stream.poll_read(cx, &mut buffer));
+                let ended = ready!(read).is_err() || buffer.filled().is_empty();
+                if ended || state.evicted.get() {
+                    return Poll::Ready(());
+                }
+            }
+        });
+        let _ = timeout(linger, client_closed).await;
+    }
+
     fn store_waker(&self, cx: &Context<'_>) {
         *self.0.state.waker.borrow_mut() = Some(cx.waker().clone());
     }
@@ -234,7 +330,7 @@
 
 /// Accepts connections, each with a permit of `limiter`, and serves them with a service of `factory`.
 pub async fn accept<F>(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     limiter: Rc<ConnectionLimiter>,
     policy: ConnectionPolicy,
     factory: F,
@@ -257,6 +353,13 @@
             connections.close_expired(now, &policy, draining, limiter.terminating.get());
         }
     };
+    let memory_loop = async {
+        loop {
+            limiter.memory.shortage().await;
+            connections.give_up_requests(Instant::now());
+            sleep(GIVE_UP_INTERVAL).await;
+        }
+    };
     let accept_loop = async {
         // Moved in here so that it is dropped when this loop ends, while the open connections are still checked.
         let listener = listener;
@@ -301,9 +404,10 @@
                         read_closed: Cell::new(false),
                         _permit: permit,
                     });
-                    let service = service.clone();
+                    let (service, limiter) = (service.clone(), limiter.clone());
                     actix_rt::spawn(async move {
                         let served = service.call((TrackedStream(connection.clone()), Some(address))).await;
+                        limiter.count_end(&connection.state);
                         connection.state.log_end(address, served.err());
                         // The HTTP server has dropped its reference.
                         if let Some(connection) = Rc::into_inner(connection) {
@@ -323,7 +427,7 @@
         limiter.stop.cancelled().await;
         sleep(FINAL_ACCEPT_TIME).await;
     };
-    tokio::join!(check_loop, async move {
+    tokio::join!(check_loop, memory_loop, async move {
         tokio::select! {
             () = accept_loop => {}
             () = stopped => {}
--- a/relay/src/connection_limiter/state.rs
+++ b/relay/src/connection_limiter/state.rs
@@ -18,6 +18,10 @@
 const MIN_IDLE_TIME: Duration = Duration::from_millis(2050);
 /// How long a new connection may wait for its first bytes before a drain closes it.
 const FIRST_BYTES_TIME: Duration = Duration::from_millis(300);
+/// How long a request must have been read before it may be given up to free memory: an ordinary one is whole by then.
+const MIN_READING_TIME: Duration = Duration::from_millis(100);
+/// How many requests are given up at once.
+const GIVEN_UP_AT_ONCE: usize = 4;
 /// How long a closed connection may take to receive its last response.
 pub(super) const CLOSE_GRACE: Duration = Duration::from_secs(1);
 
@@ -66,6 +70,31 @@
     Draining,
     /// The process is about to exit.
     Terminating,
+    /// Its incomplete request takes memory that others need.
+    NoMemory,
+}
+
+impl CloseReason {
+    pub const ALL: [CloseReason; 6] = [
+        CloseReason::RequestTimeout,
+        CloseReason::Idle,
+        CloseReason::Evicted,
+        CloseReason::Draining,
+        CloseReason::Terminating,
+        CloseReason::NoMemory,
+    ];
+
+    /// The reason's name in figures.
+    pub fn label(self) -> &'static str {
+        match self {
+            CloseReason::RequestTimeout => "request-timeout",
+            CloseReason::Idle => "idle",
+            CloseReason::Evicted => "evicted",
+            CloseReason::Draining => "draining",
+            CloseReason::Terminating => "terminating",
+            CloseReason::NoMemory => "memory",
+        }
+    }
 }
 
 /// The state of a client connection.
@@ -88,6 +117,8 @@
     pub(super) multiplexed: Cell<bool>,
     /// Complete requests that are not answered yet.
     pub(super) open_requests: Cell<u32>,
+    /// Memory is charged for the request that is being read.
+    pub(super) holds_memory: Cell<bool>,
     /// Numbers of complete requests and of responses.
     pub(super) requests: Cell<u32>,
     pub(super) answers: Cell<u32>,
@@ -108,6 +139,7 @@
             close_reason: Cell::new(None),
             multiplexed: Cell::new(false),
             open_requests: Cell::new(0),
+            holds_memory: Cell::new(false),
             requests: Cell::new(0),
             answers: Cell::new(0),
             queued: queued.min(MAX_QUEUED),
@@ -117,6 +149,12 @@
     pub(super) fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
+        self.holds_memory.set(false);
+    }
+
+    /// To be called once memory is charged for the request that is being read.
+    pub fn memory_charged(&self) {
+        self.holds_memory.set(true);
     }
 
     /// To be called once a request is complete and must be answered.
@@ -149,6 +187,11 @@
         self.closed_at.get().is_some()
     }
 
+    /// Whether it was closed from this side for this reason.
+    pub fn was_closed_for(&self, reason: CloseReason) -> bool {
+        self.is_closed() && self.close_reason.get() == Some(reason)
+    }
+
     /// Whether the time is over that the submitter had to take its last responses. A multiplexed connection serves open requests
     /// to their end.
     pub(super) fn is_expired(&self) -> bool {
@@ -167,7 +210,7 @@
         }
     }
 
-    pub(super) fn bytes_received(&self) {
+    pub fn bytes_received(&self) {
         if self.phase.get() == Phase::Idle && !self.multiplexed.get() {
             let accepted_at = self.since.get();
             self.enter(Phase::Reading);
@@ -215,6 +258,12 @@
         self.phase.get() == Phase::Idle && now >= self.since.get() + min_age
     }
 
+    /// Whether its request may be given up to free memory.
+    pub(super) fn may_give_up(&self, now: Instant) -> bool {
+        let reads = self.phase.get() == Phase::Reading && self.holds_memory.get();
+        reads && !self.is_closed() && now >= self.since.get() + MIN_READING_TIME
+    }
+
     /// Whether it may be closed to make room for a new connection.
     pub(super) fn may_evict(&self, now: Instant, eviction: EvictionPolicy) -> bool {
         let min_age = if self.has_answered.get() { MIN_IDLE_TIME } else { MIN_NEW_AGE };
@@ -294,6 +343,13 @@
         stuck.for_each(|state| state.wake());
     }
 
+    /// Gives up the incomplete requests that take memory and have been read for the longest time.
+    pub(super) fn give_up_requests(&self, now: Instant) {
+        let mut candidates: Vec<_> = self.all().into_iter().filter(|state| state.may_give_up(now)).collect();
+        candidates.sort_by_key(|state| state.since.get());
+        candidates.iter().take(GIVEN_UP_AT_ONCE).for_each(|state| state.close(now, CloseReason::NoMemory));
+    }
+
     /// Makes room for new connections: closes one that lingers, else several that never sent a request, else one that is idle after
     /// an answered request. Guards against hundreds of silent connections that keep submitters out.
     pub(super) fn evict(&self, now: Instant, eviction: EvictionPolicy) {
--- a/relay/src/connection_limiter/tests.rs
+++ b/relay/src/connection_limiter/tests.rs
@@ -206,7 +206,7 @@
         idle_timeout: Duration::from_secs(9),
         eviction: EvictionPolicy::IdleOnly,
     };
-    accept(listener, limiter, policy, service).await;
+    accept(Rc::new(listener), limiter, policy, service).await;
 }
 
 /// Guards against a request whose time limit begins when it is read, however long its connection was in the accept queue.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! A front accepts messages over one protocol and sends them to execute nodes. The modules form layers, each of which imports
 //! only those before it: plain values ([`clock`], [`job`]); data that is read and written ([`config`], [`list`], [`tls`], [`state_lock`], [`journal`],
-//! [`notice`], [`import`], [`metrics`], [`disabled`]); hook scripts ([`hook`]); messages queued on disk ([`backlog`]); the processing of
-//! jobs ([`core`]); what fronts share ([`availability`], [`connection_limiter`], [`discovery`]); the fronts ([`platform`],
+//! [`notice`], [`import`], [`memory_budget`], [`metrics`], [`disabled`]); hook scripts ([`hook`]); messages queued on disk ([`backlog`]); the processing of
+//! jobs ([`core`]); what fronts share ([`availability`], [`connection_limiter`], `http1`, [`discovery`]); the fronts ([`platform`],
 //! [`push`]); the admin address ([`admin`], and `admin_client` to call it); and startup and shutdown ([`run`]).
 #![forbid(unsafe_code)]
 
@@ -22,6 +22,7 @@
 pub mod handover;
 pub mod handover_state;
 pub mod hook;
+mod http1;
 pub mod idle_pool;
 pub mod import;
 pub mod inherited_socket;
@@ -32,6 +33,7 @@
 pub mod lease_record;
 pub mod list;
 mod listener;
+pub mod memory_budget;
 pub mod metrics;
 pub mod notice;
 pub mod platform;
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -11,9 +11,11 @@
 use std::time::Duration;
 
 mod backlog;
+mod clients;
 mod hook;
 
 pub use backlog::{BacklogMetrics, BacklogRefusal};
+pub use clients::{ClientMetrics, RejectReason};
 pub use hook::{HookMetrics, HookResult};
 
 /// The namespace of all metric names.
--- a/relay/src/platform/refusing.rs
+++ b/relay/src/platform/refusing.rs
@@ -1,56 +1,63 @@
 //! Answers clients with 503 and a `Retry-After` header while the state folder cannot be opened.
 use actix_http::header::RETRY_AFTER;
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
-use std::convert::Infallible;
+use actix_http::{Request, Response, StatusCode};
+use actix_service::fn_service;
+use bytes::Bytes;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
-use super::server::read_body;
+use super::server::{CONNECTION_POLICY, HTTP_LIMITS};
+use crate::connection_limiter::{self, ConnectionLimiter, ConnectionState, TrackedStream};
+use crate::http1::{BodyError, Handler, Http1Limits, Http1Server};
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::RejectReason;
 
 /// The value of `Retry-After`, in seconds.
 const RETRY_AFTER_S: &str = "1";
-/// Time limit for a request to be complete.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// How long a connection may take. Unlike the limiter's check, this holds on once the folder could be opened.
+const CONNECTION_TIME: Duration = Duration::from_millis(3500);
+
+/// Refuses every request.
+struct Refusing;
+
+impl Handler for Refusing {
+    type Head = ();
+    type Body = &'static str;
+
+    fn decode(&self, _: &Request, _: &ConnectionState) {}
+
+    fn needs_body(&self, (): &()) -> bool {
+        false
+    }
+
+    async fn respond(
+        &self,
+        (): (),
+        _: Result<Bytes, BodyError>,
+        state: &Rc<ConnectionState>,
+    ) -> Response<&'static str> {
+        state.response_ready();
+        let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, "");
+        response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S.parse().expect("digits"));
+        response
+    }
+
+    fn rejected(&self, _: RejectReason) {}
+}
 
 /// Answers every request with 503 for as long as this future is polled, on at most `connections` connections at once. Requests on
 /// connections that were accepted until then are still answered.
-pub async fn refuse_all(listener: &TcpListener, connections: usize) {
-    let permits = Arc::new(Semaphore::new(connections));
-    let answer = fn_service(async |mut request: Request| {
-        // Closing a connection with an unread body would reset it, and the response would be lost.
-        let _ = read_body(&mut request).await;
-        let mut response = Response::new(StatusCode::SERVICE_UNAVAILABLE);
-        response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S.parse().expect("digits"));
-        Ok::<_, Infallible>(response)
+pub async fn refuse_all(listener: Rc<TcpListener>, connections: usize, memory: MemoryBudget) {
+    let limits = Http1Limits { keep_alive: false, ..HTTP_LIMITS };
+    let server = Http1Server::new(Refusing, limits, memory.clone());
+    let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
+        let server = server.clone();
+        async move { timeout(CONNECTION_TIME, server.serve(stream)).await.unwrap_or(Ok(())) }
     });
-    let service = HttpService::build()
-        .keep_alive(KeepAlive::Disabled)
-        .client_request_timeout(REQUEST_TIMEOUT)
-        .h1(answer)
-        .into_factory();
-    let Ok(service) = service.new_service(()).await else { return };
-    let service = Rc::new(service);
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, address)) => {
-                let service = service.clone();
-                actix_rt::spawn(async move {
-                    let _ = service.call((stream, Some(address))).await;
-                    drop(permit);
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a connection; retrying");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let limiter = Rc::new(ConnectionLimiter::new(connections).with_memory(memory));
+    connection_limiter::accept(listener, limiter, CONNECTION_POLICY, service).await;
 }
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -98,7 +98,7 @@
             let server = self.clone();
             async move { server.serve_connection(stream).await }
         });
-        connection_limiter::accept(listener, limiter, CONNECTION_POLICY, service).await;
+        connection_limiter::accept(Rc::new(listener), limiter, CONNECTION_POLICY, service).await;
     }
 
     async fn serve_connection(self: Rc<Self>, stream: TrackedStream) -> Result<(), ConnectionError> {
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -33,7 +33,8 @@
 use crate::instances::{self, Instances};
 use crate::journal::Journal;
 use crate::listener::{ListenError, listen};
-use crate::metrics::{HookMetrics, Metrics};
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::{ClientMetrics, HookMetrics, Metrics};
 use platform_front::{PlatformFront, PlatformStart};
 use push_front::{OpenedPushFront, PushFront};
 use running_front::SHUTDOWN_SERVING_TIME;
@@ -74,6 +75,8 @@
     metrics: Rc<Metrics>,
     process: Rc<ProcessAvailability>,
     hooks: Option<Rc<Hooks>>,
+    memory: MemoryBudget,
+    client_metrics: ClientMetrics,
     /// A successor can be asked whether it is ready, and take over.
     upgrades: bool,
 }
@@ -88,6 +91,8 @@
     settings.push().into_iter().for_each(|push| clock::restore_epoch(&push.state));
     let script = settings.hook().map(Script::load).transpose().map_err(Error::Configuration)?;
     let metrics = Metrics::new(settings.classes());
+    let memory = MemoryBudget::unlimited();
+    let client_metrics = ClientMetrics::register(&metrics);
     let process = Rc::new(ProcessAvailability::default());
     let admin = Admin::new(metrics.clone(), process.clone());
     let upgrades = settings.admin.is_some();
@@ -99,7 +104,7 @@
     let hooks = script
         .zip(settings.hook())
         .map(|(script, table)| Rc::new(Hooks::start(script, table, HookMetrics::register(&metrics))));
-    let context = StartContext { metrics, process, hooks, upgrades };
+    let context = StartContext { metrics, process, hooks, memory, client_metrics, upgrades };
     let mut fronts = Fronts::new(context, admin, &settings);
     let (started, mut starting) = mpsc::unbounded_channel();
     tokio::select! {
@@ -166,7 +171,7 @@
         let sharing = self.instances.as_ref().and_then(|instances| instances.list_sharing());
         let platform = platform.map(|config| PlatformStart::new(config, relay.idle, relay.backlog, sharing));
         let platform = match platform {
-            Some(start) => Some((start.claim(upgrades).await?, start)),
+            Some(start) => Some((start.claim(upgrades, &self.context).await?, start)),
             None => None,
         };
         let push = match relay.push {
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -21,9 +21,11 @@
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
 use crate::listener::listen;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::BacklogMetrics;
 use crate::platform::carrier::NodeClient;
 use crate::platform::refusing::refuse_all;
+use crate::platform::server::Server;
 use crate::state_lock::{LockError, StateLock};
 
 /// What the platform front's start needs beside what both fronts share.
@@ -33,7 +35,7 @@
     pub backlog: Option<BacklogConfig>,
     pub sharing: Option<ListSharing>,
     /// Where submitters are refused already, while the folder fails.
-    early_listener: RefCell<Option<TcpListener>>,
+    early_listener: RefCell<Option<Rc<TcpListener>>>,
 }
 
 pub struct PlatformFront {
@@ -58,7 +60,7 @@
     ///
     /// # Errors
     /// As [`claim`].
-    pub async fn claim(&self, upgrades: bool) -> Result<FolderClaim, Error> {
+    pub async fn claim(&self, upgrades: bool, context: &StartContext) -> Result<FolderClaim, Error> {
         let PlatformConfig { state, listen: address, .. } = &self.config;
         let claimed = claim("BALANCER_STATE", state, upgrades);
         let fails = || match StateLock::acquire(state) {
@@ -69,10 +71,11 @@
             return claimed.await;
         }
         let Ok(socket) = listen("BALANCER_LISTEN", *address) else { return claimed.await };
+        let socket = Rc::new(socket);
         let connections = DescriptorBudget::new(self.config.limits.sockets, false).submitter_connections();
         let claimed = tokio::select! {
             claimed = claimed => claimed,
-            () = refuse_all(&socket, connections) => Err(Error::Other("no connections can be accepted".into())),
+            () = refuse_all(socket.clone(), connections, context.memory.clone()) => Err(Error::Other("no connections can be accepted".into())),
         };
         self.early_listener.replace(Some(socket));
         claimed
@@ -101,7 +104,8 @@
         node_client.set_max_connections(budget.node_connections(&idle));
         let discovery = node_client.discovery_server();
         let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
-        let attempt = async || open_or_refuse(&lock, &config, &budget, &early_listener).await;
+        let attempt =
+            async || open_or_refuse(&lock, &config, &budget, &early_listener, &context.memory).await;
         let (journal, open) = mode.run("platform", "journal", attempt).await?;
         // From here on only the journal keeps the lock, so that closing the journal releases it.
         drop(lock);
@@ -116,7 +120,9 @@
             };
             mode.run("platform", "backlog", attempt).await?;
         }
-        let limiter = Rc::new(ConnectionLimiter::new(budget.submitter_connections()));
+        let limiter =
+            ConnectionLimiter::new(budget.submitter_connections()).with_memory(context.memory.clone());
+        let limiter = Rc::new(limiter.with_metrics(context.client_metrics.clone()));
         context.process.set_limiter(limiter.clone());
         let known_generation = match predecessor {
             Some(predecessor) => {
@@ -149,12 +155,13 @@
             Some(listener) => listener,
             None => {
                 let attempt = async || listen_for_submitters(config.listen).await;
-                mode.run("platform", "listen", attempt).await?
+                Rc::new(mode.run("platform", "listen", attempt).await?)
             }
         };
         let address = listener.local_addr().unwrap_or(config.listen);
-        let server = crate::platform::server::Server::new(core, context.process.availability());
-        actix_rt::spawn(server.accept(listener, limiter));
+        let server =
+            Server::new(core, context.process.availability(), limiter, context.client_metrics.clone());
+        actix_rt::spawn(server.accept(listener, context.memory.clone()));
         context.process.apply_event(AvailabilityEvent::Started);
         tracing::info!(name = config.name, listen = %address, "platform front is ready");
         Ok(PlatformFront { front, budget, discovery_task, listen: config.listen })
@@ -167,7 +174,8 @@
     lock: &Rc<StateLock>,
     config: &PlatformConfig,
     budget: &DescriptorBudget,
-    listener: &RefCell<Option<TcpListener>>,
+    listener: &RefCell<Option<Rc<TcpListener>>>,
+    memory: &MemoryBudget,
 ) -> Result<(Journal, Vec<OpenJob>), Error> {
     let MachineLimits { disk_bytes, .. } = config.limits;
     let failed = |error: String| Error::from(format!("BALANCER_STATE: {error}"));
@@ -180,11 +188,11 @@
     }
     let socket = match listener.take() {
         Some(socket) => socket,
-        None => listen_for_submitters(config.listen).await?,
+        None => Rc::new(listen_for_submitters(config.listen).await?),
     };
     let opened = tokio::select! {
         opened = open_journal(lock, disk_bytes) => opened,
-        () = refuse_all(&socket, budget.submitter_connections()) => Err("no connections can be accepted".into()),
+        () = refuse_all(socket.clone(), budget.submitter_connections(), memory.clone()) => Err("no connections can be accepted".into()),
     };
     *listener.borrow_mut() = Some(socket);
     opened.map_err(failed)
