Keep within limits.memory_mb: a budget for the memory whose size clients decide

Cause: nothing read limits.memory_mb. Every buffer has a bound of its own, and 409 clients with the largest body at once come to 26 MB and more. Evidence: the peak was the same with 16, 32 and 192 MB configured. Change: run/memory_limit measures the process and sets a budget: the limit less what the process takes at rest (the program's own pages measured again every 250 ms, since they come in as they are used), less a share for each connection and a fixed reserve. Large heads and bodies are charged to it before they are held, by a value whose drop returns the bytes. Where there is no room a request is not read on (the kernel's buffer pushes back), and the longest-read incomplete ones are refused with 503 and Retry-After, four each 10 ms; requests of up to 2 KB of body never wait, and what was read whole is never given up. A limit too small to start with is an error that says how much is needed. The log says once in 10 s that memory is short, with what holds it; gauges memory_budget_bytes, memory_charged_bytes and memory_resident_bytes. In an upgrade both processes have the least budget.

--- a/relay/src/config/platform_file.rs
+++ b/relay/src/config/platform_file.rs
@@ -36,6 +36,8 @@
     pub disk_bytes: u64,
     /// Limit of open file descriptors.
     pub sockets: usize,
+    /// Limit of the process's memory, in bytes; `None` if the file names none.
+    pub memory_bytes: Option<usize>,
 }
 
 /// The file as it is written. The names of this type and of [`PlatformFileLimits`] appear in decoding errors.
@@ -59,6 +61,7 @@
     sockets: usize,
     #[serde(default = "default_disk_mb")]
     disk_mb: f64,
+    memory_mb: Option<f64>,
 }
 
 fn default_sockets() -> usize {
@@ -92,6 +95,10 @@
     if !disk.is_finite() || disk < MIN_DISK_MB {
         return Err(format!("BALANCER_CONFIG: limits.disk_mb: {disk} MB is too small for a journal"));
     }
+    let memory = file.limits.memory_mb;
+    if let Some(memory) = memory.filter(|memory| !memory.is_finite() || *memory <= 0.0) {
+        return Err(format!("BALANCER_CONFIG: limits.memory_mb: {memory} is no size"));
+    }
     Ok(PlatformConfig {
         name: variable("BALANCER_NAME")?.unwrap_or(file.name),
         listen: address("BALANCER_LISTEN")?.unwrap_or(file.listen),
@@ -99,7 +106,11 @@
         admin: file.admin,
         state: Path::new(&state).to_owned(),
         seed: seed.map_err(|_| format!("BALANCER_CONFIG: seed: '{}' is not hexadecimal", file.seed))?,
-        limits: MachineLimits { disk_bytes: (disk * 1e6) as u64, sockets: file.limits.sockets },
+        limits: MachineLimits {
+            disk_bytes: (disk * 1e6) as u64,
+            sockets: file.limits.sockets,
+            memory_bytes: memory.map(|memory| (memory * 1e6) as usize),
+        },
         known_nodes: known.unwrap_or_default(),
         rules: rules(file.settings).map_err(|e| format!("BALANCER_CONFIG: settings: {e}"))?,
     })
--- a/relay/src/http1/request_reader.rs
+++ b/relay/src/http1/request_reader.rs
@@ -16,6 +16,8 @@
 const READ_BUFFER: usize = 4 * 1024;
 /// Bodies up to this size are not charged while they are read, so that ordinary requests never wait for memory.
 const SMALL_BODY: usize = 2 * 1024;
+/// What a connection takes at most without a charge, in bytes: the two shares above, its task and its buffer for a response.
+pub const CONNECTION_BYTES: usize = READ_BUFFER + SMALL_BODY + 8 * 1024;
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/relay/src/metrics.rs
+++ b/relay/src/metrics.rs
@@ -15,7 +15,7 @@
 mod hook;
 
 pub use backlog::{BacklogMetrics, BacklogRefusal};
-pub use clients::{ClientMetrics, RejectReason};
+pub use clients::{ClientMetrics, MemoryMetrics, RejectReason};
 pub use hook::{HookMetrics, HookResult};
 
 /// The namespace of all metric names.
--- a/relay/src/metrics/clients.rs
+++ b/relay/src/metrics/clients.rs
@@ -1,9 +1,10 @@
-//! The figures of clients' connections.
+//! The figures of clients' connections and of the memory budget.
 use actix_http::error::ParseError;
-use prometheus::{IntCounterVec, Opts};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts};
 
 use super::{Metrics, PREFIX, register};
 use crate::connection_limiter::CloseReason;
+use crate::memory_budget::{Holder, MemoryBudget};
 
 /// Why a request was answered with an error or refused before the decision module knew of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,3 +89,38 @@
         self.closed.with_label_values(&[reason.label()]).inc();
     }
 }
+
+/// Gauges of the memory budget.
+#[derive(Clone)]
+pub struct MemoryMetrics {
+    available: IntGauge,
+    charged: IntGaugeVec,
+    resident: IntGauge,
+}
+
+impl MemoryMetrics {
+    /// Registers the series, at zero. Must be called once per process.
+    pub fn register(metrics: &Metrics) -> Self {
+        let opts = |name, help| Opts::new(name, help).namespace(PREFIX).subsystem("memory");
+        let available = opts("budget_bytes", "Size of the budget for memory whose size peers decide.");
+        let charged = opts("charged_bytes", "Memory charged to the budget, by holder.");
+        let resident = opts("resident_bytes", "Memory of the process, as the system counts it.");
+        let charged = register(&metrics.registry, IntGaugeVec::new(charged, &["holder"]));
+        Holder::ALL.iter().for_each(|holder| _ = charged.with_label_values(&[holder.label()]));
+        MemoryMetrics {
+            available: register(&metrics.registry, IntGauge::with_opts(available)),
+            charged,
+            resident: register(&metrics.registry, IntGauge::with_opts(resident)),
+        }
+    }
+
+    /// Sets the gauges; sizes in bytes.
+    pub fn set(&self, budget: &MemoryBudget, resident: usize) {
+        let as_gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.available.set(as_gauge(budget.available()));
+        self.resident.set(as_gauge(resident));
+        for holder in Holder::ALL {
+            self.charged.with_label_values(&[holder.label()]).set(as_gauge(budget.charged(holder)));
+        }
+    }
+}
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -10,6 +10,7 @@
 //!    process any more but a signal: a step that fails for one front is repeated while the other serves;
 //! 6. each front that has a predecessor is taken over once that hands over or ends, whichever front comes first.
 mod descriptor_budget;
+mod memory_limit;
 mod platform_front;
 mod push_front;
 mod running_front;
@@ -33,8 +34,9 @@
 use crate::instances::{self, Instances};
 use crate::journal::Journal;
 use crate::listener::{ListenError, listen};
-use crate::memory_budget::MemoryBudget;
-use crate::metrics::{ClientMetrics, HookMetrics, Metrics};
+use crate::metrics::{ClientMetrics, HookMetrics, MemoryMetrics, Metrics};
+use descriptor_budget::DescriptorBudget;
+use memory_limit::MemoryLimit;
 use platform_front::{PlatformFront, PlatformStart};
 use push_front::{OpenedPushFront, PushFront};
 use running_front::SHUTDOWN_SERVING_TIME;
@@ -75,7 +77,7 @@
     metrics: Rc<Metrics>,
     process: Rc<ProcessAvailability>,
     hooks: Option<Rc<Hooks>>,
-    memory: MemoryBudget,
+    memory: Rc<MemoryLimit>,
     client_metrics: ClientMetrics,
     /// A successor can be asked whether it is ready, and take over.
     upgrades: bool,
@@ -91,7 +93,12 @@
     settings.push().into_iter().for_each(|push| clock::restore_epoch(&push.state));
     let script = settings.hook().map(Script::load).transpose().map_err(Error::Configuration)?;
     let metrics = Metrics::new(settings.classes());
-    let memory = MemoryBudget::unlimited();
+    let limits = settings.platform.as_ref().map(|platform| platform.limits);
+    let connections =
+        limits.map_or(0, |limits| DescriptorBudget::new(limits.sockets, false).submitter_connections());
+    let memory = Rc::new(MemoryLimit::new(limits.and_then(|limits| limits.memory_bytes), connections)?);
+    let (followed, memory_metrics) = (memory.clone(), MemoryMetrics::register(&metrics));
+    actix_rt::spawn(async move { followed.follow(memory_metrics).await });
     let client_metrics = ClientMetrics::register(&metrics);
     let process = Rc::new(ProcessAvailability::default());
     let admin = Admin::new(metrics.clone(), process.clone());
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpListener;
 
 use super::descriptor_budget::DescriptorBudget;
+use super::memory_limit::MemoryLimit;
 use super::running_front::{RunningFront, start_tasks};
 use super::step::{StartMode, claim, listen_for_submitters, open_journal};
 use super::{Error, StartContext};
@@ -21,7 +22,6 @@
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
 use crate::listener::listen;
-use crate::memory_budget::MemoryBudget;
 use crate::metrics::BacklogMetrics;
 use crate::platform::carrier::NodeClient;
 use crate::platform::refusing::refuse_all;
@@ -41,6 +41,7 @@
 pub struct PlatformFront {
     pub front: RunningFront<NodeClient>,
     budget: Rc<DescriptorBudget>,
+    memory: Rc<MemoryLimit>,
     discovery_task: actix_rt::task::JoinHandle<()>,
     listen: SocketAddr,
 }
@@ -75,7 +76,7 @@
         let connections = DescriptorBudget::new(self.config.limits.sockets, false).submitter_connections();
         let claimed = tokio::select! {
             claimed = claimed => claimed,
-            () = refuse_all(socket.clone(), connections, context.memory.clone()) => Err(Error::Other("no connections can be accepted".into())),
+            () = refuse_all(socket.clone(), connections, context.memory.budget()) => Err(Error::Other("no connections can be accepted".into())),
         };
         self.early_listener.replace(Some(socket));
         claimed
@@ -95,6 +96,7 @@
         self.config.rules.settings.list_shared = self.sharing.is_some();
         let PlatformStart { config, idle, backlog, sharing, early_listener } = self;
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
+        context.memory.set_shared(predecessor.is_some());
         let node_client = NodeClient::new(
             &config.rules,
             config.discovery,
@@ -121,7 +123,7 @@
             mode.run("platform", "backlog", attempt).await?;
         }
         let limiter =
-            ConnectionLimiter::new(budget.submitter_connections()).with_memory(context.memory.clone());
+            ConnectionLimiter::new(budget.submitter_connections()).with_memory(context.memory.budget());
         let limiter = Rc::new(limiter.with_metrics(context.client_metrics.clone()));
         context.process.set_limiter(limiter.clone());
         let known_generation = match predecessor {
@@ -129,7 +131,7 @@
                 if predecessor.state.drained {
                     context.process.apply_event(AvailabilityEvent::Drain);
                 }
-                take_over(&core, &limiter, &budget, idle, predecessor, open).await
+                take_over(&core, &limiter, &budget, &context.memory, idle, predecessor, open).await
             }
             None => {
                 open.into_iter().for_each(|open| core.recover(open));
@@ -161,10 +163,16 @@
         let address = listener.local_addr().unwrap_or(config.listen);
         let server =
             Server::new(core, context.process.availability(), limiter, context.client_metrics.clone());
-        actix_rt::spawn(server.accept(listener, context.memory.clone()));
+        actix_rt::spawn(server.accept(listener, context.memory.budget()));
         context.process.apply_event(AvailabilityEvent::Started);
         tracing::info!(name = config.name, listen = %address, "platform front is ready");
-        Ok(PlatformFront { front, budget, discovery_task, listen: config.listen })
+        Ok(PlatformFront {
+            front,
+            budget,
+            memory: context.memory.clone(),
+            discovery_task,
+            listen: config.listen,
+        })
     }
 }
 
@@ -175,7 +183,7 @@
     config: &PlatformConfig,
     budget: &DescriptorBudget,
     listener: &RefCell<Option<Rc<TcpListener>>>,
-    memory: &MemoryBudget,
+    memory: &MemoryLimit,
 ) -> Result<(Journal, Vec<OpenJob>), Error> {
     let MachineLimits { disk_bytes, .. } = config.limits;
     let failed = |error: String| Error::from(format!("BALANCER_STATE: {error}"));
@@ -192,7 +200,7 @@
     };
     let opened = tokio::select! {
         opened = open_journal(lock, disk_bytes) => opened,
-        () = refuse_all(socket.clone(), budget.submitter_connections(), memory.clone()) => Err("no connections can be accepted".into()),
+        () = refuse_all(socket.clone(), budget.submitter_connections(), memory.budget()) => Err("no connections can be accepted".into()),
     };
     *listener.borrow_mut() = Some(socket);
     opened.map_err(failed)
@@ -203,15 +211,18 @@
     core: &Rc<Core<NodeClient>>,
     limiter: &Rc<ConnectionLimiter>,
     budget: &Rc<DescriptorBudget>,
+    memory: &Rc<MemoryLimit>,
     idle: IdleConfig,
     predecessor: Predecessor,
     open: Vec<OpenJob>,
 ) -> Option<u64> {
     let pending_outcomes = core.take_over(&predecessor.state, open).await;
     let known_generation = predecessor.state.generation;
-    let (successor, limiter, budget) = (core.clone(), limiter.clone(), budget.clone());
+    let (successor, limiter, budget, memory) =
+        (core.clone(), limiter.clone(), budget.clone(), memory.clone());
     actix_rt::spawn(predecessor.follow(core.clone(), pending_outcomes, move || {
         budget.stop_sharing();
+        memory.set_shared(false);
         successor.transport.set_max_connections(budget.node_connections(&idle));
         limiter.set_limit(budget.submitter_connections());
     }));
@@ -259,6 +270,7 @@
     pub async fn stop(&self, drained: bool) {
         let handed_over = |transport: &NodeClient| {
             self.discovery_task.abort();
+            self.memory.set_shared(true);
             transport.close_all_idle();
         };
         self.front.stop(drained, handed_over).await;
@@ -275,6 +287,7 @@
         core.transport.set_max_connections(self.budget.node_connections(&idle));
         core.apply_rules(config.rules, config.limits.disk_bytes);
         limiter.set_limit(self.budget.submitter_connections());
+        self.memory.set(config.limits.memory_bytes, self.budget.submitter_connections());
         tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
     }
 }
