Charge messages and calls to the memory budget; give up heads that do not end

The body of an answer that names no messages is dropped as it is read; up to 64 KiB of each were kept and not used. - The state folder counts as memory on the platform, so its limit is reserved.

--- a/relay/src/http1.rs
+++ b/relay/src/http1.rs
@@ -27,7 +27,7 @@
 
 mod request_reader;
 
-pub use request_reader::{BodyError, CONNECTION_BYTES};
+pub use request_reader::{BodyError, CONNECTION_BYTES, MESSAGE_BYTES};
 
 /// When a request may be sent again that was refused for want of memory or because its client has left, in seconds.
 const RETRY_AFTER_S: &str = "1";
--- a/relay/src/http1/request_reader.rs
+++ b/relay/src/http1/request_reader.rs
@@ -17,7 +17,10 @@
 /// Bodies up to this size are not charged while they are read, so that ordinary requests never wait for memory.
 const SMALL_BODY: usize = 2 * 1024;
 /// What a connection takes at most without a charge, in bytes: the two shares above, its task and its buffer for a response.
-pub const CONNECTION_BYTES: usize = READ_BUFFER + SMALL_BODY + 8 * 1024;
+pub const CONNECTION_BYTES: usize = READ_BUFFER + SMALL_BODY + 6 * 1024;
+
+/// What a message takes beside its body, in bytes: its task, its ids, and what the decision module knows of it.
+pub const MESSAGE_BYTES: usize = 8 * 1024;
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -189,7 +192,7 @@
         if self.buffer.is_empty() {
             self.release_buffer();
         }
-        Ok(Ok(body.finish()))
+        Ok(Ok(if wanted { body.finish() } else { Bytes::new() }))
     }
 
     /// Reads more into the buffer, which is allocated only once there is something to read. Returns 0 at the end of the connection,
@@ -263,25 +266,12 @@
         true
     }
 
-    /// The whole body, charged to the message from now on.
+    /// The whole body, which is charged to the message from now on.
     fn finish(mut self) -> Bytes {
         self.bytes.shrink_to_fit();
-        if self.charge.bytes() == 0 {
-            return Bytes::from(self.bytes);
-        }
-        let charge = self.charge.transfer(Holder::Messages);
-        Bytes::from_owner(ChargedBody { bytes: self.bytes, _charge: charge })
-    }
-}
-
-/// A body whose memory is charged until its last reference is dropped.
-struct ChargedBody {
-    bytes: Vec<u8>,
-    _charge: MemoryCharge,
-}
-
-impl AsRef<[u8]> for ChargedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        let uncharged = self.bytes.len().saturating_sub(self.charge.bytes());
+        let mut charge = self.charge.transfer(Holder::Messages);
+        charge.grow(uncharged + MESSAGE_BYTES);
+        charge.hold(self.bytes)
     }
 }
--- a/relay/src/memory_budget.rs
+++ b/relay/src/memory_budget.rs
@@ -4,6 +4,7 @@
 //! is not owed to anybody yet (the rest of a request) waits until the budget has room; what is owed (a request that was read whole, a
 //! call) is charged in any case, so that less is left for the former. Knows neither sockets nor the process's real size:
 //! [`crate::run`] measures that and sets how much is available.
+use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::Notify;
@@ -147,6 +148,11 @@
         }
     }
 
+    /// These bytes, with this charge for as long as anything refers to them.
+    pub fn hold<T: AsRef<[u8]> + Send + 'static>(self, bytes: T) -> Bytes {
+        Bytes::from_owner(Held { bytes, _charge: self })
+    }
+
     /// Charges the same bytes to another holder from now on.
     pub fn transfer(mut self, holder: Holder) -> MemoryCharge {
         let bytes = std::mem::take(&mut self.bytes);
@@ -166,6 +172,18 @@
     }
 }
 
+/// Bytes and the charge for them.
+struct Held<T> {
+    bytes: T,
+    _charge: MemoryCharge,
+}
+
+impl<T: AsRef<[u8]>> AsRef<[u8]> for Held<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
 /// Counts a charge that waits for room.
 struct Waiting<'a>(&'a Shared);
 
--- a/relay/src/memory_budget/tests.rs
+++ b/relay/src/memory_budget/tests.rs
@@ -14,6 +14,21 @@
     assert!(Holder::ALL.iter().all(|holder| budget.charged(*holder) == 0));
 }
 
+#[test]
+fn held_bytes_are_charged_until_the_last_reference_is_dropped() {
+    let budget = MemoryBudget::new(100);
+    for body in [&b"body"[..], b""] {
+        let mut charge = budget.charge(Holder::Messages);
+        charge.grow(50);
+        let held = charge.hold(body);
+        let copy = held.clone();
+        drop(held);
+        assert_eq!((copy.as_ref(), budget.charged(Holder::Messages)), (body, 50));
+        drop(copy);
+        assert_eq!(budget.charged(Holder::Messages), 0);
+    }
+}
+
 #[test]
 fn what_is_owed_is_charged_beyond_the_budget_and_what_is_not_waits() {
     let budget = MemoryBudget::new(100);
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -2,10 +2,11 @@
 use actix_rt::net::{ActixStream, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
-use awc::error::{ConnectError as Unconnected, SendRequestError};
+use awc::error::{ConnectError as Unconnected, PayloadError, SendRequestError};
 use awc::http::{StatusCode, Uri};
-use awc::{Client, Connector};
+use awc::{Client, ClientResponse, Connector};
 use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
 use rustix::io::Errno;
 use slatethread::{EndpointId, Report};
 use slatethread_wirehost::wire_settings::load_report;
@@ -29,6 +30,7 @@
 use crate::discovery::DiscoveryServer;
 use crate::job::{Job, Outcome, parse_wait_seconds};
 use crate::journal::FinalNotice;
+use crate::memory_budget::{Holder, MemoryBudget};
 use crate::metrics::SurplusCounter;
 
 /// How long a connection may be used. Replaces awc's shorter default with a year, so that none is closed for its age.
@@ -37,6 +39,8 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the body of a response is read, so that its connection can be reused.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// What a call takes beside the message that it carries, in bytes: awc's two buffers and the head of the answer.
+const CALL_BYTES: usize = 24 * 1024;
 /// How many bytes of a response body are read for that.
 const MAX_RESPONSE_BODY: usize = 64 * 1024;
 
@@ -50,6 +54,7 @@
     notices: NoticePoster,
     pool: Rc<ConnectionPool>,
     surplus_counter: SurplusCounter,
+    memory: MemoryBudget,
     dial_timeout: Cell<Duration>,
     /// Connections that are idle for this long are closed.
     idle_timeout: Cell<Duration>,
@@ -119,8 +124,10 @@
         discovery: SocketAddr,
         list_limit: usize,
         surplus_counter: SurplusCounter,
+        memory: MemoryBudget,
     ) -> Self {
         NodeClient {
+            memory,
             pool: Rc::default(),
             surplus_counter,
             nodes: RefCell::new(HashMap::new()),
@@ -177,6 +184,8 @@
         let handle = self.handle(node);
         let is_batch = call.path == BATCH_PATH;
         let Call { path, headers, body } = call;
+        let mut charge = self.memory.charge(Holder::Calls);
+        charge.grow(CALL_BYTES + body.len());
         let mut request = handle.client.post(format!("http://{}{path}", node.address)).no_decompress();
         for (name, value) in headers {
             request = request.insert_header((name, value.as_ref()));
@@ -184,7 +193,7 @@
         let sent = request.send_body(body);
         async move {
             // The node's connections are kept for as long as this handle is.
-            let _handle = handle;
+            let (_handle, _charge) = (handle, charge);
             let mut response = match sent.await {
                 Ok(response) => response,
                 Err(e) => {
@@ -216,7 +225,14 @@
                 // A response with both is invalid; one with neither ends with the connection.
                 _ => BodyFraming::Other,
             };
-            let read = timeout(BODY_READ_TIMEOUT, response.body().limit(MAX_RESPONSE_BODY)).await;
+            let read = async {
+                match is_batch {
+                    true => response.body().limit(MAX_RESPONSE_BODY).await,
+                    // What it says is not used.
+                    false => drain(&mut response).await.map(|()| Bytes::new()),
+                }
+            };
+            let read = timeout(BODY_READ_TIMEOUT, read).await;
             let log = |error: &_| tracing::debug!(%error, "response broke off");
             let body = read.ok().and_then(|body| body.inspect_err(log).ok());
             if body.is_some() && !is_batch {
@@ -228,6 +244,21 @@
     }
 }
 
+/// Reads a response body to its end and drops it.
+async fn drain<S>(response: &mut ClientResponse<S>) -> Result<(), PayloadError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut length = 0;
+    while let Some(chunk) = response.next().await {
+        length += chunk?.len();
+        if length > MAX_RESPONSE_BODY {
+            return Err(PayloadError::Overflow);
+        }
+    }
+    Ok(())
+}
+
 /// The path for calls that carry several messages.
 const BATCH_PATH: &str = "/v1/messages:batch";
 
--- a/relay/src/platform/carrier/tests.rs
+++ b/relay/src/platform/carrier/tests.rs
@@ -1,6 +1,7 @@
 //! A node closes a reused connection during a call: which calls count as never run.
 use super::*;
 use crate::core::tests::{node, permit};
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use std::time::SystemTime;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -76,6 +77,7 @@
             SocketAddr::from(([127, 0, 0, 1], 1)),
             1,
             Metrics::new(&[]).surplus_answers(),
+            MemoryBudget::unlimited(),
         );
         let node = node(address, true);
         let connections =
--- a/relay/src/platform/connection.rs
+++ b/relay/src/platform/connection.rs
@@ -18,7 +18,7 @@
 
 use super::attribution::{Answer, DELIVERED};
 use super::node_pool::{Connection, NodePool};
-use super::response_tracker::{BodyFraming, Extent, ResponseTracker};
+use super::response_tracker::{BodyFraming, Extent, MAX_HEAD, ResponseTracker};
 use crate::core::SendPermit;
 
 tokio::task_local! {
@@ -211,6 +211,11 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut response = self.0.response.borrow_mut();
         loop {
+            if response.head_is_too_long() {
+                return Poll::Ready(Err(io::Error::other(format!(
+                    "the head is longer than {MAX_HEAD} bytes"
+                ))));
+            }
             if response.status.is_some() && response.prelude.is_empty() {
                 let before = buf.filled().len();
                 ready!(self.with_stream(|stream| stream.poll_read(cx, buf), Ok(())))?;
--- a/relay/src/platform/response_tracker.rs
+++ b/relay/src/platform/response_tracker.rs
@@ -6,6 +6,9 @@
 /// How many bytes of 1xx responses are skipped, and how many are buffered while waiting for the end of a status line.
 pub(super) const MAX_PRELUDE: usize = 16 * 1024;
 
+/// Longest head of a final response, in bytes. awc would keep up to 128 KiB of one that does not end.
+pub(super) const MAX_HEAD: usize = 16 * 1024;
+
 /// How the end of a response body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -78,6 +81,11 @@
         }
     }
 
+    /// Whether more of a head was forwarded than any node sends.
+    pub(super) fn head_is_too_long(&self) -> bool {
+        self.head_len.is_none() && self.forwarded > MAX_HEAD as u64
+    }
+
     /// Counts bytes that are forwarded to awc.
     pub(super) fn count_forwarded(&mut self, part: &[u8]) {
         for (i, byte) in part.iter().enumerate() {
--- a/relay/src/run/memory_limit.rs
+++ b/relay/src/run/memory_limit.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::Error;
+use crate::config::MachineLimits;
 use crate::http1::CONNECTION_BYTES;
 use crate::memory_budget::{Holder, MemoryBudget};
 use crate::metrics::MemoryMetrics;
@@ -57,6 +58,8 @@
     limit: Cell<Option<usize>>,
     /// How many connections clients may open.
     connections: Cell<usize>,
+    /// Size limit of the state folder, whose files count as memory.
+    disk: Cell<usize>,
     /// Another process of the relay runs beside this one, under the same limit.
     shared: Cell<bool>,
     /// Of the process at rest; `None` if the system does not tell.
@@ -68,12 +71,14 @@
     ///
     /// # Errors
     /// The limit is too small for the process, its connections and a few requests.
-    pub fn new(limit: Option<usize>, connections: usize) -> Result<MemoryLimit, Error> {
+    pub fn new(limits: Option<MachineLimits>, connections: usize) -> Result<MemoryLimit, Error> {
+        let limit = limits.and_then(|limits| limits.memory_bytes);
         let at_rest = Resident::measure();
         let memory = MemoryLimit {
             budget: MemoryBudget::unlimited(),
             limit: Cell::new(limit),
             connections: Cell::new(connections),
+            disk: Cell::new(limits.map_or(0, |limits| limits.disk_bytes as usize)),
             shared: Cell::new(false),
             anonymous_at_rest: at_rest.map(|at_rest| at_rest.anonymous),
         };
@@ -81,7 +86,7 @@
             let needed = at_rest.total() + memory.reserve() + MIN_BUDGET;
             if needed > limit {
                 return Err(Error::Configuration(format!(
-                    "BALANCER_CONFIG: limits.memory_mb: {} MB is too small for {connections} client connections; at least {} MB is needed",
+                    "BALANCER_CONFIG: limits.memory_mb: {} MB is too small for {connections} client connections and the state folder; at least {} MB is needed",
                     limit as f64 / 1e6,
                     needed.div_ceil(1_000_000)
                 )));
@@ -96,9 +101,10 @@
         self.budget.clone()
     }
 
-    /// Applies a reloaded limit.
-    pub fn set(&self, limit: Option<usize>, connections: usize) {
-        self.limit.set(limit);
+    /// Applies reloaded limits.
+    pub fn set(&self, limits: MachineLimits, connections: usize) {
+        self.limit.set(limits.memory_bytes);
+        self.disk.set(limits.disk_bytes as usize);
         self.connections.set(connections);
         self.apply();
     }
@@ -111,7 +117,7 @@
     }
 
     fn reserve(&self) -> usize {
-        FIXED_RESERVE + self.connections.get() * CONNECTION_BYTES
+        FIXED_RESERVE + self.disk.get() + self.connections.get() * CONNECTION_BYTES
     }
 
     /// Sets the budget; returns what the process takes now.
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -96,7 +96,7 @@
     let limits = settings.platform.as_ref().map(|platform| platform.limits);
     let connections =
         limits.map_or(0, |limits| DescriptorBudget::new(limits.sockets, false).submitter_connections());
-    let memory = Rc::new(MemoryLimit::new(limits.and_then(|limits| limits.memory_bytes), connections)?);
+    let memory = Rc::new(MemoryLimit::new(limits, connections)?);
     let (followed, memory_metrics) = (memory.clone(), MemoryMetrics::register(&metrics));
     actix_rt::spawn(async move { followed.follow(memory_metrics).await });
     let client_metrics = ClientMetrics::register(&metrics);
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -17,11 +17,13 @@
 use crate::core::{Core, Transport};
 use crate::disabled::DisabledNodes;
 use crate::handover::{FolderClaim, Predecessor};
+use crate::http1::MESSAGE_BYTES;
 use crate::instances::{self, ListSharing};
 use crate::journal::{Journal, OpenJob, is_transient};
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
 use crate::listener::listen;
+use crate::memory_budget::{Holder, MemoryBudget};
 use crate::metrics::BacklogMetrics;
 use crate::platform::carrier::NodeClient;
 use crate::platform::refusing::refuse_all;
@@ -102,6 +104,7 @@
             config.discovery,
             idle.list_limit,
             context.metrics.surplus_answers(),
+            context.memory.budget(),
         );
         node_client.set_max_connections(budget.node_connections(&idle));
         let discovery = node_client.discovery_server();
@@ -111,6 +114,8 @@
         let (journal, open) = mode.run("platform", "journal", attempt).await?;
         // From here on only the journal keeps the lock, so that closing the journal releases it.
         drop(lock);
+        let open: Vec<_> =
+            open.into_iter().map(|open| charge_message(open, &context.memory.budget())).collect();
         tracing::info!(recovered = open.len(), "journal read");
         let disabled = DisabledNodes::open(&config.state);
         let (hooks, metrics) = (context.hooks.clone(), context.metrics.clone());
@@ -206,6 +211,14 @@
     opened.map_err(failed)
 }
 
+/// Charges a message from the journal, as one that a client has sent is.
+fn charge_message(mut open: OpenJob, memory: &MemoryBudget) -> OpenJob {
+    let mut charge = memory.charge(Holder::Messages);
+    charge.grow(open.job.body.len() + MESSAGE_BYTES);
+    open.job.body = charge.hold(open.job.body);
+    open
+}
+
 /// Takes over what the predecessor held in memory. Returns the version of its list.
 async fn take_over(
     core: &Rc<Core<NodeClient>>,
@@ -287,7 +300,7 @@
         core.transport.set_max_connections(self.budget.node_connections(&idle));
         core.apply_rules(config.rules, config.limits.disk_bytes);
         limiter.set_limit(self.budget.submitter_connections());
-        self.memory.set(config.limits.memory_bytes, self.budget.submitter_connections());
+        self.memory.set(config.limits, self.budget.submitter_connections());
         tracing::info!(discovery = %config.discovery, "SIGHUP: configuration read anew");
     }
 }
--- a/relay/tests/platform/answers.rs
+++ b/relay/tests/platform/answers.rs
@@ -182,3 +182,21 @@
          expect n1 nothing 100",
     );
 }
+
+#[test]
+fn an_answer_whose_head_does_not_end_is_given_up_and_not_kept() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 timeout=5000
+         expect s1 202
+         expect n1 POST body=j1
+         send n1 raw=HTTP/1.1_500_x|long:_ flood=20000
+         expect relay log=head_is_longer
+         expect n1 closed
+         expect n1 POST body=j1               # it may be repeated
+         send n1 200
+         expect relay log=Delivered",
+    );
+}
--- a/relay/tests/scenario/http1.rs
+++ b/relay/tests/scenario/http1.rs
@@ -136,12 +136,19 @@
     word.replace('_', " ").replace('|', "\r\n")
 }
 
-fn response(instruction: &Instruction) -> String {
+/// Bytes that follow a raw message.
+fn flood(instruction: &Instruction) -> Vec<u8> {
+    let size = argument(instruction, "flood").map_or(0, |size| size.parse().expect("a size"));
+    vec![b'a'; size]
+}
+
+fn response(instruction: &Instruction) -> Vec<u8> {
     if let Some(word) = argument(instruction, "raw") {
-        return raw(word);
+        return [raw(word).into_bytes(), flood(instruction)].concat();
     }
     let headers = instruction[1..].iter().filter(|(k, _)| k != "to").map(|(k, v)| format!("{k}: {v}\r\n"));
-    format!("HTTP/1.1 {} x\r\ncontent-length: 2\r\n{}\r\nok", instruction[0].0, headers.collect::<String>())
+    let headers = headers.collect::<String>();
+    format!("HTTP/1.1 {} x\r\ncontent-length: 2\r\n{headers}\r\nok", instruction[0].0).into_bytes()
 }
 
 /// An execute node. Its requests are reported with the number of the connection that they arrived on.
@@ -149,39 +156,38 @@
     let (listener, address) = listener();
     let count = std::sync::atomic::AtomicU32::new(0);
     tokio::spawn(async move {
-        let serve = |mut stream: TcpStream,
-                     mut broken: watch::Receiver<u32>,
-                     mut instructions: Instructions| {
-            let events = events.clone();
-            let number = count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            async move {
-                loop {
-                    let mut request = tokio::select! {
-                        request = read(&mut stream, 0) => match request {
-                            Some(request) => request,
-                            None => break,
-                        },
-                        Some(how) = instructions.recv() => return reset(stream, &how, &events).await,
-                        _ = broken.changed() => return,
-                    };
-                    request.fields.insert("connection".into(), number.to_string());
-                    let body = request.fields["body"].clone();
-                    let (reply, mut replies) = mpsc::unbounded_channel();
-                    let _ = events.send(request.with_reply(reply));
-                    let mut byte = [0; 1];
-                    tokio::select! {
-                        Some(reply) = replies.recv() => drop(stream.write_all(response(&reply).as_bytes()).await),
-                        _ = stream.read(&mut byte) => {
-                            let _ = events.send(Event::new("cancelled", [("body", body.as_str())]));
-                            return;
+        let serve =
+            |mut stream: TcpStream, mut broken: watch::Receiver<u32>, mut instructions: Instructions| {
+                let events = events.clone();
+                let number = count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                async move {
+                    loop {
+                        let mut request = tokio::select! {
+                            request = read(&mut stream, 0) => match request {
+                                Some(request) => request,
+                                None => break,
+                            },
+                            Some(how) = instructions.recv() => return reset(stream, &how, &events).await,
+                            _ = broken.changed() => return,
+                        };
+                        request.fields.insert("connection".into(), number.to_string());
+                        let body = request.fields["body"].clone();
+                        let (reply, mut replies) = mpsc::unbounded_channel();
+                        let _ = events.send(request.with_reply(reply));
+                        let mut byte = [0; 1];
+                        tokio::select! {
+                            Some(reply) = replies.recv() => drop(stream.write_all(&response(&reply)).await),
+                            _ = stream.read(&mut byte) => {
+                                let _ = events.send(Event::new("cancelled", [("body", body.as_str())]));
+                                return;
+                            }
+                            Some(how) = instructions.recv() => return reset(stream, &how, &events).await,
+                            _ = broken.changed() => return,
                         }
-                        Some(how) = instructions.recv() => return reset(stream, &how, &events).await,
-                        _ = broken.changed() => return,
                     }
+                    let _ = events.send(Event::new("closed", [("connection", number.to_string().as_str())]));
                 }
-                let _ = events.send(Event::new("closed", [("connection", number.to_string().as_str())]));
-            }
-        };
+            };
         listen(listener, instructions, serve).await;
     });
     address
@@ -304,8 +310,7 @@
 
 fn request(instruction: &Instruction) -> Vec<u8> {
     if let Some(word) = argument(instruction, "raw") {
-        let flood = argument(instruction, "flood").map_or(0, |size| size.parse().expect("a size"));
-        return [raw(word).into_bytes(), vec![b'a'; flood]].concat();
+        return [raw(word).into_bytes(), flood(instruction)].concat();
     }
     let id = argument(instruction, "id").unwrap_or("");
     let mut text = format!("{} {} HTTP/1.1\r\nhost: relay\r\n", instruction[0].0, instruction[1].0);
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -32,7 +32,7 @@
 //!   `received`.
 //! - `o...`: an execute node that answers each request with 200 at once, and reports none.
 //! - `n...`: an execute node; `g...`: a gateway (`g3` allows one stream per connection). Expect POST, then send a status
-//!   (to=BODY selects the request), raw=TEXT in its place (_ is a space, | a line break), reset=CODE or goaway=LAST_STREAM.
+//!   (to=BODY selects the request), raw=TEXT in its place (_ is a space, | a line break; flood=N: N bytes behind it), reset=CODE or goaway=LAST_STREAM.
 //!   Expect cancelled: the relay gave the request up.
 //!
 //! `close X` ends a submitter's connection, or breaks a server's connections and stops listening. `close X connections` breaks
