--- a/relay/src/core/job_task.rs
+++ b/relay/src/core/job_task.rs
@@ -26,6 +26,9 @@
 /// Delay before a claim that failed by a fault of this machine is reported to the decision module.
 const LOCAL_FAULT_DELAY: Duration = Duration::from_millis(20);
 
+/// How long after a full journal was logged it is logged again.
+const FULL_JOURNAL_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The progress of a job.
 #[derive(Default)]
 pub(super) struct JobProgress {
@@ -531,7 +534,8 @@
         match self.journal.borrow_mut().record_job(job, rules) {
             Ok(Some(receipt)) => Some(receipt),
             Ok(None) => {
-                tracing::warn!(id = job.id, size = job.body.len(), "journal is full; the job is refused");
+                tracing::debug!(id = job.id, size = job.body.len(), "job refused: the journal is full");
+                self.log_full_journal();
                 None
             }
             Err(error) => {
@@ -541,6 +545,15 @@
         }
     }
 
+    /// Logs that the journal is full, now and then: clients decide how often it happens.
+    fn log_full_journal(&self) {
+        let logged = self.full_journal_logged.get();
+        if logged.is_none_or(|at| at.elapsed() > FULL_JOURNAL_LOG_INTERVAL) {
+            self.full_journal_logged.set(Some(Instant::now()));
+            tracing::warn!("journal is full; jobs are refused");
+        }
+    }
+
     /// Registers a job with the decision module, which decides on it in the next round.
     fn register(&self, job: &Job, progress: &JobProgress) -> Registration<'_, C> {
         let now = clock::now();
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -176,6 +176,8 @@
     jobs_in_hooks: Cell<usize>,
     /// Number of jobs that count as delivered and whose answer is not certain yet.
     unconfirmed_deliveries: Cell<usize>,
+    /// When the log last said that the journal is full.
+    full_journal_logged: Cell<Option<Instant>>,
 }
 
 /// Start of the decision module's clock. One hour, since the module treats times near zero as long ago.
@@ -239,6 +241,7 @@
             successor: RefCell::new(None),
             jobs_in_hooks: Cell::new(0),
             unconfirmed_deliveries: Cell::new(0),
+            full_journal_logged: Cell::new(None),
         })
     }
 
