A new process at an old address supersedes the node that had it

Cause: nodes were known by name alone (apply_entry in core/nodes.rs compared names, never addresses), so both stayed in use until the deletion. Change: where an address is that of one process (the platform front), it belongs to the node that started last or, where the list does not tell, to the one listed last (core/address_owners). The other counts as removed at once: its connections are closed, claims that wait for a connection are not sent, and what was learned goes. That it has lost its address is remembered while the list has it, in whole lists, in changes and over a handover (there as a draining node, so the format is unchanged). A later start under the same name closes the idle connections of the process before. Gateways of the push front are configured, not discovered, and may share an address. Why it holds: every way by which a list comes in ends in apply_entry.

--- a/relay/src/core/handover.rs
+++ b/relay/src/core/handover.rs
@@ -91,7 +91,13 @@
             });
         HandoverState {
             generation: self.generation.get(),
-            nodes: state.nodes.all().map(|node| node.to_listed_node(&self.rules())).collect(),
+            // Those that have lost their addresses as draining ones, so that the successor knows that they are the older ones.
+            nodes: state
+                .nodes
+                .superseded()
+                .chain(state.nodes.all())
+                .map(|node| node.to_listed_node(&self.rules()))
+                .collect(),
             waits: waits.collect(),
             learned: learned.collect(),
             recent,
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Runs jobs, and the rounds of the decision module (`slatethread`). Independent of any wire protocol: a front submits
 //! jobs, and a [`Transport`] carries claims to execute nodes and notices to their receivers.
+mod address_owners;
 mod backlog;
 mod bundle;
 mod confirmation;
@@ -74,6 +75,10 @@
     fn close_idle(&self, node: &Node);
     /// A node was removed from the list, or has another address now.
     fn node_removed(&self, node: &Node);
+    /// Whether each address is that of one node only, so that another name there means another process.
+    fn one_node_per_address(&self) -> bool {
+        false
+    }
 }
 
 struct State {
@@ -205,7 +210,7 @@
             timers: BinaryHeap::new(),
             order_senders: HashMap::new(),
             next_msg: 0,
-            nodes: Nodes::default(),
+            nodes: Nodes::new(transport.one_node_per_address()),
             waits: HashMap::new(),
             waits_after_pruning: 0,
             ids: HashMap::new(),
--- a/relay/src/core/nodes.rs
+++ b/relay/src/core/nodes.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 
+use super::address_owners::{AddressClaim, AddressOwners};
 use super::{Confirmation, Core, LeaseClock, State, Transport};
 use crate::clock;
 use crate::config::Rules;
@@ -43,15 +44,15 @@
     /// NaN if the list has no weight for it.
     weight: Cell<f64>,
     /// Its last start, as Unix time in milliseconds; 0 means long ago.
-    started_ms: Cell<u64>,
+    pub(super) started_ms: Cell<u64>,
     /// When an operator last enabled it, in the same unit.
     enabled_ms: Cell<u64>,
     /// Whether the list has it as serving, neither draining nor deleted.
-    serving: Cell<bool>,
+    pub(super) serving: Cell<bool>,
     /// Whether an operator has disabled it.
     disabled: Cell<bool>,
     /// Number of the last full list that contained it.
-    last_full_list: Cell<u32>,
+    pub(super) last_full_list: Cell<u32>,
 }
 
 /// Why a node could not be disabled or enabled.
@@ -73,6 +74,8 @@
 pub(super) struct Nodes {
     by_id: HashMap<EndpointId, Rc<Node>>,
     by_name: HashSet<ByName>,
+    /// Who has which address; `None` if several nodes may have the same one.
+    addresses: Option<AddressOwners>,
     /// The number of nodes of each destination.
     dests: HashMap<u64, u32>,
     last_id: u32,
@@ -107,6 +110,11 @@
 impl Eq for ByName {}
 
 impl Nodes {
+    /// No nodes yet; `one_per_address` says whether an address is that of one node only.
+    pub fn new(one_per_address: bool) -> Nodes {
+        Nodes { addresses: one_per_address.then(AddressOwners::default), ..Nodes::default() }
+    }
+
     pub fn get(&self, id: EndpointId) -> Option<&Rc<Node>> {
         self.by_id.get(&id)
     }
@@ -119,6 +127,11 @@
         self.by_id.values()
     }
 
+    /// Nodes that the list still has and whose address another one has taken.
+    pub fn superseded(&self) -> impl Iterator<Item = &Rc<Node>> {
+        self.addresses.iter().flat_map(AddressOwners::superseded)
+    }
+
     /// The number of listed nodes, and the number of those that accept no claims.
     pub fn count(&self) -> (usize, usize) {
         (self.by_id.len(), self.by_id.values().filter(|node| !node.accepts_claims()).count())
@@ -137,6 +150,7 @@
         *self.dests.entry(node.dest).or_default() += 1;
         self.by_id.insert(node.id, node.clone());
         self.by_name.insert(ByName(node.clone()));
+        self.addresses.iter_mut().for_each(|addresses| addresses.insert(node.clone()));
         node
     }
 
@@ -149,6 +163,7 @@
     fn remove(&mut self, node: &Node) {
         self.by_id.remove(&node.id);
         self.by_name.remove(&*node.name);
+        self.addresses.iter_mut().for_each(|addresses| addresses.remove(node));
         let left = self.dests.get_mut(&node.dest).map_or(0, |count| {
             *count -= 1;
             *count
@@ -359,6 +374,9 @@
         }
         if list.reset {
             let missing = self.missing_from(number);
+            if let Some(addresses) = &mut self.state.borrow_mut().nodes.addresses {
+                addresses.forget_unlisted(number);
+            }
             missing.iter().for_each(|node| node.serving.set(false));
             for chunk in missing.chunks(REMOVAL_BATCH) {
                 self.update_list(|state| chunk.iter().map(|node| self.remove_node(state, node)).collect());
@@ -409,8 +427,11 @@
         for entry in entries {
             let state = self.state.borrow();
             let known = state.nodes.by_name(&entry.instance_id);
-            if let Some(node) = known.filter(|_| list > 0 && entry.lifecycle != Lifecycle::Deleted) {
-                node.last_full_list.set(list);
+            if list > 0 && entry.lifecycle != Lifecycle::Deleted {
+                let addresses = state.nodes.addresses.as_ref();
+                let superseded =
+                    addresses.and_then(|addresses| addresses.superseded_by_name(&entry.instance_id));
+                known.into_iter().chain(superseded).for_each(|node| node.last_full_list.set(list));
             }
             // Repeated even for a closed node, since its exact state is not stored.
             if entry.lifecycle != Lifecycle::Serving {
@@ -440,6 +461,7 @@
         }
         let known = state.nodes.by_name(&entry.instance_id).cloned();
         if entry.lifecycle == Lifecycle::Deleted {
+            state.nodes.addresses.iter_mut().for_each(|addresses| addresses.forget(&entry.instance_id));
             return known.iter().map(|node| self.remove_node(state, node)).collect();
         }
         let Ok(address) = entry.host_port.parse::<SocketAddr>() else {
@@ -468,26 +490,53 @@
             disabled: Cell::new(self.disabled.borrow().contains(&entry.instance_id)),
             last_full_list: Cell::new(list),
         };
+        let mut updates = Vec::new();
+        let addresses = state.nodes.addresses.as_ref();
+        match addresses.map_or(AddressClaim::Free, |addresses| addresses.claim(&node)) {
+            AddressClaim::Free => {}
+            AddressClaim::Supersedes(older) => {
+                log_superseded(&older, &node);
+                updates.push(self.remove_node(state, &older));
+                state
+                    .nodes
+                    .addresses
+                    .iter_mut()
+                    .for_each(|addresses| addresses.set_superseded(older.clone()));
+            }
+            AddressClaim::Superseded(owner) => {
+                if addresses.is_some_and(|addresses| addresses.superseded_by_name(&node.name).is_none()) {
+                    log_superseded(&node, &owner);
+                }
+                updates.extend(known.iter().map(|known| self.remove_node(state, known)));
+                node.serving.set(false);
+                let node = Rc::new(node);
+                state.nodes.addresses.iter_mut().for_each(|addresses| addresses.set_superseded(node.clone()));
+                return updates;
+            }
+        }
         let update = self.endpoint(&node, node.condition());
         match (known, unmoved.is_some()) {
             (Some(old), true) => {
+                if entry.started_at_ms > old.started_ms.get() {
+                    // Its idle connections are those of the process before.
+                    self.transport.close_idle(&old);
+                }
                 // Updated in place, since pending claims check this instance before they are sent.
                 old.serving.set(serving);
                 old.zone_kind.set(node.zone_kind.get());
                 old.weight.set(node.weight.get());
                 old.started_ms.set(node.started_ms.get());
-                vec![update]
             }
             (Some(old), false) => {
-                let removal = self.remove_node(state, &old);
+                updates.push(self.remove_node(state, &old));
                 state.nodes.insert(node);
-                vec![removal, update]
             }
             (None, _) => {
                 state.nodes.insert(node);
-                vec![update]
             }
         }
+        updates.push(update);
+        updates
     }
 
     /// Removes a node; returns the update for the decision module.
@@ -666,6 +715,12 @@
     }
 }
 
+/// Logs that a node has taken the address of another.
+fn log_superseded(older: &Node, newer: &Node) {
+    let (node, address) = (&*older.name, newer.address);
+    tracing::info!(node, %address, by = &*newer.name, "another node has the address; no claims are sent to this one");
+}
+
 /// The indices of an entry's zone and kind in the settings; an unknown name gets an index past their end.
 fn zone_kind_indices(entry: &NodeEntry, rules: &Rules) -> (u16, u16) {
     let index = |names: &[String], name: &str| {
--- a/relay/src/platform/carrier.rs
+++ b/relay/src/platform/carrier.rs
@@ -422,6 +422,10 @@
         }
     }
 
+    fn one_node_per_address(&self) -> bool {
+        true
+    }
+
     fn node_removed(&self, node: &Node) {
         let removed = self.nodes.borrow_mut().remove(&node.id);
         // Its connections are kept until its last deliveries are confirmed; no call gets one of them.
--- a/relay/tests/platform/discovery.rs
+++ b/relay/tests/platform/discovery.rs
@@ -184,3 +184,22 @@
          expect n1 nothing 50",
     );
 }
+
+#[test]
+fn a_connection_begun_to_a_node_that_lost_its_address_sends_nothing() {
+    play(
+        None,
+        "send list x1:7:SERVING:old
+         send relay start
+         send s1 POST /notice id=j1 dest=7 timeout=6000
+         expect s1 202
+         expect relay log=connecting
+         send list n1:7 x1:7:SERVING:old x1:8:SERVING:new
+         expect relay log=another_node_has_the_address
+         expect n1 POST body=j1
+         send x1 open                         # the system repeats the handshake a second later
+         send n1 200
+         expect relay log=Delivered
+         expect x1 nothing 1200",
+    );
+}
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -302,3 +302,29 @@
          expect n2 nothing 300",
     );
 }
+
+#[test]
+fn a_node_that_lost_its_address_does_not_get_it_back_at_the_successor() {
+    upgrade(
+        "send list n1:7:SERVING:old
+         expect relay log=list_of_execute_nodes
+         send list n1:7:SERVING:old n1:8:SERVING:new
+         expect relay log=another_node_has_the_address",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send list n1:8:SERVING:new n1:7:SERVING:old n2:9     # in another order
+         expect relay2 log=list_of_execute_nodes
+         send s1 POST /order id=j1 dest=9 timeout=5000
+         expect s1 202
+         expect n2 POST body=j1
+         send n2 200
+         send s1 POST /order id=j2 dest=7 timeout=900
+         expect s1 202
+         expect list returned id=j2
+         send s1 POST /order id=j3 dest=8 timeout=5000
+         expect s1 202
+         expect n1 POST body=j3
+         send n1 200
+         expect n1 nothing 50",
+    );
+}
