The rig's hard clients, and a process's memory as a rule of the soak

The rule within-memory is judged from outside: the process's own peak (VmHWM) and the files in its folder.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -58,6 +58,7 @@
     pub held: u32,
     pub sockets: usize,
     pub disk_mb: f64,
+    pub memory_mb: f64,
     pub idle_close_ms: u64,
     /// Include each destination's calls per second in the list.
     pub weights: bool,
@@ -79,6 +80,7 @@
             held: 512,
             sockets: 1024,
             disk_mb: 16.0,
+            memory_mb: 2048.0,
             idle_close_ms: 10_000,
             weights: false,
             must_ask_in_ms: 10_000,
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -113,7 +113,9 @@
     json!({
         "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{seed:x}"),
-        "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": table.sockets, "disk_mb": table.disk_mb},
+        "limits": {
+            "cores": 1.0, "memory_mb": table.memory_mb, "sockets": table.sockets, "disk_mb": table.disk_mb
+        },
         "settings": settings(table)
     })
 }
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -24,6 +24,8 @@
     Drains,
     /// No endpoint sees more new connections in a second than it accepts.
     EndpointsSpared,
+    /// No process, with the files in its folder, takes more memory than its configuration allows.
+    WithinMemory,
     /// Each request on a connection of its own gets a response there, unless the process is killed meanwhile.
     Answered,
 }
@@ -32,7 +34,7 @@
 const MAX_NAMED: usize = 10;
 
 /// All invariants, with the names under which results report them.
-pub const INVARIANTS: [(Invariant, &str); 9] = [
+pub const INVARIANTS: [(Invariant, &str); 10] = [
     (Invariant::Rules, "rules"),
     (Invariant::NoneCrashes, "none-crashes"),
     (Invariant::AllHoldTheList, "all-hold-the-list"),
@@ -42,6 +44,7 @@
     (Invariant::Drains, "drains"),
     (Invariant::EndpointsSpared, "endpoints-spared"),
     (Invariant::Answered, "answered"),
+    (Invariant::WithinMemory, "within-memory"),
 ];
 
 /// How an invariant is violated; `None` if it holds.
@@ -118,6 +121,12 @@
         }
         Invariant::Drains => drains::violation(history),
         Invariant::Answered => unanswered_violation(history),
+        Invariant::WithinMemory => history.events.iter().find_map(|event| match event.kind {
+            EventKind::OverMemory(megabytes) => {
+                Some(format!("r{} at {:.2} s: {megabytes:.1} MB", event.relay, event.at.as_secs_f64()))
+            }
+            _ => None,
+        }),
         Invariant::EndpointsSpared => {
             let (most, limit, refused) = (history.opens_most, history.opens_taken, history.opens_refused);
             (limit > 0 && (most > limit || refused > 0))
--- a/rig/src/check/tests.rs
+++ b/rig/src/check/tests.rs
@@ -42,6 +42,7 @@
         h.breaches = vec![Breach { rule: Rule::Lost, at_s: 1.0, what: "m1".into() }];
     });
     let event = |relay, kind| Event { at: Duration::from_secs(9), relay, kind };
+    assert_only_violation("within-memory", |h| h.events.push(event(0, EventKind::OverMemory(33.0))));
     assert_only_violation("none-crashes", |h| h.events.push(event(0, EventKind::Crashed(Some(1)))));
     assert_only_violation("all-hold-the-list", |h| h.events.push(event(0, EventKind::Started)));
     assert_only_violation("all-hold-the-list", |h| h.events.retain(|e| e.kind != EventKind::Listed(7)));
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -29,6 +29,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a second start beside a running process may take to end, also while its folder fails.
 const SECOND_START_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often the memory of a process is measured; its own peak is read, so a short one is not missed.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(100);
 /// The program's exit code if another process uses its state folder.
 const EXIT_IN_USE: i32 = 3;
 /// Size of the shim's control file, which is the maximum that the shim reads.
@@ -51,6 +53,8 @@
     /// System faults in force.
     active_faults: RefCell<Vec<SystemFault>>,
     folder: PathBuf,
+    /// The configured memory, in bytes.
+    memory_limit: f64,
     process: RefCell<Option<Rc<Process>>>,
     events: Rc<RefCell<Vec<Event>>>,
     start: Instant,
@@ -107,6 +111,7 @@
             shim,
             active_faults: RefCell::default(),
             folder,
+            memory_limit: table.memory_mb * 1e6,
             process: RefCell::default(),
             events,
             start,
@@ -150,10 +155,23 @@
         self.process.replace(Some(process.clone()));
         self.record(EventKind::Started);
         let output = child.stdout.take().expect("piped");
+        spawn_local(self.clone().watch_memory(process.clone()));
         spawn_local(self.clone().follow_log(child, BufReader::new(output), process));
         Ok(())
     }
 
+    /// Records once if a process, with the files in its folder, takes more memory than configured.
+    async fn watch_memory(self: Rc<Self>, process: Rc<Process>) {
+        while process.runs.get() {
+            let files = folder_bytes(&self.state_folder());
+            let bytes = peak_resident(process.pid).map_or(0.0, |resident| resident + files);
+            if bytes > self.memory_limit {
+                return self.record(EventKind::OverMemory(bytes / 1e6));
+            }
+            sleep(MEMORY_INTERVAL).await;
+        }
+    }
+
     /// The command that runs the program.
     fn command(&self) -> Command {
         let mut command = Command::new(&self.program);
@@ -358,6 +376,20 @@
     }
 }
 
+/// The most memory that a process had resident, in bytes.
+fn peak_resident(process: Pid) -> Option<f64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.as_raw_nonzero())).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kilobytes: f64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kilobytes * 1024.0)
+}
+
+/// The size of the files in a folder, in bytes.
+fn folder_bytes(folder: &Path) -> f64 {
+    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
+    entries.filter_map(|entry| Some(entry.metadata().ok()?.len() as f64)).sum()
+}
+
 async fn wait_for_exit(process: &Process) {
     while process.runs.get() {
         let _ = timeout(Duration::from_millis(50), process.exited.notified()).await;
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -41,6 +41,8 @@
     Reloaded,
     /// It ended though the schedule did not end it, with this exit code.
     Crashed(Option<i32>),
+    /// Its process and the files in its folder took more memory than configured; how much, in MB.
+    OverMemory(f64),
     /// Its process has exited, for whatever reason.
     #[serde(rename = "gone")]
     Exited,
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -232,6 +232,7 @@
     }
     let addresses: Vec<_> = run.relays.iter().map(|relay| relay.address).collect();
     schedule.idle_clients.keep_open(&addresses);
+    schedule.hard_clients.iter().for_each(|clients| clients.keep_busy(&addresses, schedule.seed));
     let submitters = Rc::new(submitters);
     for (home, arrivals) in arrivals.into_iter().enumerate() {
         let accepted_by = run.accepted_by.clone();
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use crate::hard_clients::HardClients;
 use crate::idle_clients::IdleClients;
 use crate::system_faults::{Call, Failure, SystemFault};
 
@@ -36,6 +37,9 @@
     /// Idle clients of each relay.
     #[serde(rename = "crowd", default, skip_serializing_if = "is_zero")]
     pub idle_clients: IdleClients,
+    /// Clients of one relay that send slowly, in part, or without a pause.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hard_clients: Option<HardClients>,
     /// The destination on whose messages every relay's hook script loops for ever; there is no script if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub looping_script: Option<usize>,
@@ -368,6 +372,9 @@
             // Each relay's list has other addresses there, so a list from another relay would bypass the faulty link.
             return Err("instances.lists: must be false when a fault affects links to endpoints".into());
         }
+        if self.hard_clients.is_some_and(|clients| clients.relay >= self.relay.count) {
+            return Err(format!("hard_clients.relay: must be below relay.count ({})", self.relay.count));
+        }
         let dests = self.experiment().dests();
         if self.looping_script.is_some_and(|dest| dest >= dests) {
             return Err(format!("looping_script: must be below the number of destinations ({dests})"));
--- a/rig/src/soak.rs
+++ b/rig/src/soak.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::hard_clients::{HardClientKind, HardClients};
 use crate::idle_clients::IdleClients;
 use crate::schedule::{Fault, FaultKind, LinkTo, Schedule};
 use crate::system_faults::{Call, Failure};
@@ -28,6 +29,12 @@
 const SECOND_START_DRAWS: usize = 4;
 /// One run in this many has a script that loops.
 const LOOPING_SCRIPT_ONE_IN: u32 = 4;
+/// One run in this many has hard clients at one relay.
+const HARD_CLIENTS_ONE_IN: u32 = 3;
+/// The least memory that relays have on the platform, with the descriptors and disk that they have then.
+const LEAST_MEMORY_MB: f64 = 32.0;
+const SOCKETS_WITH_LEAST_MEMORY: usize = 1024;
+const DISK_MB_WITH_LEAST_MEMORY: f64 = 3.0;
 /// One run in this many has idle clients.
 const IDLE_CLIENTS_ONE_IN: u32 = 4;
 
@@ -73,6 +80,12 @@
     drawing.repeated_answers();
     drawing.second_starts();
     schedule.looping_script = drawing.looping_script();
+    schedule.hard_clients = drawing.hard_clients();
+    if schedule.hard_clients.is_some() {
+        schedule.relay.memory_mb = LEAST_MEMORY_MB;
+        schedule.relay.sockets = SOCKETS_WITH_LEAST_MEMORY;
+        schedule.relay.disk_mb = DISK_MB_WITH_LEAST_MEMORY;
+    }
     schedule.faults = drawing.faults;
     schedule.faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     schedule.check().expect("drawn faults are valid");
@@ -241,6 +254,19 @@
         let dest = self.random.random_range(0..3);
         self.random.random_ratio(1, LOOPING_SCRIPT_ONE_IN).then_some(dest)
     }
+
+    /// Draws clients that send slowly, in part, or without a pause, in some runs.
+    fn hard_clients(&mut self) -> Option<HardClients> {
+        let kind = HardClientKind::ALL[self.random.random_range(0..HardClientKind::ALL.len())];
+        let connections = match kind {
+            HardClientKind::FloodUnread | HardClientKind::FloodInvalid => self.random.random_range(1..4),
+            HardClientKind::Leavers => self.random.random_range(5..20),
+            _ => self.random.random_range(150..=340),
+        };
+        let relay = self.random.random_range(0..self.relays);
+        let clients = HardClients { kind, connections, relay };
+        self.random.random_ratio(1, HARD_CLIENTS_ONE_IN).then_some(clients)
+    }
 }
 
 /// When a fault ends its relay's process, and how long after that no second start is drawn.
--- a/rig/src/soak/tests.rs
+++ b/rig/src/soak/tests.rs
@@ -32,4 +32,8 @@
     assert!((5..25).contains(&with_script), "{with_script}");
     let with_idle_clients = drawn.iter().filter(|s| s.idle_clients.connections > 0).count();
     assert!((5..25).contains(&with_idle_clients), "{with_idle_clients}");
+    for kind in HardClientKind::ALL {
+        let has_kind = |s: &Schedule| s.hard_clients.is_some_and(|clients| clients.kind == kind);
+        assert!((0..100).map(schedule).any(|s| has_kind(&s)), "{kind:?}");
+    }
 }
