Push front: a request is refused for want of memory before others are decoded

Cause: HPACK makes a header list of 8 KB from 200 bytes, h2 decodes all that has arrived before it passes on the first request (submitter_connection.rs, poll_accept), and a request was charged only in its own task, after all of them. Change: a multiplexed connection reads 2 KiB in a turn of its task (TrackedStream::poll_read_turn), and a request is charged for its head, its fields counted with what the map takes, or refused, in the same turn.

--- a/relay/src/connection_limiter.rs
+++ b/relay/src/connection_limiter.rs
@@ -40,6 +40,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often connections are evicted while all permits are taken.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(5);
+/// How much is read in a turn on a multiplexed connection, in bytes.
+const MULTIPLEXED_READ: usize = 2 * 1024;
 /// How much is read at once of what is dropped, in bytes.
 const DISCARD_BUFFER: usize = 4 * 1024;
 /// How often incomplete requests are given up while memory is short.
@@ -277,6 +279,22 @@
         let _ = timeout(linger, client_closed).await;
     }
 
+    /// Reads on a multiplexed connection: a little in each turn of the connection's task. A few bytes of HTTP/2 can stand for many
+    /// requests, which are all decoded before the first one can be refused.
+    fn poll_read_turn(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.0.state.has_read_in_turn.get() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut bytes = [0; MULTIPLEXED_READ];
+        let length = buf.remaining().min(MULTIPLEXED_READ);
+        let mut part = ReadBuf::new(&mut bytes[..length]);
+        ready!(self.with_stream(|stream| stream.poll_read(cx, &mut part)))?;
+        self.0.state.has_read_in_turn.set(true);
+        buf.put_slice(part.filled());
+        Poll::Ready(Ok(()))
+    }
+
     fn store_waker(&self, cx: &Context<'_>) {
         *self.0.state.waker.borrow_mut() = Some(cx.waker().clone());
     }
@@ -297,6 +315,9 @@
         if !self.0.may_read() {
             return Poll::Ready(Ok(()));
         }
+        if self.0.state.multiplexed.get() {
+            return self.poll_read_turn(cx, buf);
+        }
         let before = buf.filled().len();
         let read = self.with_stream(|stream| stream.poll_read(cx, buf));
         if read.is_ready() && buf.filled().len() > before {
--- a/relay/src/connection_limiter/state.rs
+++ b/relay/src/connection_limiter/state.rs
@@ -115,6 +115,8 @@
     pub(super) close_reason: Cell<Option<CloseReason>>,
     /// The front reads requests while others are open (HTTP/2), and ends the connection in order once it is closed from this side.
     pub(super) multiplexed: Cell<bool>,
+    /// Something was read in this turn of a multiplexed connection's task.
+    pub(super) has_read_in_turn: Cell<bool>,
     /// Complete requests that are not answered yet.
     pub(super) open_requests: Cell<u32>,
     /// Memory is charged for the request that is being read.
@@ -138,6 +140,7 @@
             waker: RefCell::new(None),
             close_reason: Cell::new(None),
             multiplexed: Cell::new(false),
+            has_read_in_turn: Cell::new(false),
             open_requests: Cell::new(0),
             holds_memory: Cell::new(false),
             requests: Cell::new(0),
@@ -182,6 +185,11 @@
         self.enter(Phase::Idle);
     }
 
+    /// A new turn of the task that serves this multiplexed connection: it may read again.
+    pub fn begin_turn(&self) {
+        self.has_read_in_turn.set(false);
+    }
+
     /// Whether it was closed from this side.
     pub fn is_closed(&self) -> bool {
         self.closed_at.get().is_some()
--- a/relay/src/push/server.rs
+++ b/relay/src/push/server.rs
@@ -42,6 +42,8 @@
 const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
 /// What a request takes beside its header list and its body, in bytes: its task, its stream, and later its job.
 const REQUEST_BYTES: usize = 12 * 1024;
+/// What a field of a head takes beside its name and value, in bytes: its places in the map, which grows by doubling.
+const FIELD_BYTES: usize = 200;
 /// Path prefix at which the state of an accepted message can be queried while it is open.
 const MESSAGE_PATH: &str = "/message/";
 /// Maximum total size of the header names and values of a job.
@@ -111,14 +113,24 @@
         let state = stream.state();
         let tls = self.tls.borrow().clone();
         let stream = tls_handshake(stream, tls).await.map_err(ConnectionError::Tls)?;
-        let handle = |request| {
+        let admit = |request: &Request<RecvStream>| self.charge_head(request.headers());
+        let handle = |request, charge| {
             let server = self.clone();
-            async move { server.serve(request).await }
+            async move { server.serve(request, charge).await }
         };
-        submitter_connection::serve(stream, state, handle).await
+        submitter_connection::serve(stream, state, admit, handle).await
     }
 
-    async fn serve(&self, mut request: Request<RecvStream>) -> Response<String> {
+    /// Charges a request for its head; a refusal if there is no memory for it.
+    fn charge_head(&self, headers: &HeaderMap) -> Result<MemoryCharge, Box<Response<String>>> {
+        let mut charge = self.memory.charge(Holder::Requests);
+        match charge.try_grow(REQUEST_BYTES + headers.len() * FIELD_BYTES + header_list_bytes(headers)) {
+            true => Ok(charge),
+            false => Err(Box::new(refused_response(Some(RETRY_ELSEWHERE)))),
+        }
+    }
+
+    async fn serve(&self, mut request: Request<RecvStream>, charge: MemoryCharge) -> Response<String> {
         if let (&Method::GET, Some(id)) = (request.method(), request.uri().path().strip_prefix(MESSAGE_PATH))
         {
             return match self.core.is_open(id) {
@@ -133,10 +145,6 @@
         if self.requests_reading.get() >= max_reading {
             return refused_response(Some(Duration::from_secs(1)));
         }
-        let mut charge = self.memory.charge(Holder::Requests);
-        if !charge.try_grow(REQUEST_BYTES + header_list_bytes(request.headers())) {
-            return refused_response(Some(RETRY_ELSEWHERE));
-        }
         let guard = CountGuard::new(&self.requests_reading);
         let decoded = self.read(&mut request, charge).await;
         drop(guard);
--- a/relay/src/push/submitter_connection.rs
+++ b/relay/src/push/submitter_connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Sleep, sleep, timeout};
 
 use crate::connection_limiter::{ConnectionState, OpenRequest};
+use crate::memory_budget::MemoryCharge;
 
 /// Idle time after which a submitter is pinged, and time for its answer.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
@@ -38,14 +39,21 @@
     Http2(#[from] h2::Error),
 }
 
-/// Serves the requests of a connection, concurrently, until it ends. Requests that were read are answered even then.
+/// Serves the requests of a connection, concurrently, until it ends. Requests that were read are answered even then. `admit` charges a
+/// request for its head, or refuses it, before anything else is done with it.
 ///
 /// # Errors
 /// The submitter does not speak HTTP/2, or has broken the connection.
-pub async fn serve<S, H, F>(stream: S, state: Rc<ConnectionState>, handle: H) -> Result<(), ConnectionError>
+pub async fn serve<S, A, H, F>(
+    stream: S,
+    state: Rc<ConnectionState>,
+    admit: A,
+    handle: H,
+) -> Result<(), ConnectionError>
 where
     S: AsyncRead + AsyncWrite + Unpin,
-    H: Fn(Request<RecvStream>) -> F,
+    A: Fn(&Request<RecvStream>) -> Result<MemoryCharge, Box<Response<String>>>,
+    H: Fn(Request<RecvStream>, MemoryCharge) -> F,
     F: Future<Output = Response<String>> + 'static,
 {
     let mut builder = Builder::new();
@@ -55,18 +63,29 @@
     state.multiplex();
     let mut keep_alive = KeepAlive::new(connection.ping_pong());
     let mut goaway_sent = false;
-    while let Some(accepted) =
-        poll_fn(|cx| poll_request(&mut connection, &state, &mut keep_alive, &mut goaway_sent, cx)).await
-    {
-        let (request, respond) = accepted?;
-        let open = OpenRequest::begin(&state);
-        let response = handle(request);
-        actix_rt::spawn(async move {
-            send_response(respond, response.await);
-            drop(open);
+    loop {
+        // Requests that were decoded together are taken before more is read.
+        let mut is_new_turn = false;
+        let next = poll_fn(|cx| {
+            if std::mem::replace(&mut is_new_turn, true) {
+                state.begin_turn();
+            }
+            poll_request(&mut connection, &state, &mut keep_alive, &mut goaway_sent, cx)
         });
+        let Some(accepted) = next.await else { return Ok(()) };
+        let (request, respond) = accepted?;
+        match admit(&request) {
+            Err(response) => send_response(respond, *response),
+            Ok(charge) => {
+                let open = OpenRequest::begin(&state);
+                let response = handle(request, charge);
+                actix_rt::spawn(async move {
+                    send_response(respond, response.await);
+                    drop(open);
+                });
+            }
+        }
     }
-    Ok(())
 }
 
 type Accepted = Result<(Request<RecvStream>, SendResponse<Bytes>), h2::Error>;
