Admin address: served by the same server as submitters, heads of at most 16 KiB

A relative of the memory fault: its 12 connections could hold 128 KiB of a head each, and were the last users of actix-http's dispatcher.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -5,10 +5,11 @@
 mod call;
 
 use actix_http::header::{self, HeaderValue};
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_http::{Request, Response, StatusCode};
 use actix_service::fn_service;
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -22,8 +23,10 @@
 };
 use crate::core::SetDisabledError;
 use crate::disabled::DisableError;
+use crate::http1::{BodyError, Handler, Http1Limits, Http1Server};
 use crate::instances::Instances;
-use crate::metrics::{GaugeValues, Metrics};
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::{GaugeValues, Metrics, RejectReason};
 use call::{Call, InvalidCall};
 
 /// Calls are short: one that is not complete within 1 s is dropped.
@@ -33,8 +36,9 @@
     idle_timeout: Duration::from_secs(1),
     eviction: EvictionPolicy::IdleOrIncomplete,
 };
-/// How long data is read that a caller still sends after its response.
-const LINGER: Duration = Duration::from_millis(200);
+/// Calls have no bodies; a small one is read and dropped.
+const HTTP_LIMITS: Http1Limits =
+    Http1Limits { head: 16 * 1024, body: 4 * 1024, linger: Duration::from_millis(200), keep_alive: false };
 
 /// How long a call waits until this process has taken over the relay; its caller waits for a second.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -96,27 +100,16 @@
 
     /// Serves calls, one per connection.
     pub async fn accept(self: Rc<Self>, listener: TcpListener, limiter: Rc<ConnectionLimiter>) {
-        let service = HttpService::build()
-            .keep_alive(KeepAlive::Disabled)
-            .client_request_timeout(Duration::ZERO)
-            .client_disconnect_timeout(LINGER)
-            .on_connect_ext(|stream: &TrackedStream, data| drop(data.insert(stream.state())))
-            .h1(fn_service(move |request: Request| {
-                let admin = self.clone();
-                async move {
-                    let state = request.conn_data::<Rc<ConnectionState>>().cloned();
-                    state.iter().for_each(|state| state.request_complete());
-                    let response = admin.respond(&request).await;
-                    state.iter().for_each(|state| state.response_ready());
-                    Ok::<_, Infallible>(response)
-                }
-            }));
+        // Its few connections are part of the fixed reserve.
+        let server = Http1Server::new(CallHandler(self), HTTP_LIMITS, MemoryBudget::unlimited());
+        let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
+            let server = server.clone();
+            async move { server.serve(stream).await }
+        });
         connection_limiter::accept(Rc::new(listener), limiter, CONNECTION_POLICY, service).await;
     }
 
-    async fn respond(&self, request: &Request) -> Response<String> {
-        let call = Call::parse(request.method(), request.path());
-        tracing::debug!(method = %request.method(), path = request.path(), ?call, "call to the admin address");
+    async fn respond(&self, call: Result<Call, InvalidCall>) -> Response<String> {
         match call {
             Ok(Call::Ready) if !self.ready.get() => {
                 text_response(StatusCode::SERVICE_UNAVAILABLE, "starting: not ready yet")
@@ -162,6 +155,43 @@
     }
 }
 
+/// Answers calls on behalf of the server of their connections.
+struct CallHandler(Rc<Admin>);
+
+impl Handler for CallHandler {
+    type Head = Result<Call, InvalidCall>;
+    type Body = String;
+
+    fn decode(&self, request: &Request, _: &ConnectionState) -> Self::Head {
+        let call = Call::parse(request.method(), request.path());
+        tracing::debug!(method = %request.method(), path = request.path(), ?call, "call to the admin address");
+        call
+    }
+
+    fn needs_body(&self, _: &Self::Head) -> bool {
+        false
+    }
+
+    async fn respond(
+        &self,
+        call: Self::Head,
+        body: Result<Bytes, BodyError>,
+        state: &Rc<ConnectionState>,
+    ) -> Response<String> {
+        state.request_complete();
+        let response = match body {
+            Ok(_) => self.0.respond(call).await,
+            Err(_) => text_response(StatusCode::BAD_REQUEST, "the body cannot be read"),
+        };
+        state.response_ready();
+        response
+    }
+
+    fn rejected(&self, reason: RejectReason) {
+        tracing::debug!(?reason, "call to the admin address rejected");
+    }
+}
+
 impl Admin {
     /// Whether this process runs the relay, or takes it over within [`TAKEOVER_TIMEOUT`].
     async fn is_open(&self) -> bool {
