State lock: a drop releases the lock itself, not only this process's descriptor

In the relay nobody meets it: it starts no programs.

Cause: StateLock relied on closing its descriptor (relay/src/state_lock.rs, no Drop). An flock belongs to the open file description, which a child process shares from its fork until close-on-exec takes effect. The test beside this one starts flock(1); a lock that is dropped in that moment stays until the child has executed its program. Ruled out: another test with the same folder (each has its own); the file's number is this process's, as such a child would leave it.

Change: dropping a StateLock unlocks the description. Relatives: a lock acquired on a file that was replaced meanwhile is released the same way. The stores of the backlog have locks of their own libraries.

Test: a_dropped_lock_is_free_though_a_copy_of_its_descriptor_is_open holds a copy as the child does; it failed before, without a race.

--- a/relay/src/state_lock.rs
+++ b/relay/src/state_lock.rs
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct StateLock {
     folder: PathBuf,
-    _file: File,
+    file: File,
 }
 
 /// Why a folder could not be locked.
@@ -80,10 +80,11 @@
                 }
                 Err(TryLockError::Error(source)) => return Err(failed(source)),
             }
+            let mut lock = StateLock { folder: folder.to_owned(), file };
             // The file may have been removed, or replaced, since it was opened: its lock would keep nobody out.
-            if is_at(&path, &file).map_err(failed)? {
-                write_holder(&mut file);
-                return Ok(StateLock { folder: folder.to_owned(), _file: file });
+            if is_at(&path, &lock.file).map_err(failed)? {
+                write_holder(&mut lock.file);
+                return Ok(lock);
             }
         }
     }
@@ -94,6 +95,14 @@
     }
 }
 
+impl Drop for StateLock {
+    /// Releases the lock itself and not only this descriptor: a child process that has not executed its program yet has a copy.
+    fn drop(&mut self) {
+        // If it fails, the lock is released with the last copy of the descriptor.
+        let _ = self.file.unlock();
+    }
+}
+
 fn open(path: &Path) -> io::Result<File> {
     OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
 }
--- a/relay/src/state_lock/tests.rs
+++ b/relay/src/state_lock/tests.rs
@@ -49,3 +49,14 @@
     drop(old);
     assert_eq!(holder_of(StateLock::acquire(folder.path())), Holder::ThisProcess);
 }
+
+// Guards against a lock that outlasts its holder's drop because a child process that has not executed its program yet has a copy of
+// the descriptor.
+#[test]
+fn a_dropped_lock_is_free_though_a_copy_of_its_descriptor_is_open() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let lock = StateLock::acquire(folder.path()).expect("free");
+    let _copy = lock.file.try_clone().expect("a copy, as a child process has it");
+    drop(lock);
+    StateLock::acquire(folder.path()).expect("released");
+}
