--- a/relay/src/core/ends.rs
+++ b/relay/src/core/ends.rs
@@ -1,4 +1,5 @@
 //! The ends of jobs: each is recorded in the journal, then reported by a notice, then released.
+use std::io;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -25,7 +26,7 @@
             }
         }
         if !self.is_handed_over() {
-            self.release_job(job, progress, Some(Answer::Accepted));
+            self.release_job(job, progress);
         }
     }
 
@@ -95,12 +96,24 @@
         true
     }
 
-    /// Releases a job that needs nothing more. `answer`, if any, is repeated to recent resubmissions of its id.
-    pub(super) fn release_job(&self, job: &Job, progress: &JobProgress, answer: Option<Answer>) {
-        if let Err(error) = self.journal.borrow_mut().remove_job(progress.key()) {
+    /// Releases a job that has ended. Its id is kept for a while, also for a later process: a copy of the request is answered as accepted.
+    fn release_job(&self, job: &Job, progress: &JobProgress) {
+        let removed = self.journal.borrow_mut().remove_ended_job(progress.key(), &job.id);
+        self.log_unrecorded_release(job, removed);
+        self.close_id(&job.id, Some(Answer::Accepted));
+    }
+
+    /// Releases a job whose submitter was not answered: it may be submitted again.
+    pub(super) fn release_unanswered_job(&self, job: &Job, progress: &JobProgress) {
+        let removed = self.journal.borrow_mut().remove_job(progress.key());
+        self.log_unrecorded_release(job, removed);
+        self.close_id(&job.id, None);
+    }
+
+    fn log_unrecorded_release(&self, job: &Job, removed: io::Result<()>) {
+        if let Err(error) = removed {
             tracing::debug!(id = job.id, %error, "journal cannot record the release of a job yet");
         }
-        self.close_id(&job.id, answer);
     }
 
     /// Records that the latest claim of a job never ran.
--- a/relay/src/core/job_task.rs
+++ b/relay/src/core/job_task.rs
@@ -189,7 +189,7 @@
             if answer.send(Decision::Accepted(receipt)).is_err() {
                 // The submitter has disconnected without an answer, and will submit the message again.
                 registration.abandon(order);
-                return self.release_job(&job, &progress, None);
+                return self.release_unanswered_job(&job, &progress);
             }
         }
 
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -11,12 +11,13 @@
 mod job_task;
 mod list_confirmation;
 mod nodes;
+mod recent_answers;
 mod rounds;
 
 use slatethread::{Dispatcher, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,6 +35,7 @@
 pub use nodes::{Node, SendPermit, SetDisabledError};
 
 use crate::backlog::Backlog;
+use crate::clock;
 use crate::config::Rules;
 use crate::disabled::DisabledNodes;
 use crate::hook::Hooks;
@@ -42,6 +44,7 @@
 use crate::metrics::{GaugeValues, MessageResult, Metrics};
 use decision::Decision;
 use job_task::JobProgress;
+use recent_answers::RecentAnswers;
 use rounds::Order;
 
 /// Carries claims and notices for a front.
@@ -103,46 +106,6 @@
     predecessor_claims: BTreeSet<Key>,
 }
 
-/// Recent answers, by id.
-#[derive(Default)]
-struct RecentAnswers {
-    answers: HashMap<String, Answer>,
-    order: VecDeque<(Instant, String)>,
-}
-
-/// How long, and how many, answers are kept. The same id comes again only by a copy of the request, on its way or by its client.
-const RECENT_ANSWER_TTL: Duration = Duration::from_secs(30);
-const MAX_RECENT_ANSWERS: usize = 4096;
-
-impl RecentAnswers {
-    fn add(&mut self, id: &str, answer: Answer) {
-        self.answers.insert(id.to_owned(), answer);
-        self.order.push_back((Instant::now(), id.to_owned()));
-        self.drop_old();
-    }
-
-    fn answer(&mut self, id: &str) -> Option<Answer> {
-        self.drop_old();
-        self.answers.get(id).copied()
-    }
-
-    /// All answers that are still kept, oldest first.
-    fn all(&mut self) -> Vec<(String, Answer)> {
-        self.drop_old();
-        let with_answer = |(_, id): &(Instant, String)| Some((id.clone(), *self.answers.get(id)?));
-        self.order.iter().filter_map(with_answer).collect()
-    }
-
-    fn drop_old(&mut self) {
-        while self.order.len() > MAX_RECENT_ANSWERS
-            || self.order.front().is_some_and(|(at, _)| at.elapsed() > RECENT_ANSWER_TTL)
-        {
-            let old = self.order.pop_front();
-            old.and_then(|(_, id)| self.answers.remove(&id));
-        }
-    }
-}
-
 pub struct Core<C> {
     pub transport: C,
     rules: RefCell<Rc<Rules>>,
@@ -204,6 +167,9 @@
         disabled: DisabledNodes,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
+        let mut recent = RecentAnswers::default();
+        let now = clock::now();
+        journal.ended_jobs().for_each(|job| recent.add_ended(&job.id, job.age(now)));
         let state = State {
             dispatcher: Dispatcher::new(rules.settings.clone(), seed),
             inbox: Vec::new(),
@@ -214,7 +180,7 @@
             waits: HashMap::new(),
             waits_after_pruning: 0,
             ids: HashMap::new(),
-            recent: RecentAnswers::default(),
+            recent,
             replaceable: HashMap::new(),
             in_flight: BTreeMap::new(),
             predecessor_claims: BTreeSet::new(),
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -18,10 +18,11 @@
 use onyxglade_backlog::message::Position;
 use slatethread::Class;
 
-use crate::clock::FolderClock;
+use crate::clock::{self, FolderClock};
 use crate::job::{Job, Notice};
 use crate::state_lock::StateLock;
 
+mod ended_jobs;
 mod health;
 mod queued;
 mod receipt;
@@ -30,6 +31,8 @@
 #[cfg(test)]
 mod storage_double;
 
+pub use ended_jobs::{ENDED_ID_TTL, EndedJob, MAX_ENDED_IDS};
+use ended_jobs::{EndedJobs, decode_removal, encode_removal};
 pub use health::JournalHealth;
 pub use queued::{QueuedRequest, UnreadableRequest};
 pub use receipt::{Acceptance, FinalNotice};
@@ -115,6 +118,8 @@
     live: BTreeMap<Key, LiveJob>,
     /// Bytes that the open jobs take in a rewritten file, at most.
     live_size: u64,
+    /// Jobs that ended recently.
+    ended: EndedJobs,
     /// Encoded records that memory has and the file lacks, in their order.
     deferred: Vec<u8>,
     next: Key,
@@ -177,6 +182,7 @@
             limit,
             live: BTreeMap::new(),
             live_size: 0,
+            ended: EndedJobs::default(),
             deferred: Vec::new(),
             next: 1,
             has_backlog: false,
@@ -277,7 +283,10 @@
                     check_format(key)?;
                     formats += 1;
                 }
-                Record::Removed(key) => self.remove_live(key),
+                Record::Removed(key) => {
+                    self.remove_live(key);
+                    self.replay_end(&frame);
+                }
             }
         }
         // Versions that write the format record twice write a job and its rules in one append. Without the rules that append
@@ -336,6 +345,24 @@
         self.live_size += frame.len() as u64;
     }
 
+    /// Applies what a removal tells of a job that has ended.
+    fn replay_end(&mut self, frame: &Bytes) {
+        let Some(EndedJob { ended, .. }) = decode_removal(frame) else { return };
+        self.keep_end(Bytes::copy_from_slice(frame), self.clock.from_folder(ended));
+    }
+
+    fn keep_end(&mut self, frame: Bytes, ended: SystemTime) {
+        self.ended.add(frame, ended, clock::now(), self.limit);
+    }
+
+    /// The jobs that ended recently, here or in earlier processes, oldest first.
+    pub fn ended_jobs(&self) -> impl Iterator<Item = EndedJob> {
+        self.ended.frames().filter_map(decode_removal).map(|job| {
+            let ended = self.clock.from_folder(job.ended);
+            EndedJob { ended, ..job }
+        })
+    }
+
     fn remove_live(&mut self, key: Key) {
         if let Some(live) = self.live.remove(&key) {
             self.live_size -= live.frames.len() as u64 + JOB_OVERHEAD;
@@ -378,9 +405,14 @@
         Ok(Some(Acceptance::journaled(key)))
     }
 
+    /// Bytes that a rewritten file takes, at most.
+    fn kept_size(&self) -> u64 {
+        self.live_size + self.ended.bytes()
+    }
+
     /// Whether another open job with these records fits into the folder.
     fn has_room(&self, frames: &[u8]) -> bool {
-        let size = self.live_size + frames.len() as u64 + JOB_OVERHEAD;
+        let size = self.kept_size() + frames.len() as u64 + JOB_OVERHEAD;
         let max = self.limit.saturating_sub(RESERVED_BYTES) as f64 * MAX_JOB_SHARE;
         size as f64 <= max && frames.len() <= MAX_RECORD_BYTES
     }
@@ -401,7 +433,7 @@
     /// The record could not be written and is deferred.
     pub fn record_never_ran(&mut self, key: Key) -> io::Result<()> {
         self.update(key, |live| live.claims.never_ran());
-        self.append_or_defer(&Record::NeverRan(key))
+        self.append_or_defer(encode(&Record::NeverRan(key)))
     }
 
     /// Records how a job ended before the notice is sent. From then on it is never sent to a node again.
@@ -419,7 +451,7 @@
         let end = FinalNotice::expired(&job.id);
         self.update(key, |live| live.pending_notice = Some(end.notice().clone()));
         // If the record cannot be written it is deferred.
-        let _ = self.append_or_defer(&Record::Notice(key, end.notice().clone()));
+        let _ = self.append_or_defer(encode(&Record::Notice(key, end.notice().clone())));
         end
     }
 
@@ -429,7 +461,20 @@
     /// The record could not be written and is deferred.
     pub fn remove_job(&mut self, key: Key) -> io::Result<()> {
         self.remove_live(key);
-        self.append_or_defer(&Record::Removed(key))
+        self.append_or_defer(encode(&Record::Removed(key)))
+    }
+
+    /// Removes a job that has ended and whose submitter was told that it was accepted: its id is kept for a while.
+    ///
+    /// # Errors
+    /// The record could not be written and is deferred.
+    pub fn remove_ended_job(&mut self, key: Key, id: &str) -> io::Result<()> {
+        self.remove_live(key);
+        let now = clock::now();
+        let ended = EndedJob { id: id.to_owned(), ended: self.clock.to_folder(now) };
+        let frame = encode_removal(key, &ended);
+        self.keep_end(frame.clone().into(), now);
+        self.append_or_defer(frame)
     }
 
     /// Whether the file lacks records that memory has.
@@ -447,8 +492,7 @@
         self.append(&format)
     }
 
-    fn append_or_defer(&mut self, record: &Record) -> io::Result<()> {
-        let frame = encode(record);
+    fn append_or_defer(&mut self, frame: Vec<u8>) -> io::Result<()> {
         let appended = self.append(&frame);
         if appended.is_err() && self.storage.is_some() {
             self.deferred.extend(frame);
@@ -517,7 +561,7 @@
     /// the folder together.
     fn write(&mut self, frames: &[u8]) -> io::Result<()> {
         let grown = self.size + frames.len() as u64;
-        if grown + self.live_size + RESERVED_BYTES > self.limit {
+        if grown + self.kept_size() + RESERVED_BYTES > self.limit {
             self.rewrite()?;
         }
         let storage = self.storage.as_mut().expect("the journal is open");
@@ -541,9 +585,10 @@
 
     /// Replaces the file with a new one that has the open jobs only.
     fn rewrite(&mut self) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(self.live_size as usize);
+        let mut bytes = Vec::with_capacity(self.kept_size() as usize);
         let format = encode(&self.format());
         bytes.extend_from_slice(&format);
+        self.ended.frames().for_each(|frame| bytes.extend_from_slice(frame));
         for (key, live) in &self.live {
             bytes.extend_from_slice(&live.frames);
             if live.claims.tries > 0 {
--- a/relay/src/journal/record.rs
+++ b/relay/src/journal/record.rs
@@ -11,6 +11,8 @@
 
 /// Longest payload of a record. A greater length is not that of a record: the file is torn or damaged there.
 pub(super) const MAX_RECORD_BYTES: usize = 1024 * 1024;
+/// Length and checksum before the payload of a frame.
+const HEADER_BYTES: usize = 8;
 /// The format written without a backlog.
 pub(super) const BASIC_FORMAT: u64 = 1;
 /// The format with [`Record::Fetched`], the latest that is read.
@@ -47,7 +49,7 @@
     ClaimHistory(Key, ClaimHistory),
     /// How the job ended; the notice may not have been delivered yet.
     Notice(Key, Notice),
-    /// Nothing more is to be done for the job.
+    /// Nothing more is to be done for the job. An [`EndedJob`](super::EndedJob) may follow in the frame.
     Removed(Key),
     /// The rules under which a job was accepted; directly follows the job.
     Rules(Key, RecordedRules),
@@ -152,14 +154,34 @@
 
 /// Encodes a record as a frame: length, checksum and payload.
 pub(super) fn encode(record: &Record) -> Vec<u8> {
-    let payload = postcard::to_stdvec(record).expect("records have no unsized parts");
-    let mut frame = Vec::with_capacity(payload.len() + 8);
+    encode_frame(&to_bytes(record))
+}
+
+/// Encodes a record with more behind it, which versions of the program that do not know of it ignore.
+pub(super) fn encode_with(record: &Record, behind: &impl Serialize) -> Vec<u8> {
+    let mut payload = to_bytes(record);
+    payload.extend(to_bytes(behind));
+    encode_frame(&payload)
+}
+
+fn to_bytes(value: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("records have no unsized parts")
+}
+
+fn encode_frame(payload: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(payload.len() + HEADER_BYTES);
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    frame.extend_from_slice(&payload);
+    frame.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    frame.extend_from_slice(payload);
     frame
 }
 
+/// What a whole frame has behind its record.
+pub(super) fn bytes_behind_record(frame: &Bytes) -> Option<&[u8]> {
+    let (_, behind) = postcard::take_from_bytes::<Record>(frame.get(HEADER_BYTES..)?).ok()?;
+    Some(behind)
+}
+
 /// The record whose frame begins at `at`, with the frame, if it is whole and undamaged.
 pub(super) fn next_record(bytes: &Bytes, at: usize) -> Option<(Bytes, Record)> {
     let number = |from: usize| Some(u32::from_le_bytes(bytes.get(from..from + 4)?.try_into().ok()?));
@@ -168,12 +190,12 @@
     if length > MAX_RECORD_BYTES {
         return None;
     }
-    let payload = bytes.get(at + 8..at + 8 + length)?;
+    let payload = bytes.get(at + HEADER_BYTES..at + HEADER_BYTES + length)?;
     if crc32fast::hash(payload) != checksum {
         return None;
     }
     let record = postcard::from_bytes(payload).ok()?;
-    Some((bytes.slice(at..at + 8 + length), record))
+    Some((bytes.slice(at..at + HEADER_BYTES + length), record))
 }
 
 /// Finds the next readable record after an unreadable one at `at`: at the end that its length field gives, or else at the
@@ -181,7 +203,7 @@
 /// record at `at` is the torn end of the file.
 pub(super) fn resync(bytes: &Bytes, at: usize) -> Option<usize> {
     let length = bytes.get(at..at + 4).and_then(|four| four.try_into().ok()).map(u32::from_le_bytes);
-    let stated_end = length.and_then(|length| at.checked_add(8 + length as usize));
+    let stated_end = length.and_then(|length| at.checked_add(HEADER_BYTES + length as usize));
     let is_record = |at: usize| next_record(bytes, at).is_some();
     // A message body may contain bytes that look like a record; a second record after it makes that unlikely.
     let is_followed = |at: usize| {
--- a/relay/src/journal/tests.rs
+++ b/relay/src/journal/tests.rs
@@ -122,10 +122,11 @@
             journal.record_claim(*key, claim(round as u64)).expect("written");
         }
         if round % 3 > 0 {
-            open.pop_front().into_iter().for_each(|key| journal.remove_job(key).expect("written"));
+            let ended = |key| journal.remove_ended_job(key, &format!("j{key}")).expect("written");
+            open.pop_front().into_iter().for_each(ended);
         }
-        // During a rewrite the replacement exists too: its size is bounded by `live_size`.
-        assert!(disk_use(folder.path()) + journal.live_size <= limit, "round {round}");
+        // During a rewrite the replacement exists too: its size is bounded by `kept_size`.
+        assert!(disk_use(folder.path()) + journal.kept_size() <= limit, "round {round}");
     }
     assert!(refused > 0, "the folder was never full");
     drop(journal);
--- a/relay/tests/platform/restart.rs
+++ b/relay/tests/platform/restart.rs
@@ -255,3 +255,30 @@
          expect n1 nothing 500",
     );
 }
+
+#[test]
+fn an_id_that_was_delivered_before_two_kills_in_series_does_not_run_again() {
+    play(
+        None,
+        "send list n1:7
+         send relay start
+         send s1 POST /notice id=j1 dest=7 timeout=9000
+         expect s1 202
+         expect n1 POST body=j1
+         send n1 200
+         expect relay log=Delivered
+         wait 100
+         send relay kill
+         expect relay exit
+         send relay start                     # rewrites the journal
+         expect relay log=recovered=0
+         send relay kill
+         expect relay exit
+         send relay start
+         send s2 POST /notice id=j1 dest=7 timeout=9000
+         expect s2 202
+         send s2 POST /notice id=j2 dest=7 timeout=9000
+         expect s2 202
+         expect n1 POST body=j2",
+    );
+}
