Failing test: two processes of an upgrade take more than their one memory limit

Measured on the tree before this commit (arm64): 340 clients with half a body, then a second process beside the first, then SIGTERM. Resident memory of both together, sampled each 2 ms: release, limits.memory_mb 32: 36.9 and 37.1 MB; debug, limit 64: 71.0 and 71.1.

The scenario language measures all processes of a relay together (together_mb). The test runs with 64 MB, since two debug builds take 42 MB at rest.

--- a/relay/tests/memory_limit.rs
+++ b/relay/tests/memory_limit.rs
@@ -86,3 +86,35 @@
 fn a_flood_of_sound_requests_under_new_ids_leaves_memory_for_others() {
     a_flood("orders read=yes", "written kilobytes>250");
 }
+
+/// Plays an upgrade beside clients of which each sends part of a request.
+fn an_upgrade_within_the_limit(clients: &str) {
+    play(
+        None,
+        &format!(
+            "send list n1:7 o1:8
+             send relay start passed=yes sockets=1024 memory_mb=64 slots=24
+             expect relay log=list_of_execute_nodes
+             send m1 {clients}
+             expect m1 connected count>299
+             wait 500                              # the clients have what the budget gives them
+             send relay2 start passed=yes sockets=1024 memory_mb=64 slots=24
+             send b GET /-/ready
+             expect b 200
+             {}
+             send relay term
+             expect relay2 log=platform_front_is_ready
+             {}
+             expect relay exit
+             expect relay2 measured together_mb<64
+             expect relay2 never exit",
+            served("during"),
+            served("after")
+        ),
+    );
+}
+
+#[test]
+fn both_processes_of_an_upgrade_stay_within_one_limit_beside_half_sent_bodies() {
+    an_upgrade_within_the_limit("340 body=61440");
+}
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -12,8 +12,8 @@
 //!     that folder), slow_hook (with a script that loops for ever, in long steps, on messages for destination 8), admin=off (no admin address; admin=on: one for a push front alone), both (the
 //!     platform front beside the push front; the process is ready once both are), faulty (the process ends before it is ready).
 //!
-//!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) and `resident_mb`
-//!   (peak resident memory).
+//!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) `resident_mb`
+//!   (peak resident memory) and `together_mb` (the most that all processes together had resident at once).
 //! - `list`: discovery; `list2` (discovery=list2 in the settings) is a second server of the same list. Send
 //!   NODE:DEST[:STATE[:NAME]] ...: it listens, and these are all nodes (NAME: listed under another name). Special values of STATE: HANG answers no watch; HEAD and HALF
 //!   stop the answer of a watch after its head or in the middle of its body (expect silent); LOWER sets the generation to 1
@@ -157,6 +157,7 @@
     /// By party name; an upgrade runs more than one.
     relays: HashMap<String, Child>,
     usages: HashMap<String, usage::Usage>,
+    usage_together: usage::RelayUsage,
     /// The listening socket that the platform passes to the relay (passed=yes).
     socket: Option<std::net::TcpListener>,
     /// Listening addresses by front, as the relay logged them.
@@ -174,6 +175,7 @@
             parties: HashMap::new(),
             relays: HashMap::new(),
             usages: HashMap::new(),
+            usage_together: usage::RelayUsage::default(),
             socket: None,
             addresses: HashMap::new(),
             list: watch::Sender::new((1, String::new())),
@@ -328,7 +330,12 @@
         let usage = self.usages.get(name).ok_or("the relay was not started")?;
         let resident = usage.most_resident_mb().ok_or("the relay has ended")?.to_string();
         let descriptors = usage.most_descriptors().to_string();
-        let fields = [("descriptors", descriptors.as_str()), ("resident_mb", resident.as_str())];
+        let together = self.usage_together.most_resident_mb().to_string();
+        let fields = [
+            ("descriptors", descriptors.as_str()),
+            ("resident_mb", resident.as_str()),
+            ("together_mb", together.as_str()),
+        ];
         Ok(Event::new("measured", fields))
     }
 
@@ -398,6 +405,7 @@
         let mut relay = command.spawn().map_err(|e| e.to_string())?;
         if let Some(process) = relay.id() {
             self.usages.insert(name.into(), usage::Usage::sample(process));
+            self.usage_together.add(process);
         }
         let mut lines = BufReader::new(relay.stdout.take().expect("piped")).lines();
         self.relays.insert(name.into(), relay);
