Both processes of an upgrade keep within one memory limit, and so does the backlog

What was seen: with 340 clients that sent half a body, a relay and its successor had 36.9 and 37.1 MB resident together where limits.memory_mb was 32 (release; debug: 71 of 64). To rules and limits both are one relay.

Cause: MemoryLimit (run/memory_limit.rs) measured its own process alone and left nothing for what the second one takes at rest; the budget shrank only with the handover, when the memory was held already. During the overlap both had 0.5 MB whatever the limit was.

Change: where an admin address makes upgrades possible, the budget is less by what a process takes at rest; from the successor's hello until the predecessor's end each has a half. Relative: backlog.memory_mb was not taken off the limit; it is, and is named by the error at the start.

--- a/relay/src/handover/mod.rs
+++ b/relay/src/handover/mod.rs
@@ -233,10 +233,14 @@
     sender
 }
 
+/// Called with whether a successor runs, whenever that changes.
+pub type SuccessorChanged = Box<dyn Fn(bool)>;
+
 /// The predecessor's side of a handover: accepts successors, and hands over to one.
 pub struct HandoverListener {
     ownership: Cell<Ownership>,
     successor: RefCell<Option<Rc<SuccessorLink>>>,
+    successor_changed: SuccessorChanged,
     /// Kept open since the socket's path may lead through this descriptor.
     _folder: File,
 }
@@ -252,7 +256,7 @@
 
 impl HandoverListener {
     /// Listens for successors. The caller must have the lock, since the socket of an earlier process is removed.
-    pub fn listen(folder: &Path) -> io::Result<Rc<HandoverListener>> {
+    pub fn listen(folder: &Path, successor_changed: SuccessorChanged) -> io::Result<Rc<HandoverListener>> {
         let (path, open) = socket_path(folder)?;
         match std::fs::remove_file(&path) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -262,6 +266,7 @@
         let handover = Rc::new(HandoverListener {
             ownership: Cell::default(),
             successor: RefCell::default(),
+            successor_changed,
             _folder: open,
         });
         let this = handover.clone();
@@ -307,6 +312,7 @@
             return;
         }
         tracing::info!("upgrade: a successor waits for this process to terminate");
+        (self.successor_changed)(true);
         let (mut read, write) = stream.into_split();
         let successor = Rc::new(SuccessorLink {
             frames: spawn_writer(write),
@@ -322,6 +328,7 @@
         }
         tracing::warn!("upgrade: the successor is gone");
         self.handle(Event::SuccessorLost);
+        (self.successor_changed)(false);
         successor.pending.borrow_mut().clear();
         *self.successor.borrow_mut() = None;
     }
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -96,13 +96,14 @@
     let limits = settings.platform.as_ref().map(|platform| platform.limits);
     let connections =
         limits.map_or(0, |limits| DescriptorBudget::new(limits.sockets, false).submitter_connections());
-    let memory = Rc::new(MemoryLimit::new(limits, connections)?);
+    let upgrades = settings.admin.is_some();
+    let backlog = settings.relay.backlog.as_ref().map_or(0, |backlog| backlog.memory_bytes as usize);
+    let memory = Rc::new(MemoryLimit::new(limits, connections, backlog, upgrades)?);
     let (followed, memory_metrics) = (memory.clone(), MemoryMetrics::register(&metrics));
     actix_rt::spawn(async move { followed.follow(memory_metrics).await });
     let client_metrics = ClientMetrics::register(&metrics);
     let process = Rc::new(ProcessAvailability::default());
     let admin = Admin::new(metrics.clone(), process.clone());
-    let upgrades = settings.admin.is_some();
     if let Some(address) = settings.admin {
         let listener = retry_socket(|| listen("BALANCER_ADMIN", address)).await?;
         tracing::info!(listen = %listener.local_addr().unwrap_or(address), "admin address is ready");
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -98,7 +98,7 @@
         self.config.rules.settings.list_shared = self.sharing.is_some();
         let PlatformStart { config, idle, backlog, sharing, early_listener } = self;
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
-        context.memory.set_shared(predecessor.is_some());
+        context.memory.set_predecessor(predecessor.is_some());
         let node_client = NodeClient::new(
             &config.rules,
             config.discovery,
@@ -157,7 +157,7 @@
         let discovery_task =
             actix_rt::spawn(crate::discovery::follow(core.clone(), discovery, known_generation, sharing));
         actix_rt::spawn(crate::platform::carrier::close_idle_connections(core.clone()));
-        let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context.upgrades);
+        let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context);
         let listener = match early_listener.into_inner() {
             Some(listener) => listener,
             None => {
@@ -235,7 +235,7 @@
         (core.clone(), limiter.clone(), budget.clone(), memory.clone());
     actix_rt::spawn(predecessor.follow(core.clone(), pending_outcomes, move || {
         budget.stop_sharing();
-        memory.set_shared(false);
+        memory.set_predecessor(false);
         successor.transport.set_max_connections(budget.node_connections(&idle));
         limiter.set_limit(budget.submitter_connections());
     }));
@@ -283,7 +283,6 @@
     pub async fn stop(&self, drained: bool) {
         let handed_over = |transport: &NodeClient| {
             self.discovery_task.abort();
-            self.memory.set_shared(true);
             transport.close_all_idle();
         };
         self.front.stop(drained, handed_over).await;
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -85,7 +85,7 @@
         start_tasks(&core, "push");
         actix_rt::spawn(maintain_connections(core.clone()));
         let limiter = Rc::new(ConnectionLimiter::new(config.connections));
-        let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context.upgrades);
+        let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context);
         let server = Server::new(core, &config, seed, context.memory.budget());
         let listener = address.listen_until_possible().await;
         let address = listener.local_addr().unwrap_or(config.listen);
--- a/relay/src/run/running_front.rs
+++ b/relay/src/run/running_front.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
+use super::StartContext;
 use crate::admin::Front;
 use crate::backlog::Backlog;
 use crate::connection_limiter::ConnectionLimiter;
@@ -38,9 +39,12 @@
         core: Rc<Core<C>>,
         limiter: Rc<ConnectionLimiter>,
         state: &std::path::Path,
-        upgrades: bool,
+        context: &StartContext,
     ) -> Self {
-        let handover = upgrades.then(|| HandoverListener::listen(state)).transpose();
+        let memory = context.memory.clone();
+        let successor_changed = Box::new(move |runs| memory.set_successor(runs));
+        let handover =
+            context.upgrades.then(|| HandoverListener::listen(state, successor_changed)).transpose();
         let handover = handover.unwrap_or_else(|error| {
             tracing::warn!(fault = %error, "upgrade: cannot listen for a successor; it takes over only once this process has exited");
             None
