Split core/nodes.rs by concern: node, node table, send permit, and what applies lists

The owners of addresses are reached through the table. No behaviour changes; the tests' two constructors use those of the code, and no assertion has changed.

--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -10,9 +10,12 @@
 mod hooks;
 mod job_task;
 mod list_confirmation;
+mod node;
+mod node_table;
 mod nodes;
 mod recent_answers;
 mod rounds;
+mod send_permit;
 
 use slatethread::{Dispatcher, EndpointId, Event, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
@@ -29,10 +32,12 @@
 pub use confirmation::{Confirmation, ConfirmationSender, Verdict, confirmation};
 pub use handover::Successor;
 pub use list_confirmation::{AnswerTimes, LeaseClock};
-use nodes::Nodes;
+pub use node::Node;
+use node_table::Nodes;
+pub use nodes::SetDisabledError;
 #[cfg(test)]
 pub(crate) use nodes::tests;
-pub use nodes::{Node, SendPermit, SetDisabledError};
+pub use send_permit::SendPermit;
 
 use crate::backlog::Backlog;
 use crate::clock;
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -1,45 +1,26 @@
 use super::*;
+use crate::core::{LeaseClock, SendPermit};
 use crate::disabled::DisabledNodes;
 use crate::job::{Job, Outcome};
 use crate::journal::{FinalNotice, open_journal};
 use crate::metrics::Metrics;
+use slatethread::EndpointId;
 
 /// A node that accepts claims or not.
 pub(crate) fn node(address: SocketAddr, open: bool) -> Node {
-    Node {
-        id: EndpointId(1),
-        name: "n".into(),
-        address,
-        dest: 7,
-        zone_kind: Cell::new((0, 0)),
-        weight: Cell::new(f64::NAN),
-        started_ms: Cell::new(0),
-        enabled_ms: Cell::new(0),
-        serving: Cell::new(open),
-        disabled: Cell::new(false),
-        last_full_list: Cell::new(0),
-    }
+    let lifecycle = if open { Lifecycle::Serving } else { Lifecycle::Draining };
+    let entry = NodeEntry { instance_id: "n".into(), ..entry(7, address.port(), lifecycle) };
+    Node::from_entry(EndpointId(1), address, &entry, &rules(), 0)
 }
 
 /// A permit for a new node.
 pub(crate) fn permit(open: bool, wait: Duration, memory: Option<Duration>) -> Rc<SendPermit> {
     let now = Instant::now();
-    Rc::new(SendPermit {
-        node: Rc::new(node(SocketAddr::from(([127, 0, 0, 1], 1)), open)),
-        wait: Rc::new(Cell::new(now + wait)),
-        lease: Rc::new(LeaseClock::new(now)),
-        not_after: memory.map(|left| now + left),
-        record: None,
-        begun: Cell::default(),
-        sent: Cell::new(false),
-        local_fault: Cell::new(false),
-        delivered: Cell::new(false),
-        confirmation: RefCell::default(),
-        report: Cell::default(),
-        requested_wait: Cell::default(),
-        wait_notify: Notify::new(),
-        tries: Metrics::new(&[]).tries(),
-    })
+    let node = Rc::new(node(SocketAddr::from(([127, 0, 0, 1], 1)), open));
+    let wait = Rc::new(Cell::new(now + wait));
+    let not_after = memory.map(|left| now + left);
+    let (lease, tries) = (Rc::new(LeaseClock::new(now)), Metrics::new(&[]).tries());
+    Rc::new(SendPermit::new(node, wait, lease, not_after, None, tries))
 }
 
 #[test]
@@ -68,10 +49,13 @@
     fn node_removed(&self, _: &Node) {}
 }
 
+fn rules() -> Rules {
+    Rules { settings: slatethread::Settings::default(), names: Default::default() }
+}
+
 fn core(folder: &std::path::Path) -> Rc<Core<NoTransport>> {
     let (journal, _) = open_journal(folder, 1_000_000).expect("it opens");
-    let rules = Rules { settings: slatethread::Settings::default(), names: Default::default() };
-    Core::new(NoTransport, rules, None, 1, journal, DisabledNodes::open(folder), Metrics::new(&[]))
+    Core::new(NoTransport, rules(), None, 1, journal, DisabledNodes::open(folder), Metrics::new(&[]))
 }
 
 pub(crate) fn entry(name: usize, port: u16, lifecycle: Lifecycle) -> NodeEntry<'static> {
