One refusal and one way to accept for all HTTP/1.1 servers; the backlog tested

Cause: 503 with Retry-After stood three times (http1.rs, platform/refusing.rs, platform/server.rs), the closure that passes a connection to the server twice more.

Change: http1::refusal and Http1Server::accept. A request that was given up for memory says "Retry-After: 1" (1.000 before). The test a_memory_limit_that_has_no_room_for_the_backlog_is_an_error fails without the reserve for backlog.memory_mb (tried) and passes with it.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -6,10 +6,8 @@
 
 use actix_http::header::{self, HeaderValue};
 use actix_http::{Request, Response, StatusCode};
-use actix_service::fn_service;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -18,9 +16,7 @@
 
 use crate::availability::AvailabilityEvent;
 use crate::backlog::Backlog;
-use crate::connection_limiter::{
-    self, ConnectionLimiter, ConnectionPolicy, ConnectionState, EvictionPolicy, TrackedStream,
-};
+use crate::connection_limiter::{ConnectionLimiter, ConnectionPolicy, ConnectionState, EvictionPolicy};
 use crate::core::SetDisabledError;
 use crate::disabled::DisableError;
 use crate::http1::{BodyError, Handler, Http1Limits, Http1Server};
@@ -102,11 +98,7 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener, limiter: Rc<ConnectionLimiter>) {
         // Its few connections are part of the fixed reserve.
         let server = Http1Server::new(CallHandler(self), HTTP_LIMITS, MemoryBudget::unlimited());
-        let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
-            let server = server.clone();
-            async move { server.serve(stream).await }
-        });
-        connection_limiter::accept(Rc::new(listener), limiter, CONNECTION_POLICY, service).await;
+        server.accept(Rc::new(listener), limiter, CONNECTION_POLICY).await;
     }
 
     async fn respond(&self, call: Result<Call, InvalidCall>) -> Response<String> {
--- a/relay/src/http1.rs
+++ b/relay/src/http1.rs
@@ -11,16 +11,19 @@
 use actix_http::{
     ConnectionType, KeepAlive, Request, Response, ServiceConfig, ServiceConfigBuilder, StatusCode,
 };
+use actix_service::fn_service;
 use bytes::{Bytes, BytesMut};
 use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::task::yield_now;
 use tokio_util::codec::Encoder;
 
-use crate::connection_limiter::{ConnectionState, TrackedStream};
+use crate::connection_limiter::{self, ConnectionLimiter, ConnectionPolicy, ConnectionState, TrackedStream};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::RejectReason;
 use request_reader::{Incoming, RequestReader};
@@ -98,6 +101,22 @@
         Rc::new(Http1Server { handler, limits, memory, config })
     }
 
+    /// Accepts and serves connections until the limiter ends that.
+    pub async fn accept(
+        self: Rc<Self>,
+        listener: Rc<TcpListener>,
+        limiter: Rc<ConnectionLimiter>,
+        policy: ConnectionPolicy,
+    ) where
+        H: 'static,
+    {
+        let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
+            let server = self.clone();
+            async move { server.serve(stream).await }
+        });
+        connection_limiter::accept(listener, limiter, policy, service).await;
+    }
+
     /// Serves a connection until it ends.
     ///
     /// # Errors
@@ -187,8 +206,8 @@
     }
 }
 
-/// 503 for a request that nothing was done with.
-fn refusal() -> Response<&'static str> {
+/// 503 with a `Retry-After` header, for a request that nothing was done with.
+pub fn refusal() -> Response<&'static str> {
     let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, "");
     response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S.parse().expect("digits"));
     response
--- a/relay/src/platform/refusing.rs
+++ b/relay/src/platform/refusing.rs
@@ -1,6 +1,5 @@
 //! Answers clients with 503 and a `Retry-After` header while the state folder cannot be opened.
-use actix_http::header::RETRY_AFTER;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Request, Response};
 use actix_service::fn_service;
 use bytes::Bytes;
 use std::net::SocketAddr;
@@ -11,13 +10,10 @@
 
 use super::server::{CONNECTION_POLICY, HTTP_LIMITS};
 use crate::connection_limiter::{self, ConnectionLimiter, ConnectionState, TrackedStream};
-use crate::http1::{BodyError, Handler, Http1Limits, Http1Server};
+use crate::http1::{BodyError, Handler, Http1Limits, Http1Server, refusal};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::RejectReason;
 
-/// The value of `Retry-After`, in seconds.
-const RETRY_AFTER_S: &str = "1";
-
 /// How long a connection may take. Unlike the limiter's check, this holds on once the folder could be opened.
 const CONNECTION_TIME: Duration = Duration::from_millis(3500);
 
@@ -41,9 +37,7 @@
         state: &Rc<ConnectionState>,
     ) -> Response<&'static str> {
         state.response_ready();
-        let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, "");
-        response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S.parse().expect("digits"));
-        response
+        refusal()
     }
 
     fn rejected(&self, _: RejectReason) {}
--- a/relay/src/platform/server.rs
+++ b/relay/src/platform/server.rs
@@ -1,9 +1,7 @@
 //! The HTTP server for submitters.
 use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, StatusCode};
-use actix_service::fn_service;
 use bytes::Bytes;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
@@ -12,11 +10,9 @@
 use crate::availability::Availability;
 use crate::clock;
 use crate::config::Rules;
-use crate::connection_limiter::{
-    self, ConnectionLimiter, ConnectionPolicy, ConnectionState, EvictionPolicy, TrackedStream,
-};
+use crate::connection_limiter::{ConnectionLimiter, ConnectionPolicy, ConnectionState, EvictionPolicy};
 use crate::core::{Core, Transport};
-use crate::http1::{BodyError, Handler, Http1Limits, Http1Server};
+use crate::http1::{BodyError, Handler, Http1Limits, Http1Server, refusal};
 use crate::job::{Answer, Job};
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::{ClientMetrics, RejectReason};
@@ -24,8 +20,6 @@
 /// The platform sends no larger body, and heads of less than 2 KB.
 pub(super) const HTTP_LIMITS: Http1Limits =
     Http1Limits { head: 16 * 1024, body: 64 * 1024, linger: Duration::from_millis(500), keep_alive: true };
-/// When to come again with a request that was given up to free memory.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest id or key: each must fit into a journal record many times over.
 const MAX_NAME: usize = 512;
 /// Longest plausible time limit of a message.
@@ -62,12 +56,7 @@
     /// Accepts and serves connections, whose requests are charged to `memory`.
     pub async fn accept(self, listener: Rc<TcpListener>, memory: MemoryBudget) {
         let limiter = self.limiter.clone();
-        let server = Http1Server::new(self, HTTP_LIMITS, memory);
-        let service = fn_service(move |(stream, _): (TrackedStream, Option<SocketAddr>)| {
-            let server = server.clone();
-            async move { server.serve(stream).await }
-        });
-        connection_limiter::accept(listener, limiter, CONNECTION_POLICY, service).await;
+        Http1Server::new(self, HTTP_LIMITS, memory).accept(listener, limiter, CONNECTION_POLICY).await;
     }
 
     async fn answer(
@@ -106,10 +95,7 @@
                 RejectReason::BodyTooLarge,
                 Response::with_body(StatusCode::PAYLOAD_TOO_LARGE, "body is too large"),
             ),
-            BodyError::NoMemory => (
-                RejectReason::Memory,
-                encode_refusal(StatusCode::SERVICE_UNAVAILABLE, Some(MEMORY_RETRY_AFTER)),
-            ),
+            BodyError::NoMemory => (RejectReason::Memory, refusal()),
             // The connection was closed from this side before the last byte arrived. Guards against counting a request as failed
             // that is to be submitted to another relay.
             BodyError::Incomplete if self.availability.get().closes_connections() => {
@@ -261,12 +247,12 @@
     match answer {
         Answer::Accepted => empty_response(StatusCode::ACCEPTED),
         Answer::Failed => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
-        Answer::Refused { after } => encode_refusal(StatusCode::TOO_MANY_REQUESTS, after),
+        Answer::Refused { after } => encode_refusal(after),
     }
 }
 
-fn encode_refusal(status: StatusCode, after: Option<Duration>) -> Response<&'static str> {
-    let mut response = empty_response(status);
+fn encode_refusal(after: Option<Duration>) -> Response<&'static str> {
+    let mut response = empty_response(StatusCode::TOO_MANY_REQUESTS);
     if let Some(after) = after {
         let seconds = format!("{:.3}", after.as_secs_f64());
         let value = seconds.parse().expect("digits and a point");
--- a/relay/tests/backlog.rs
+++ b/relay/tests/backlog.rs
@@ -191,3 +191,14 @@
         deliver(26)
     ));
 }
+
+// Guards against a backlog whose memory nobody takes off the limit of the process.
+#[test]
+fn a_memory_limit_that_has_no_room_for_the_backlog_is_an_error() {
+    play(
+        None,
+        "send relay start backlog=backlog memory_mb=30 faulty
+         expect relay log=too_small_for
+         expect relay exit",
+    );
+}
