--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -1,7 +1,7 @@
 //! The journal: an append-only, checksummed file in the state folder, so that accepted messages outlast the process.
 //!
 //! Nothing is synced: the platform guarantees that written data outlasts the process. The file is rewritten with the open jobs
-//! only, before it and its replacement together could exceed the folder's limit.
+//! and the ids of those that ended recently, before it and its replacement together could exceed the folder's limit.
 //!
 //! Memory is never ahead of the file except for deferred records: that a claim never ran, that a job is removed, and the
 //! end of a job whose time is over. These facts hold whether or not they are recorded, and a process that does not find
