--- a/review/standin-2/src/common.rs
+++ b/review/standin-2/src/common.rs
@@ -126,6 +126,8 @@
     pub arrived: Instant,
     /// When it was answered or its connection ended; None while it is out.
     pub over: Option<Instant>,
+    /// The status of its answer; 0 while there is none.
+    pub status: u16,
 }
 
 /// What an endpoint does with a call: after `hold` it answers, unless `status` is 0.
@@ -194,7 +196,7 @@
         };
         let number = {
             let mut calls = calls.lock().unwrap();
-            calls.push(Call { ids: ids.clone(), arrived, over: None });
+            calls.push(Call { ids: ids.clone(), arrived, over: None, status: 0 });
             calls.len() - 1
         };
         record.line(&format!("{name}: call {number} arrived: {}", ids.join(" ")));
@@ -210,6 +212,7 @@
             _ => String::new(),
         };
         let written = write_response(&mut stream, reply.status, &reply.headers, &body);
+        calls.lock().unwrap()[number].status = reply.status;
         record.line(&format!("{name}: call {number} answered {} {}", reply.status, reply.headers.trim()));
         if !written {
             return;
