--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 pub mod drain_call_in_upgrade;
 pub mod emptied_folder;
 pub mod killed_successor;
+pub mod lists_between_instances;
 pub mod silent_agent_at_start;
 pub mod wait_in_upgrade;
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -15,6 +15,7 @@
         "silent-agent-at-start" => cases::silent_agent_at_start::play(&record, trouble),
         "wait-in-upgrade" => cases::wait_in_upgrade::play(&record, trouble),
         "emptied-folder" => cases::emptied_folder::play(&record, trouble),
+        "lists-between-instances" => cases::lists_between_instances::play(&record, trouble),
         "killed-successor" => cases::killed_successor::play(&record, trouble),
         other => common::cannot_run(&format!("there is no case {other}")),
     };
