A list counts as confirmed only by discovery's answer, also on an empty folder

Evidence: logs "lease on the node list started before=None first_start=true left=Some(6.3s)" at such a start; ruled out are the record of an earlier process (before=None), a 503 taken for an answer, and the table of addresses, which never had the new endpoint.

Change: only an answer to this process, or an earlier process's record, confirms the list. GET /-/ready and successors in an upgrade are as they were. The first call to discovery is spread as with the credit: relays have no lease to keep.

Tests that ask GET /ready right after a start wait for the log line first; their assertions are the same. a_reload_shortens_the_list_lease_... starts from a record in place of the credit. Virtual time (tests/list_renewal.rs): starts of 3 to 900 relays make as many calls as with the credit, with three speeds of discovery and outages of 0, 8 and 60 s.

--- a/relay/src/core/list_confirmation.rs
+++ b/relay/src/core/list_confirmation.rs
@@ -3,6 +3,7 @@
 use slatethread::{ListLease, ListScope, Nanos};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 use super::{CLOCK_START, Core, Transport};
 use crate::job::nanos;
@@ -15,6 +16,8 @@
     record: RefCell<Option<LeaseRecord>>,
     /// Whether the lease had expired at the last check.
     lapsed: Cell<bool>,
+    /// Notified when the list is confirmed.
+    confirmed: Notify,
 }
 
 /// The times of an answer from discovery.
@@ -35,6 +38,7 @@
             start,
             record: RefCell::default(),
             lapsed: Cell::new(false),
+            confirmed: Notify::new(),
         }
     }
 
@@ -73,27 +77,15 @@
 
 impl<C: Transport> Core<C> {
     /// Puts the list under a lease, since it is requested from discovery. `before` is an earlier process's confirmation
-    /// of this version of the list or an older one. On a `first_start` there is no earlier process, and the list in the
-    /// configuration counts as confirmed now.
-    pub fn start_list_lease(
-        &self,
-        record: Option<LeaseRecord>,
-        before: Option<ListConfirmation>,
-        first_start: bool,
-    ) {
+    /// of this version of the list or an older one. Without one nothing is sent before discovery has answered: the
+    /// list in the configuration may be of any age.
+    pub fn start_list_lease(&self, record: Option<LeaseRecord>, before: Option<ListConfirmation>) {
         let now = self.module_time(Instant::now());
         let mut lease = ListLease::for_polled_list(nanos(self.rules().list_max_age()));
-        match before {
-            Some(before) => lease.restore(now.saturating_sub(nanos(before.age))),
-            None if first_start => lease.restore(now),
-            None => {}
+        if let Some(before) = before {
+            lease.restore(now.saturating_sub(nanos(before.age)));
         }
-        tracing::info!(
-            ?before,
-            first_start,
-            left = ?self.lease_remaining(&lease, now),
-            "lease on the node list started"
-        );
+        tracing::info!(?before, left = ?self.lease_remaining(&lease, now), "lease on the node list started");
         *self.lease_clock.lease.borrow_mut() = lease;
         *self.lease_clock.record.borrow_mut() = record;
         self.record_lease();
@@ -111,9 +103,17 @@
         let (begun, first) = (self.module_time(answered.begun), self.module_time(answered.first_byte));
         self.lease_clock.update(|lease| lease.confirm(begun, first));
         self.record_lease();
+        self.lease_clock.confirmed.notify_waiters();
         self.wake.notify_one();
     }
 
+    /// Waits until claims may be sent by the list.
+    pub async fn list_usable(&self) {
+        while !self.lease_clock.allows(Instant::now()) {
+            self.lease_clock.confirmed.notified().await;
+        }
+    }
+
     /// The configuration has been reloaded.
     pub(super) fn list_reloaded(&self) {
         let now = self.module_time(Instant::now());
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -3,6 +3,7 @@
 use crate::disabled::DisabledNodes;
 use crate::job::{Job, Outcome};
 use crate::journal::{FinalNotice, open_journal};
+use crate::lease_record::ListConfirmation;
 use crate::metrics::Metrics;
 use slatethread::EndpointId;
 
@@ -94,7 +95,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     for class in [None, Some("another")] {
         let core = core(folder.path());
-        core.start_list_lease(None, None, true);
+        core.start_list_lease(None, Some(ListConfirmation { generation: 1, age: Duration::ZERO }));
         let left = || core.lease_clock.end().expect("it ends") - Instant::now();
         assert!(left() > Duration::from_secs(5));
         let mut rules = (*core.rules()).clone();
--- a/relay/src/journal.rs
+++ b/relay/src/journal.rs
@@ -129,11 +129,6 @@
 }
 
 impl Journal {
-    /// Whether a folder has a journal of an earlier process.
-    pub fn exists(folder: &Path) -> bool {
-        folder.join(storage::NAME).exists()
-    }
-
     /// Checks that this version can read the journal in a folder, which another process may be using. Changes nothing.
     ///
     /// # Errors
--- a/relay/src/lease_record.rs
+++ b/relay/src/lease_record.rs
@@ -61,11 +61,6 @@
         Ok((LeaseRecord { file, boot: boot.unwrap_or_default(), failing: false }, confirmation))
     }
 
-    /// Whether a folder has a record, valid or not.
-    pub fn exists(folder: &Path) -> bool {
-        folder.join(NAME).exists()
-    }
-
     /// Stores when the list was confirmed; with `None` the record is erased.
     pub fn write(&mut self, confirmation: Option<ListConfirmation>) {
         let written = match confirmation {
--- a/relay/src/lease_record/tests.rs
+++ b/relay/src/lease_record/tests.rs
@@ -28,7 +28,7 @@
 #[test]
 fn the_next_process_reads_a_whole_record_and_ignores_half_of_one() {
     let folder = tempfile::tempdir().expect("a folder");
-    assert!(!LeaseRecord::exists(folder.path()));
+    assert!(!folder.path().join(NAME).exists());
     let (mut record, before) = LeaseRecord::open(folder.path()).expect("created");
     assert_eq!(before, None);
     record.write(Some(CONFIRMED));
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -279,9 +279,12 @@
                     actix_rt::spawn(instances::divide_limits(core, instances));
                 }
                 self.push = Some(push);
+                // The platform front announces itself.
+                if self.platform.is_none() {
+                    self.context.process.apply(AvailabilityEvent::Started);
+                }
             }
         }
-        self.context.process.apply(AvailabilityEvent::Started);
     }
 
     /// Reloads all settings. If any of them is invalid, nothing changes on either front.
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::time::timeout_at;
 
 use super::descriptor_budget::DescriptorBudget;
 use super::memory_limit::MemoryLimit;
 use super::running_front::{RunningFront, start_tasks};
 use super::step::{StartMode, claim, listen_for_submitters, open_journal};
-use super::{Error, StartContext};
+use super::{Error, ProcessAvailability, StartContext};
 use crate::availability::AvailabilityEvent;
 use crate::backlog::{Backlog, BacklogClass};
 use crate::config::{BacklogConfig, IdleConfig, MachineLimits, PlatformConfig};
@@ -30,6 +32,11 @@
 use crate::platform::server::Server;
 use crate::state_lock::{LockError, StateLock};
 
+/// Longest time from the process's start until submitters are told that the relay is ready, while the list is not confirmed. A relay
+/// that is not ready leaves its submitters to relays that can serve them; but an outage of discovery has no known end, and the platform
+/// expects each relay back in time.
+const MAX_READY_DELAY: Duration = Duration::from_secs(5);
+
 /// What the platform front's start needs beside what both fronts share.
 pub struct PlatformStart {
     pub config: PlatformConfig,
@@ -38,6 +45,7 @@
     pub sharing: Option<ListSharing>,
     /// Where submitters are refused already, while the folder fails.
     early_listener: RefCell<Option<Rc<TcpListener>>>,
+    created_at: Instant,
 }
 
 pub struct PlatformFront {
@@ -55,7 +63,8 @@
         backlog: Option<BacklogConfig>,
         sharing: Option<ListSharing>,
     ) -> PlatformStart {
-        PlatformStart { config, idle, backlog, sharing, early_listener: RefCell::default() }
+        let (early_listener, created_at) = (RefCell::default(), Instant::now());
+        PlatformStart { config, idle, backlog, sharing, early_listener, created_at }
     }
 
     /// Claims the state folder. While the folder fails for a reason that may pass, submitters are refused, unless another process may be
@@ -96,7 +105,7 @@
     ) -> Result<PlatformFront, Error> {
         let (lock, predecessor) = claim.complete().await;
         self.config.rules.settings.list_shared = self.sharing.is_some();
-        let PlatformStart { config, idle, backlog, sharing, early_listener } = self;
+        let PlatformStart { config, idle, backlog, sharing, early_listener, created_at } = self;
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
         context.memory.set_predecessor(predecessor.is_some());
         let node_client = NodeClient::new(
@@ -108,7 +117,6 @@
         );
         node_client.set_max_connections(budget.node_connections(&idle));
         let discovery = node_client.discovery_server();
-        let first_start = !Journal::exists(&config.state) && !LeaseRecord::exists(&config.state);
         let attempt =
             async || open_or_refuse(&lock, &config, &budget, &early_listener, &context.memory).await;
         let (journal, open) = mode.run("platform", "journal", attempt).await?;
@@ -148,7 +156,7 @@
             }
         };
         if core.rules().settings.list_on_request && sharing.is_none() {
-            start_list_lease(&core, &config.state, first_start);
+            start_list_lease(&core, &config.state);
         }
         start_tasks(&core, "platform");
         if let Some(sharing) = &sharing {
@@ -166,11 +174,21 @@
             }
         };
         let address = listener.local_addr().unwrap_or(config.listen);
-        let server =
-            Server::new(core, context.process.availability(), limiter, context.client_metrics.clone());
+        let server = Server::new(
+            core.clone(),
+            context.process.availability(),
+            limiter,
+            context.client_metrics.clone(),
+        );
         actix_rt::spawn(server.accept(listener, context.memory.budget()));
-        context.process.apply_event(AvailabilityEvent::Started);
         tracing::info!(name = config.name, listen = %address, "platform front is ready");
+        match mode {
+            StartMode::Fresh => {
+                drop(actix_rt::spawn(announce_ready(core, context.process.clone(), created_at)))
+            }
+            // Submitters use the relay already.
+            StartMode::Successor => context.process.apply_event(AvailabilityEvent::Started),
+        }
         Ok(PlatformFront {
             front,
             budget,
@@ -181,6 +199,13 @@
     }
 }
 
+/// Announces to submitters that the relay is ready: once claims may be sent by the list, or [`MAX_READY_DELAY`] after the process's start.
+async fn announce_ready(core: Rc<Core<NodeClient>>, process: Rc<ProcessAvailability>, started: Instant) {
+    let confirmed = timeout_at((started + MAX_READY_DELAY).into(), core.list_usable()).await.is_ok();
+    tracing::info!(confirmed, after = ?started.elapsed(), "submitters are told that the relay is ready");
+    process.apply_event(AvailabilityEvent::Started);
+}
+
 /// Opens the journal. While the folder fails for a reason that may pass, submitters are refused, on the socket that is left in
 /// `listener`.
 async fn open_or_refuse(
@@ -243,7 +268,7 @@
 }
 
 /// Allows claims by the list only while it is confirmed, by this process or, as its record says, by the previous one.
-fn start_list_lease<C: Transport>(core: &Core<C>, state: &Path, first_start: bool) {
+fn start_list_lease<C: Transport>(core: &Core<C>, state: &Path) {
     let (record, previous) = match LeaseRecord::open(state) {
         Ok((record, previous)) => (Some(record), previous),
         Err(error) => {
@@ -254,7 +279,7 @@
     // The record does not confirm a list that is older than the one it was written for.
     let previous =
         previous.filter(|previous| core.generation().is_some_and(|known| known >= previous.generation));
-    core.start_list_lease(record, previous, first_start);
+    core.start_list_lease(record, previous);
 }
 
 /// Opens the backlog on disk and attaches it to the core.
--- a/relay/tests/operation.rs
+++ b/relay/tests/operation.rs
@@ -171,6 +171,7 @@
         None,
         "send list n1:7
          send relay start
+         expect relay log=submitters_are_told
          send s1 GET /ready
          expect s1 200
          send s2 GET /ready
--- a/relay/tests/platform/clients.rs
+++ b/relay/tests/platform/clients.rs
@@ -3,8 +3,9 @@
 
 #[test]
 fn silent_and_idle_connections_are_closed_for_new_ones() {
-    let mut scenario =
-        String::from("send list n1:7\nsend relay start sockets=10   # four client connections\n");
+    let mut scenario = String::from(
+        "send list n1:7\nsend relay start sockets=10   # four client connections\nexpect relay log=submitters_are_told\n",
+    );
     for client in 0..8 {
         scenario += &format!("expect s{client} nothing 1\n");
     }
--- a/relay/tests/platform/delivery.rs
+++ b/relay/tests/platform/delivery.rs
@@ -7,6 +7,7 @@
         None,
         "send list n1:7
          send relay start
+         expect relay log=submitters_are_told
          send s GET /ready
          expect s 200
          send s POST /order id=j1 dest=7 timeout=2000 key=k1
--- a/relay/tests/platform/discovery.rs
+++ b/relay/tests/platform/discovery.rs
@@ -203,3 +203,45 @@
          expect x1 nothing 1200",
     );
 }
+
+// Guards against a relay whose machine was lost: its configuration names addresses that are other nodes' by now, and discovery is down.
+#[test]
+fn a_configured_list_is_not_used_before_discovery_has_confirmed_it() {
+    play(
+        None,
+        "send list n1:7
+         close list
+         send relay start known=2
+         send s1 POST /order id=j1 dest=7 timeout=9000
+         expect s1 202
+         expect n1 nothing 300
+         send list n1:8 n2:7
+         expect n2 POST body=j1
+         send n2 200
+         expect relay log=Delivered
+         expect n1 nothing 50",
+    );
+}
+
+// Guards against a relay that takes submitters from relays that can serve them, and against one that is away for a whole outage.
+#[test]
+fn a_relay_without_a_confirmed_list_is_not_ready_for_some_seconds() {
+    play(
+        None,
+        "send list n1:7
+         close list
+         send relay start known=2
+         send s1 GET /ready
+         expect s1 503
+         expect relay log=submitters_are_told_that_the_relay_is_ready_confirmed=false
+         send s1 GET /ready
+         expect s1 200
+         send relay kill
+         expect relay exit
+         send list n1:7
+         send relay start known=2
+         expect relay log=submitters_are_told_that_the_relay_is_ready_confirmed=true
+         send s2 GET /ready
+         expect s2 200",
+    );
+}
--- a/relay/tests/platform/restart.rs
+++ b/relay/tests/platform/restart.rs
@@ -53,6 +53,7 @@
         None,
         "send list n1:7 n2:8
          send relay start
+         expect relay log=submitters_are_told
          send s3 GET /ready
          expect s3 200
          send s1 POST /notice id=j1 dest=7 timeout=20000
@@ -102,6 +103,7 @@
         None,
         "send list n1:7
          send relay start
+         expect relay log=submitters_are_told
          send s1 GET /ready
          expect s1 200
          send relay term
@@ -173,6 +175,7 @@
         None,
         "send list n1:7
          send relay start step=4000           # the next round would be after the shutdown
+         expect relay log=submitters_are_told
          send s1 GET /ready
          expect s1 200
          send s1 POST /order id=j1 dest=7 timeout=9000
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -7,7 +7,8 @@
 fn upgrade(before: &str, after: &str) {
     let first = "send list n1:7 n2:8
          send relay start passed=yes
-         expect relay log=list_of_execute_nodes";
+         expect relay log=list_of_execute_nodes
+         expect relay log=submitters_are_told";
     let second = "send relay2 start passed=yes
          send b GET /-/ready
          expect b 200";
--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -14,6 +14,7 @@
 //! cycle from the start.
 use crate::choice::Dispatcher;
 use crate::interface::{Action, ListScope, Nanos, Settings};
+use crate::list_lease::lease_span;
 use crate::state::{Message, Random, SECOND, nanos, secs};
 
 /// The timer for the next call to discovery.
@@ -69,11 +70,11 @@
     has_list: bool,
     /// The time in which all relays can be answered once, as far as this relay knows.
     cycle: Nanos,
-    /// When a call last failed, whether one was answered since, and the time without failures after which the
-    /// cycle is reset.
+    /// When a call last failed, and whether one was answered since.
     failed_at: Option<Nanos>,
     answered: bool,
-    quiet_time: Nanos,
+    /// Maximum time between two requests. The cycle is reset after this time without failures.
+    poll_interval: Nanos,
     /// Whether the first call was scheduled.
     pub started: bool,
     /// When the call in flight started.
@@ -89,7 +90,7 @@
         // which relay calls is decided elsewhere.
         let relays = settings.relays.filter(|_| settings.list_on_request && !settings.list_shared);
         self.relays = f64::from(relays.unwrap_or(1).max(1));
-        self.quiet_time = settings.rules.list_poll_interval.unwrap_or(10 * SECOND);
+        self.poll_interval = settings.rules.list_poll_interval.unwrap_or(10 * SECOND);
         self.cycle = self.cycle.max(self.initial_cycle());
     }
 
@@ -128,7 +129,7 @@
         random: &mut Random,
     ) -> Nanos {
         let called_at = self.called_at.take();
-        let after_quiet = self.failed_at.is_none_or(|at| now > at + self.quiet_time.max(2 * self.cycle));
+        let after_quiet = self.failed_at.is_none_or(|at| now > at + self.poll_interval.max(2 * self.cycle));
         if std::mem::take(&mut self.answered) && after_quiet {
             // Only after a time without failures, because answers may break off every other time.
             self.cycle = self.initial_cycle();
@@ -233,7 +234,7 @@
     }
 
     /// Sets until when the list may be used ([`crate::ListLease`]), on the clock of the rounds; `None` for no
-    /// limit. Valid until it is set again.
+    /// limit, 0 if the list was never confirmed. Valid until it is set again.
     pub fn set_list_lease(&mut self, until: Option<Nanos>) {
         self.list_valid_until = until;
     }
@@ -243,6 +244,11 @@
         self.list_valid_until.is_some_and(|until| now >= until)
     }
 
+    /// Whether no process of this relay is known to have had the list confirmed.
+    fn list_never_confirmed(&self) -> bool {
+        self.list_valid_until == Some(0)
+    }
+
     /// Remaining time of the lease on the list, if there is one.
     pub(crate) fn lease_left(&self, now: Nanos) -> Option<Nanos> {
         self.list_valid_until.map(|until| until.saturating_sub(now))
@@ -257,7 +263,13 @@
     /// have been applied.
     pub(crate) fn start_polling(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.schedule.started, true) && self.settings.list_on_request {
-            let after = self.schedule.first_call_delay(now, self.lease_left(now), &mut self.random);
+            let time_left = if self.list_never_confirmed() {
+                // No lease to keep. If the whole fleet starts like this, a shorter time would crowd discovery.
+                Some(lease_span(self.schedule.poll_interval))
+            } else {
+                self.lease_left(now)
+            };
+            let after = self.schedule.first_call_delay(now, time_left, &mut self.random);
             self.call_discovery(now, after, actions);
         }
     }
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -35,6 +35,12 @@
 /// Two refusals further apart than this do not show what happened in between.
 const MAX_REFUSAL_GAP: Nanos = 10 * SECOND;
 
+/// Time from a confirmation of the list to the end of its lease. `list_poll_interval` is the maximum time between
+/// two requests according to the settings, in nanoseconds.
+pub(crate) fn lease_span(list_poll_interval: Nanos) -> Nanos {
+    DEEMED_ANNOUNCED_AFTER.min(list_poll_interval) + USABLE_GRACE
+}
+
 /// The lease on one list.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListLease {
@@ -64,21 +70,17 @@
     /// A lease on a list that is requested from discovery and was not received yet. `list_poll_interval` is
     /// the maximum time between two requests according to the settings, in nanoseconds.
     pub fn for_polled_list(list_poll_interval: Nanos) -> Self {
-        ListLease {
-            span: Some(DEEMED_ANNOUNCED_AFTER.min(list_poll_interval) + USABLE_GRACE),
-            ..ListLease::default()
-        }
+        ListLease { span: Some(lease_span(list_poll_interval)), ..ListLease::default() }
     }
 
     /// Applies a changed maximum time between two requests; the lease continues.
     pub fn set_poll_interval(&mut self, list_poll_interval: Nanos) {
         if let Some(span) = &mut self.span {
-            *span = DEEMED_ANNOUNCED_AFTER.min(list_poll_interval) + USABLE_GRACE;
+            *span = lease_span(list_poll_interval);
         }
     }
 
-    /// Records that the list was complete at this time, as known from an earlier process or from a file on a
-    /// first start.
+    /// Records that the list was complete at this time, as known from an earlier process.
     pub fn restore(&mut self, confirmed: Nanos) {
         self.confirmed_at = self.confirmed_at.max(Some(confirmed));
     }
--- a/tests/list_renewal.rs
+++ b/tests/list_renewal.rs
@@ -1,5 +1,5 @@
-//! Fleets with lists lose all their watches at once, while one discovery service answers one call after
-//! another.
+//! Fleets with lists lose all their watches at once, or start at once, while one discovery service answers one
+//! call after another.
 mod common;
 use common::*;
 use slatethread::*;
@@ -30,9 +30,18 @@
     down_until: Nanos,
 }
 
+/// How a run begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beginning {
+    /// All watches break.
+    Break,
+    /// All relays start with a list. `confirmed` says whether it was confirmed just then.
+    Start { confirmed: bool },
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
-    Breaks,
+    Begins,
     Timer(u64),
     /// A call ended: answered or rejected.
     Over(u64, bool),
@@ -59,7 +68,7 @@
     useless: Nanos,
 }
 
-fn run(count: u32, discovery: Discovery, seed: u64) -> Renewal {
+fn run(count: u32, discovery: Discovery, beginning: Beginning, seed: u64) -> Renewal {
     let settings = Settings { list_on_request: true, relays: Some(count), ..settings() };
     let mut steps = BinaryHeap::new();
     let mut relays: Vec<_> = (0..count)
@@ -67,13 +76,16 @@
             let mut dispatcher = Dispatcher::new(settings.clone(), u64::from(index) * 7919 + seed);
             let mut lease = ListLease::for_polled_list(10 * SECOND);
             let started = BREAK - u64::from(index * 37 % 1000) * MS;
-            lease.confirm(started, started);
-            let known = Event::List { scope: ListScope::Patch, entries: vec![endpoint(1, 5)] };
-            dispatcher.on_round(started - SECOND, &[known], &mut Vec::new());
-            dispatcher.on_round(started, &[Event::Timer { nonce: 2 }], &mut Vec::new());
-            let no_changes = Event::List { scope: ListScope::Patch, entries: vec![] };
-            dispatcher.on_round(started, &[no_changes], &mut Vec::new());
-            steps.push(Reverse((BREAK, index, Step::Breaks)));
+            if beginning == Beginning::Break {
+                lease.confirm(started, started);
+                dispatcher.on_round(started - SECOND, &[known_list()], &mut Vec::new());
+                dispatcher.on_round(started, &[Event::Timer { nonce: 2 }], &mut Vec::new());
+                let no_changes = Event::List { scope: ListScope::Patch, entries: vec![] };
+                dispatcher.on_round(started, &[no_changes], &mut Vec::new());
+            } else if beginning == (Beginning::Start { confirmed: true }) {
+                lease.restore(BREAK);
+            }
+            steps.push(Reverse((BREAK, index, Step::Begins)));
             Relay { dispatcher, lease, call: None, confirmed: false }
         })
         .collect();
@@ -87,7 +99,8 @@
         );
         let relay = &mut relays[index as usize];
         let event = match step {
-            Step::Breaks => failed(ListScope::Rejected),
+            Step::Begins if beginning == Beginning::Break => failed(ListScope::Rejected),
+            Step::Begins => known_list(),
             Step::Timer(nonce) => Event::Timer { nonce },
             Step::StopsWaiting(call) if relay.call.is_some_and(|(own, _)| own == call) => {
                 failed(ListScope::TimedOut)
@@ -137,6 +150,10 @@
     renewal
 }
 
+fn known_list() -> Event {
+    Event::List { scope: ListScope::Patch, entries: vec![endpoint(1, 5)] }
+}
+
 fn failed(scope: ListScope) -> Event {
     Event::List { scope, entries: vec![] }
 }
@@ -173,7 +190,7 @@
                 for down in [0, 8, 60] {
                     let down_until = BREAK + down * SECOND;
                     let discovery = Discovery { cost: cost * MS, overload, down_until };
-                    let mut renewal = run(count, discovery, 1);
+                    let mut renewal = run(count, discovery, Beginning::Break, 1);
                     renewal.last -= down * SECOND;
                     check(count, u64::from(count) * cost * MS, discovery, renewal);
                 }
@@ -213,3 +230,25 @@
         assert!(renewal.calls <= most, "{count}, {discovery:?}: {renewal:?}");
     });
 }
+
+/// A fleet's first start looks like lost machines to each relay: nobody has confirmed the list in its configuration.
+/// Without a lease to keep, relays have no reason to call sooner.
+#[test]
+fn a_fleet_whose_lists_nobody_confirmed_calls_discovery_no_more_than_one_with_leases() {
+    for count in [3, 30, 300, 900] {
+        for cost in [17, 24, 40] {
+            for overload in [Overload::DiscardsAtHead, Overload::RejectsOnArrival] {
+                for down in [0, 8, 60] {
+                    let down_until = BREAK + down * SECOND;
+                    let discovery = Discovery { cost: cost * MS, overload, down_until };
+                    let start = |confirmed| run(count, discovery, Beginning::Start { confirmed }, 1);
+                    let (leased, unconfirmed) = (start(true), start(false));
+                    assert!(
+                        unconfirmed.calls <= leased.calls,
+                        "{count}, {discovery:?}: {unconfirmed:?}, {leased:?}"
+                    );
+                }
+            }
+        }
+    }
+}
