A pushed list is used only once the agent has answered this process

Cause: LeaseClock::new had ListLease::unbounded as its default, and platform_front.rs replaced it only where lists are asked for. Nothing asked whether this process had heard the agent. Evidence: the agent was asked at 4.643 s and wrote nothing before 12.39 s, while calls by the configuration's list went out from 4.65 s on; no line about a lease in the log. Ruled out: a record of the process before (there is none), an answer that was not applied (none was written), connections that outlived their endpoint.

Change: ListSource (file, polled, pushed) is an argument of the lease and of Core::new; unbounded is gone. A pushed list needs an answer to this process. Then silence does not end the lease, since a silent agent learns nothing; any other failure of a call does, 0.3 s later, until a later call is answered. ListScope::NotConnected is told from TimedOut for that.

--- a/relay/src/core/backlog/tests.rs
+++ b/relay/src/core/backlog/tests.rs
@@ -260,7 +260,16 @@
         let metrics = Metrics::new(&[]);
         let backlog_metrics = BacklogMetrics::register(&metrics);
         let disabled = DisabledNodes::open(site.folder.path());
-        let core = Core::new(partner, rules(classes), None, 1, journal, disabled, metrics);
+        let core = Core::new(
+            partner,
+            slatethread::ListSource::File,
+            rules(classes),
+            None,
+            1,
+            journal,
+            disabled,
+            metrics,
+        );
         let settings =
             config::BacklogConfig { folder: "unused".into(), memory_bytes: 32 << 20, disk_bytes: 1 << 30 };
         let classes: Vec<_> =
--- a/relay/src/core/list_confirmation.rs
+++ b/relay/src/core/list_confirmation.rs
@@ -1,6 +1,6 @@
 //! The lease on the list of execute nodes: the answers of discovery extend it ([`ListLease`]), and each claim checks it
 //! before its first byte is sent.
-use slatethread::{ListLease, ListScope, Nanos};
+use slatethread::{ListLease, ListScope, ListSource, Nanos};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -30,11 +30,10 @@
 }
 
 impl LeaseClock {
-    /// A lease that never expires, for lists that are not requested from discovery. `start` is the start of the
-    /// decision module's clock.
-    pub fn new(start: Instant) -> Self {
+    /// The lease on a list that nobody has confirmed. `start` is the start of the decision module's clock.
+    pub fn new(start: Instant, source: ListSource) -> Self {
         LeaseClock {
-            lease: RefCell::new(ListLease::unbounded()),
+            lease: RefCell::new(ListLease::new(source)),
             start,
             record: RefCell::default(),
             lapsed: Cell::new(false),
@@ -47,7 +46,7 @@
         self.lease.borrow().allows(self.module_time(now))
     }
 
-    /// When the lease expires, on the decision module's clock; `None` if it never does.
+    /// When the lease expires, on the decision module's clock; `None` if that depends on what is yet to happen.
     pub fn ends_at(&self) -> Option<Nanos> {
         self.lease.borrow().ends_at()
     }
@@ -58,11 +57,9 @@
         Some(self.start + end.saturating_sub(CLOCK_START))
     }
 
-    /// Time since the list was last known to be complete; `None` if it is not requested from discovery, or was never
-    /// confirmed.
+    /// Time since the list was last known to be complete; `None` if it was never confirmed.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        let lease = self.lease.borrow();
-        let confirmed = lease.confirmed_at().filter(|_| lease.ends_at().is_some())?;
+        let confirmed = self.lease.borrow().confirmed_at()?;
         Some(Duration::from_nanos(self.module_time(now).saturating_sub(confirmed)))
     }
 
@@ -76,17 +73,16 @@
 }
 
 impl<C: Transport> Core<C> {
-    /// Puts the list under a lease, since it is requested from discovery. `before` is an earlier process's confirmation
-    /// of this version of the list or an older one. Without one nothing is sent before discovery has answered: the
-    /// list in the configuration may be of any age.
-    pub fn start_list_lease(&self, record: Option<LeaseRecord>, before: Option<ListConfirmation>) {
+    /// Continues the lease of an earlier process on a list that is requested from discovery. `before` is that process's
+    /// confirmation of this version of the list or an older one. Without one nothing is sent before discovery has
+    /// answered: the list in the configuration may be of any age.
+    pub fn restore_list_lease(&self, record: Option<LeaseRecord>, before: Option<ListConfirmation>) {
         let now = self.module_time(Instant::now());
-        let mut lease = ListLease::for_polled_list(nanos(self.rules().list_max_age()));
         if let Some(before) = before {
-            lease.restore(now.saturating_sub(nanos(before.age)));
+            self.lease_clock.update(|lease| lease.restore(now.saturating_sub(nanos(before.age))));
         }
-        tracing::info!(?before, left = ?self.lease_remaining(&lease, now), "lease on the node list started");
-        *self.lease_clock.lease.borrow_mut() = lease;
+        let left = self.lease_clock.ends_at().map(|end| Duration::from_nanos(end.saturating_sub(now)));
+        tracing::info!(?before, ?left, "lease on the node list started");
         *self.lease_clock.record.borrow_mut() = record;
         self.record_lease();
     }
@@ -162,8 +158,4 @@
             }));
         }
     }
-
-    fn lease_remaining(&self, lease: &ListLease, now: Nanos) -> Option<Duration> {
-        Some(Duration::from_nanos(lease.ends_at()?.saturating_sub(now)))
-    }
 }
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -17,7 +17,7 @@
 mod rounds;
 mod send_permit;
 
-use slatethread::{Dispatcher, EndpointId, Event, MsgId, Nanos};
+use slatethread::{Dispatcher, EndpointId, Event, ListSource, MsgId, Nanos};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -165,6 +165,7 @@
 impl<C: Transport> Core<C> {
     pub fn new(
         transport: C,
+        list_source: ListSource,
         rules: Rules,
         hooks: Option<Rc<Hooks>>,
         seed: u64,
@@ -206,7 +207,7 @@
             wake: Notify::new(),
             list_request: Notify::new(),
             start,
-            lease_clock: Rc::new(LeaseClock::new(start)),
+            lease_clock: Rc::new(LeaseClock::new(start, list_source)),
             rounds_stopped: Notify::new(),
             decisions: Notify::new(),
             tally: Cell::default(),
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -5,7 +5,7 @@
 use crate::journal::{FinalNotice, open_journal};
 use crate::lease_record::ListConfirmation;
 use crate::metrics::Metrics;
-use slatethread::EndpointId;
+use slatethread::{EndpointId, ListSource};
 
 /// A node that accepts claims or not.
 pub(crate) fn node(address: SocketAddr, open: bool) -> Node {
@@ -20,7 +20,7 @@
     let node = Rc::new(node(SocketAddr::from(([127, 0, 0, 1], 1)), open));
     let wait = Rc::new(Cell::new(now + wait));
     let not_after = memory.map(|left| now + left);
-    let (lease, tries) = (Rc::new(LeaseClock::new(now)), Metrics::new(&[]).tries());
+    let (lease, tries) = (Rc::new(LeaseClock::new(now, ListSource::File)), Metrics::new(&[]).tries());
     Rc::new(SendPermit::new(node, wait, lease, not_after, None, tries))
 }
 
@@ -55,8 +55,13 @@
 }
 
 fn core(folder: &std::path::Path) -> Rc<Core<NoTransport>> {
+    core_with(folder, ListSource::File)
+}
+
+fn core_with(folder: &std::path::Path, source: ListSource) -> Rc<Core<NoTransport>> {
     let (journal, _) = open_journal(folder, 1_000_000).expect("it opens");
-    Core::new(NoTransport, rules(), None, 1, journal, DisabledNodes::open(folder), Metrics::new(&[]))
+    let disabled = DisabledNodes::open(folder);
+    Core::new(NoTransport, source, rules(), None, 1, journal, disabled, Metrics::new(&[]))
 }
 
 pub(crate) fn entry(name: usize, port: u16, lifecycle: Lifecycle) -> NodeEntry<'static> {
@@ -94,8 +99,8 @@
 fn a_reload_shortens_the_list_lease_even_if_the_settings_are_not_applied() {
     let folder = tempfile::tempdir().expect("a folder");
     for class in [None, Some("another")] {
-        let core = core(folder.path());
-        core.start_list_lease(None, Some(ListConfirmation { generation: 1, age: Duration::ZERO }));
+        let core = core_with(folder.path(), ListSource::Polled { poll_interval: 10_000_000_000 });
+        core.restore_list_lease(None, Some(ListConfirmation { generation: 1, age: Duration::ZERO }));
         let left = || core.lease_clock.end().expect("it ends") - Instant::now();
         assert!(left() > Duration::from_secs(5));
         let mut rules = (*core.rules()).clone();
--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -85,8 +85,8 @@
                 &mut doubtful_failures,
                 sharing.as_ref(),
             ) => {
-                let CallError { message, kind, not_connected, elapsed } = error;
-                let doubtful = matches!(kind, ListScope::Truncated | ListScope::TimedOut) && !not_connected;
+                let CallError { message, kind, elapsed } = error;
+                let doubtful = matches!(kind, ListScope::Truncated | ListScope::TimedOut);
                 doubtful_failures = if doubtful { doubtful_failures + 1 } else { 0 };
                 known_generation = known_generation.filter(|_| doubtful_failures < MAX_DOUBTFUL_FAILURES);
                 tracing::warn!(
@@ -114,17 +114,16 @@
 /// Why a call to discovery failed.
 struct CallError {
     message: String,
-    /// Whether the connection was refused, the call was rejected, the response was interrupted, or there was none in time.
+    /// Whether the connection was refused or could not be made, the call was rejected, the response was interrupted, or there was
+    /// none in time.
     kind: ListScope,
-    /// The call was not sent.
-    not_connected: bool,
     /// How long the call took until it failed.
     elapsed: Duration,
 }
 
 impl CallError {
     fn new(kind: ListScope, message: impl ToString) -> Self {
-        CallError { message: message.to_string(), kind, not_connected: false, elapsed: Duration::ZERO }
+        CallError { message: message.to_string(), kind, elapsed: Duration::ZERO }
     }
 
     /// The kind of failure for the metrics.
@@ -142,8 +141,8 @@
     fn connect_failed(error: &ConnectError) -> Self {
         let refused =
             matches!(error, ConnectError::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused);
-        let kind = if refused { ListScope::Unreachable } else { ListScope::TimedOut };
-        CallError { not_connected: true, ..CallError::new(kind, error) }
+        let kind = if refused { ListScope::Unreachable } else { ListScope::NotConnected };
+        CallError::new(kind, error)
     }
 
     fn interrupted(message: impl ToString) -> Self {
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -1,4 +1,5 @@
 //! Starts the platform front, and reloads its settings.
+use slatethread::ListSource;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,13 +15,14 @@
 use super::{Error, ProcessAvailability, StartContext};
 use crate::availability::AvailabilityEvent;
 use crate::backlog::{Backlog, BacklogClass};
-use crate::config::{BacklogConfig, IdleConfig, MachineLimits, PlatformConfig};
+use crate::config::{BacklogConfig, IdleConfig, MachineLimits, PlatformConfig, Rules};
 use crate::connection_limiter::ConnectionLimiter;
 use crate::core::{Core, Transport};
 use crate::disabled::DisabledNodes;
 use crate::handover::{FolderClaim, Predecessor};
 use crate::http1::MESSAGE_BYTES;
 use crate::instances::{self, ListSharing};
+use crate::job::nanos;
 use crate::journal::{Journal, OpenJob, is_transient};
 use crate::lease_record::LeaseRecord;
 use crate::list::NodeList;
@@ -127,7 +129,9 @@
         tracing::info!(recovered = open.len(), "journal read");
         let disabled = DisabledNodes::open(&config.state);
         let (hooks, metrics) = (context.hooks.clone(), context.metrics.clone());
-        let core = Core::new(node_client, config.rules, hooks, config.seed, journal, disabled, metrics);
+        let source = list_source(&config.rules, sharing.is_some());
+        let core =
+            Core::new(node_client, source, config.rules, hooks, config.seed, journal, disabled, metrics);
         if let Some(settings) = &backlog {
             let figures = BacklogMetrics::register(core.metrics());
             let attempt = async || {
@@ -155,8 +159,8 @@
                 (!config.known_nodes.is_empty()).then_some(config.known_nodes.generation)
             }
         };
-        if core.rules().settings.list_on_request && sharing.is_none() {
-            start_list_lease(&core, &config.state);
+        if matches!(source, ListSource::Polled { .. }) {
+            restore_list_lease(&core, &config.state);
         }
         start_tasks(&core, "platform");
         if let Some(sharing) = &sharing {
@@ -267,8 +271,18 @@
     known_generation
 }
 
-/// Allows claims by the list only while it is confirmed, by this process or, as its record says, by the previous one.
-fn start_list_lease<C: Transport>(core: &Core<C>, state: &Path) {
+/// Where the list comes from, and so what has to confirm it before claims are sent by it.
+fn list_source(rules: &Rules, shared: bool) -> ListSource {
+    match rules.settings.list_on_request {
+        // Lists between instances have no bound yet (issue 25, `review/9`).
+        _ if shared => ListSource::File,
+        true => ListSource::Polled { poll_interval: nanos(rules.list_max_age()) },
+        false => ListSource::Pushed,
+    }
+}
+
+/// Continues the lease of the previous process on the list, as its record says.
+fn restore_list_lease<C: Transport>(core: &Core<C>, state: &Path) {
     let (record, previous) = match LeaseRecord::open(state) {
         Ok((record, previous)) => (Some(record), previous),
         Err(error) => {
@@ -279,7 +293,7 @@
     // The record does not confirm a list that is older than the one it was written for.
     let previous =
         previous.filter(|previous| core.generation().is_some_and(|known| known >= previous.generation));
-    core.start_list_lease(record, previous);
+    core.restore_list_lease(record, previous);
 }
 
 /// Opens the backlog on disk and attaches it to the core.
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -1,4 +1,5 @@
 //! Starts the push front, and reloads its settings.
+use slatethread::ListSource;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -67,7 +68,7 @@
         let seed = since.as_nanos() as u64;
         let disabled = DisabledNodes::open(&config.state);
         let (rules, hooks, metrics) = (config.rules.clone(), context.hooks.clone(), context.metrics.clone());
-        let core = Core::new(gateways, rules, hooks, seed, journal, disabled, metrics);
+        let core = Core::new(gateways, ListSource::File, rules, hooks, seed, journal, disabled, metrics);
         Ok(OpenedPushFront { config, core, open, address, predecessor, seed })
     }
 
--- a/relay/tests/platform/discovery.rs
+++ b/relay/tests/platform/discovery.rs
@@ -223,6 +223,45 @@
     );
 }
 
+// Guards against a restart beside a silent agent: addresses of the configured list are other nodes' by now, as the agent knows.
+#[test]
+fn in_push_mode_a_configured_list_is_not_used_before_the_agent_has_answered() {
+    play(
+        None,
+        "send list n1:7 n9:9:HANG             # the agent is silent
+         send relay start mode=push known=2
+         send s1 GET /ready
+         expect s1 503
+         send s1 POST /order id=j1 dest=7 timeout=9000
+         expect s1 202
+         expect n1 nothing 300
+         send list n1:8 n2:7
+         expect n2 POST body=j1
+         send n2 200
+         expect relay log=Delivered
+         expect n1 nothing 50",
+    );
+}
+
+// Guards against a relay that stops sending in an outage of discovery, in which the agent is silent and learns nothing.
+#[test]
+fn in_push_mode_a_list_is_used_on_while_the_agent_is_silent() {
+    play(
+        None,
+        "send list n1:7
+         send relay start mode=push
+         expect relay log=list_of_execute_nodes
+         send list n1:7 n9:9:HANG
+         expect relay log=list_of_execute_nodes_changed
+         expect relay log=discovery_cannot_be_followed
+         expect relay log=discovery_cannot_be_followed
+         send s1 POST /notice id=j1 dest=7 timeout=2000
+         expect s1 202
+         expect n1 POST body=j1
+         send n1 200",
+    );
+}
+
 // Guards against a relay that takes submitters from relays that can serve them, and against one that is away for a whole outage.
 #[test]
 fn a_relay_without_a_confirmed_list_is_not_ready_for_some_seconds() {
--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -66,6 +66,10 @@
 pub struct DiscoverySchedule {
     /// Number of relays that share one discovery.
     relays: f64,
+    /// The list comes from an agent on this machine, which answers at once unless discovery is down.
+    pushed: bool,
+    /// When the first call started of those without an answer since the last one.
+    unanswered_since: Option<Nanos>,
     /// Whether a non-empty list was received, so that drains may be announced.
     has_list: bool,
     /// The time in which all relays can be answered once, as far as this relay knows.
@@ -90,6 +94,7 @@
         // which relay calls is decided elsewhere.
         let relays = settings.relays.filter(|_| settings.list_on_request && !settings.list_shared);
         self.relays = f64::from(relays.unwrap_or(1).max(1));
+        self.pushed = !settings.list_on_request && !settings.list_shared;
         self.poll_interval = settings.rules.list_poll_interval.unwrap_or(10 * SECOND);
         self.cycle = self.cycle.max(self.initial_cycle());
     }
@@ -107,6 +112,7 @@
     /// Records the start of a call.
     pub fn call_started(&mut self, now: Nanos) {
         self.called_at = Some(now);
+        self.unanswered_since.get_or_insert(now);
     }
 
     /// Records that a list, or changes, arrived; `non_empty` says whether it has entries.
@@ -116,7 +122,7 @@
         if first {
             self.cycle = self.initial_cycle();
         }
-        (self.called_at, self.answered) = (None, true);
+        (self.called_at, self.unanswered_since, self.answered) = (None, None, true);
     }
 
     /// Time until the next call after one that failed, where `left` is the remaining time of the lease on the
@@ -139,6 +145,9 @@
         let after = if !self.has_list {
             self.lengthen_without_list(how, called_at.map_or(0, |at| now.saturating_sub(at)));
             nanos(secs(self.cycle) * (0.5 + fraction))
+        } else if self.pushed && how == ListScope::TimedOut {
+            // What the agent gets when discovery returns counts as announced at once.
+            nanos(secs(MIN_CYCLE) * (0.5 + fraction))
         } else if how == ListScope::Unreachable {
             self.cycle = (self.cycle * REFUSED_GROWTH).min(self.max_unqueued_cycle()).max(self.cycle);
             let base = left.filter(|left| *left > 0).map_or(self.cycle, |left| self.cycle.min(left / 2));
@@ -212,10 +221,14 @@
     }
 
     /// Time until there may be a list for a relay that has none, or none that it may use. Of a call in flight
-    /// only its age is known; half of that is assumed as the remaining time.
+    /// only its age is known; half of that is assumed as the remaining time. So is half of the time for which an
+    /// agent on this machine has been silent, over however many calls.
     pub fn time_to_list(&self, now: Nanos, expired: bool) -> Nanos {
         match self.called_at {
             _ if self.has_list && !expired => 0,
+            _ if self.pushed && self.has_list => {
+                self.unanswered_since.map_or(0, |since| now.saturating_sub(since) / 2)
+            }
             Some(at) => now.saturating_sub(at) / 2,
             None => self.next_call_at.saturating_sub(now),
         }
@@ -262,7 +275,13 @@
     /// Schedules the first call, if the list has to be requested. In a first round, entries already received
     /// have been applied.
     pub(crate) fn start_polling(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.schedule.started, true) && self.settings.list_on_request {
+        if std::mem::replace(&mut self.schedule.started, true) {
+            return;
+        }
+        if !self.settings.list_on_request {
+            // The agent is called from the start, without being asked for.
+            self.schedule.unanswered_since = Some(now);
+        } else {
             let time_left = if self.list_never_confirmed() {
                 // No lease to keep. If the whole fleet starts like this, a shorter time would crowd discovery.
                 Some(lease_span(self.schedule.poll_interval))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,6 +280,8 @@
     Truncated,
     /// As `Unreachable`, but no answer came in time: any change that was due may count as announced.
     TimedOut,
+    /// As `Unreachable`, but for a reason that does not show whether the service runs: the call was not sent.
+    NotConnected,
 }
 
 impl ListScope {
@@ -287,7 +289,11 @@
     pub fn is_failure(self) -> bool {
         matches!(
             self,
-            ListScope::Unreachable | ListScope::Rejected | ListScope::Truncated | ListScope::TimedOut
+            ListScope::Unreachable
+                | ListScope::Rejected
+                | ListScope::Truncated
+                | ListScope::TimedOut
+                | ListScope::NotConnected
         )
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,5 +49,5 @@
 pub use choice::Dispatcher;
 pub use idle_records::RecordCounts;
 pub use interface::*;
-pub use list_lease::ListLease;
+pub use list_lease::{ListLease, ListSource};
 pub use snapshot::{DestinationSnapshot, EndpointSnapshot};
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -16,6 +16,16 @@
 //! - **An answer that broke off:** it may have announced a drain from its first byte on, so the lease ends
 //!   with the grace period that drains have from there.
 //!
+//! Where an agent on this machine has the list pushed to it, changes count as announced as soon as the agent has
+//! them, from the first moment of a process. The agent answers at once, and is silent only while discovery is
+//! down, when it learns nothing. Therefore such a list may be used for as long as the relay has been connected to
+//! the agent without a gap since an answer, however long the agent has been silent:
+//!
+//! - **A process that starts** knows nothing of what the agent has learned: no earlier process's confirmation
+//!   counts.
+//! - **A call that ends in any way but by silence** leaves a gap; the lease ends with the grace period from there
+//!   unless a later call is answered.
+//!
 //! There is no clock and no socket here; times are nanoseconds on one monotonic clock.
 use crate::interface::{ListScope, Nanos};
 use crate::state::SECOND;
@@ -41,12 +51,24 @@
     DEEMED_ANNOUNCED_AFTER.min(list_poll_interval) + USABLE_GRACE
 }
 
+/// Where a relay has its list from, which decides what confirms the list and what ends its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    /// The relay's own file. It is the list, whoever confirms it, and needs no lease.
+    File,
+    /// Discovery, which this relay asks.
+    Polled {
+        /// Maximum time between two requests according to the settings, in nanoseconds.
+        poll_interval: Nanos,
+    },
+    /// An agent on this machine, to which discovery pushes the list.
+    Pushed,
+}
+
 /// The lease on one list.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ListLease {
-    /// Time from a confirmation to the end of the lease. `None` if the list is not requested from discovery;
-    /// then the lease has no end.
-    span: Option<Nanos>,
+    source: ListSource,
     /// When the list was last known to be complete, moved later by the duration of outages.
     confirmed_at: Option<Nanos>,
     /// When the first bytes arrived of answers that were not applied yet or broke off: the oldest one and the
@@ -59,30 +81,37 @@
     unconfirmed_reload_at: Option<Nanos>,
     /// The last refused connection, unless a later call ended in another way.
     refused_at: Option<Nanos>,
+    /// When a call to the agent first failed otherwise than by silence, unless a later call was answered.
+    gap_since: Option<Nanos>,
 }
 
 impl ListLease {
-    /// A lease without end, for lists that come from a file or from an agent on this machine.
-    pub fn unbounded() -> Self {
-        ListLease::default()
-    }
-
-    /// A lease on a list that is requested from discovery and was not received yet. `list_poll_interval` is
-    /// the maximum time between two requests according to the settings, in nanoseconds.
-    pub fn for_polled_list(list_poll_interval: Nanos) -> Self {
-        ListLease { span: Some(lease_span(list_poll_interval)), ..ListLease::default() }
+    /// The lease on a list that nobody has confirmed.
+    pub fn new(source: ListSource) -> Self {
+        ListLease {
+            source,
+            confirmed_at: None,
+            unread: [None; 2],
+            reloaded_at: None,
+            unconfirmed_reload_at: None,
+            refused_at: None,
+            gap_since: None,
+        }
     }
 
     /// Applies a changed maximum time between two requests; the lease continues.
     pub fn set_poll_interval(&mut self, list_poll_interval: Nanos) {
-        if let Some(span) = &mut self.span {
-            *span = lease_span(list_poll_interval);
+        if let ListSource::Polled { poll_interval } = &mut self.source {
+            *poll_interval = list_poll_interval;
         }
     }
 
-    /// Records that the list was complete at this time, as known from an earlier process.
+    /// Records that the list was complete at this time, as known from an earlier process. Has no effect on a list
+    /// that is pushed.
     pub fn restore(&mut self, confirmed: Nanos) {
-        self.confirmed_at = self.confirmed_at.max(Some(confirmed));
+        if self.source != ListSource::Pushed {
+            self.confirmed_at = self.confirmed_at.max(Some(confirmed));
+        }
     }
 
     /// Records that the first byte arrived of an answer with a list or changes, which is not applied yet.
@@ -101,6 +130,7 @@
         if self.reloaded_at.is_none_or(|reloaded| started >= reloaded) {
             self.unconfirmed_reload_at = None;
         }
+        self.gap_since = self.gap_since.filter(|gap| *gap > started);
     }
 
     /// Records that a call failed, as noticed at `now`.
@@ -108,6 +138,9 @@
         let recent_reload =
             self.reloaded_at.filter(|reloaded| now < reloaded + DEEMED_ANNOUNCED_AFTER_RELOAD);
         self.unconfirmed_reload_at = self.unconfirmed_reload_at.or(recent_reload);
+        if how != ListScope::TimedOut {
+            self.gap_since.get_or_insert(now);
+        }
         if how != ListScope::Unreachable {
             self.refused_at = None;
             return;
@@ -124,15 +157,19 @@
         self.unconfirmed_reload_at.get_or_insert(now);
     }
 
-    /// When the lease ends, if it has an end; 0 if the list was never confirmed.
+    /// When the lease ends; `None` if that depends on what is yet to happen, 0 if the list was never confirmed.
     pub fn ends_at(&self) -> Option<Nanos> {
-        let span = self.span?;
-        let by_age = self.confirmed_at.map_or(0, |confirmed| confirmed + span);
+        let while_in_touch = match (self.source, self.confirmed_at) {
+            (ListSource::File, _) => return None,
+            (_, None) => return Some(0),
+            (ListSource::Polled { poll_interval }, Some(confirmed)) => confirmed + lease_span(poll_interval),
+            (ListSource::Pushed, Some(_)) => self.gap_since.map_or(Nanos::MAX, |gap| gap + USABLE_GRACE),
+        };
         let by_unread = self.unread[0].map_or(Nanos::MAX, |first| first + USABLE_GRACE);
         let by_reload = self
             .unconfirmed_reload_at
             .map_or(Nanos::MAX, |at| at + DEEMED_ANNOUNCED_AFTER_RELOAD + USABLE_GRACE);
-        Some(by_age.min(by_unread).min(by_reload))
+        Some(while_in_touch.min(by_unread).min(by_reload)).filter(|end| *end < Nanos::MAX)
     }
 
     /// Whether a call may start now.
@@ -146,9 +183,11 @@
     }
 
     /// The confirmation time for which a lease without other constraints would end when this one does. A
-    /// successor process may rely on it.
+    /// successor process may rely on it. `None` if the list is not requested from discovery.
     pub fn inheritable_confirmation(&self) -> Option<Nanos> {
-        Some(self.ends_at()?.saturating_sub(self.span?)).filter(|_| self.confirmed_at.is_some())
+        let ListSource::Polled { poll_interval } = self.source else { return None };
+        self.confirmed_at?;
+        Some(self.ends_at()?.saturating_sub(lease_span(poll_interval)))
     }
 }
 
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -1,26 +1,30 @@
 use super::*;
-use ListScope::{Rejected, TimedOut, Truncated, Unreachable};
+use ListScope::{NotConnected, Rejected, TimedOut, Truncated, Unreachable};
 use proptest::prelude::*;
 
 const MS: Nanos = 1_000_000;
 
+fn polled(poll_interval: Nanos) -> ListLease {
+    ListLease::new(ListSource::Polled { poll_interval })
+}
+
 fn confirmed_at(begun: Nanos) -> ListLease {
-    let mut lease = ListLease::for_polled_list(10 * SECOND);
+    let mut lease = polled(10 * SECOND);
     lease.confirm(begun, begun);
     lease
 }
 
 #[test]
 fn a_lease_counts_from_the_start_of_its_call() {
-    assert_eq!(ListLease::for_polled_list(10 * SECOND).ends_at(), Some(0), "nothing was confirmed");
+    assert_eq!(polled(10 * SECOND).ends_at(), Some(0), "nothing was confirmed");
     assert_eq!(confirmed_at(100 * SECOND).ends_at(), Some(106_300 * MS));
     assert!(
         confirmed_at(100 * SECOND).allows(106_299 * MS) && !confirmed_at(100 * SECOND).allows(106_300 * MS)
     );
-    let mut short = ListLease::for_polled_list(4 * SECOND);
+    let mut short = polled(4 * SECOND);
     short.confirm(100 * SECOND, 100 * SECOND);
     assert_eq!(short.ends_at(), Some(104_300 * MS), "a shorter poll interval shortens the lease");
-    assert!(ListLease::unbounded().allows(Nanos::MAX));
+    assert!(ListLease::new(ListSource::File).allows(Nanos::MAX));
 }
 
 #[test]
@@ -85,14 +89,40 @@
 
 #[test]
 fn an_inherited_confirmation_ends_with_the_lease() {
-    assert_eq!(ListLease::for_polled_list(10 * SECOND).inheritable_confirmation(), None);
+    assert_eq!(polled(10 * SECOND).inheritable_confirmation(), None);
     let mut lease = confirmed_at(100 * SECOND);
     lease.configuration_reloaded(100 * SECOND);
-    let mut next = ListLease::for_polled_list(10 * SECOND);
+    let mut next = polled(10 * SECOND);
     next.restore(lease.inheritable_confirmation().expect("it was confirmed"));
     assert_eq!((next.ends_at(), lease.ends_at()), (Some(104_300 * MS), Some(104_300 * MS)));
 }
 
+#[test]
+fn a_pushed_list_is_used_from_the_first_answer_to_this_process_until_a_gap() {
+    let mut lease = ListLease::new(ListSource::Pushed);
+    lease.restore(100 * SECOND);
+    assert_eq!(lease.ends_at(), Some(0), "an earlier process cannot know what the agent has learned since");
+    lease.confirm(100 * SECOND, 100 * SECOND);
+    lease.call_failed(102 * SECOND, TimedOut);
+    lease.call_failed(105 * SECOND, TimedOut);
+    assert_eq!(lease.ends_at(), None, "a silent agent learns nothing");
+    for how in [Unreachable, Rejected, Truncated, NotConnected] {
+        let mut lease = lease;
+        lease.call_failed(110 * SECOND, how);
+        lease.call_failed(112 * SECOND, how);
+        lease.confirm(109 * SECOND, 109 * SECOND);
+        assert_eq!(lease.ends_at(), Some(110_300 * MS), "{how:?}: answered before the gap");
+        lease.call_failed(113 * SECOND, TimedOut);
+        assert_eq!(lease.ends_at(), Some(110_300 * MS), "{how:?}: silence does not close the gap");
+        lease.confirm(111 * SECOND, 111 * SECOND);
+        assert_eq!(lease.ends_at(), None, "{how:?}");
+    }
+    lease.configuration_reloaded(120 * SECOND);
+    assert_eq!(lease.ends_at(), Some(124_300 * MS));
+    lease.answer_started(121 * SECOND);
+    assert_eq!(lease.ends_at(), Some(121_300 * MS));
+}
+
 /// Events in the history of a relay; each one follows the previous one after a number of milliseconds.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -122,7 +152,7 @@
     /// earliest moment at which a change unknown to the relay may count as announced.
     #[test]
     fn no_first_byte_comes_after_the_bound(steps in steps()) {
-        let mut lease = ListLease::for_polled_list(10 * SECOND);
+        let mut lease = polled(10 * SECOND);
         let mut now = 1000 * SECOND;
         // The earliest change that may be unknown, the latest reload not yet answered, and the first unread
         // byte.
--- a/tests/list_renewal.rs
+++ b/tests/list_renewal.rs
@@ -74,7 +74,7 @@
     let mut relays: Vec<_> = (0..count)
         .map(|index| {
             let mut dispatcher = Dispatcher::new(settings.clone(), u64::from(index) * 7919 + seed);
-            let mut lease = ListLease::for_polled_list(10 * SECOND);
+            let mut lease = ListLease::new(ListSource::Polled { poll_interval: 10 * SECOND });
             let started = BREAK - u64::from(index * 37 % 1000) * MS;
             if beginning == Beginning::Break {
                 lease.confirm(started, started);
