Lists between instances have the lease of those that are asked for

Cause: PlatformStart::run (relay/src/run/platform_front.rs) put the list under a lease only without [instances], though each instance knows the start of the call that confirmed its list (KnownList::earliest); apply_lists (relay/src/instances/lists.rs) dropped it.

Change: ListSource::Shared, confirmed from that start with each heartbeat that advances it. An own answer counts once it is in the shared list; a refused connection extends nothing, since others may have been told; a torn answer ends the lease until this instance's own next answer or a later call of another is in the list. The record in the folder passes the age on in an upgrade.

Tests: a_list_between_instances_is_not_used_longer_than_one_that_is_asked_for fails on (tried with the lines of the log that it asked for then, which that program does not write) and passes; a_list_between_instances_is_used_until_the_lease_of_its_last_confirmation_ends.

--- a/relay/src/discovery.rs
+++ b/relay/src/discovery.rs
@@ -195,10 +195,11 @@
         tracing::debug!(generation, changes, whole, ?waited, "discovery answered");
         if let Some((sharing, _)) = shared {
             *known_generation = Some(generation);
-            sharing.call_answered(begun, &list);
+            sharing.call_answered(answered, &list);
             if std::mem::take(&mut first) {
-                // Only informs the decision module that the list is available; its entries are applied from the shared list.
-                apply(core, NodeList::new(generation, false, Vec::new()), answered);
+                // Only informs the decision module that the list is available; its entries are applied from the shared list, and
+                // confirm it only then.
+                apply_unconfirmed(core, NodeList::new(generation, false, Vec::new()));
             }
             continue;
         }
--- a/relay/src/instances/lists.rs
+++ b/relay/src/instances/lists.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Instances, link};
-use crate::core::{Core, Transport};
+use crate::core::{AnswerTimes, Core, Transport};
 use crate::list::{NodeEntry, NodeList};
 
 /// Maximum number of messages queued on a link. A link whose peer does not read them is closed.
@@ -52,8 +52,10 @@
     polling: watch::Sender<bool>,
     /// Notified when sharing starts.
     started: Notify,
-    /// Notified when the shared list has changed.
+    /// Notified when the shared list has changed, or was confirmed.
     changed: Notify,
+    /// When the first byte arrived of the last answer to this instance that is in its list.
+    adopted_answer: Cell<Option<Instant>>,
     links: RefCell<HashMap<u64, OpenLink>>,
     last_link: Cell<u64>,
 }
@@ -67,6 +69,7 @@
             polling: watch::Sender::new(false),
             started: Notify::new(),
             changed: Notify::new(),
+            adopted_answer: Cell::default(),
             links: RefCell::default(),
             last_link: Cell::new(0),
         })
@@ -96,7 +99,14 @@
     pub(super) fn handle(self: &Rc<Self>, instances: &Rc<Instances>, event: ListsInput) {
         let now = self.started_at.elapsed();
         let actions = match &mut *self.lists.borrow_mut() {
-            Some(lists) => lists.handle(now, event),
+            Some(lists) => {
+                let confirmed_before = lists.current().map(|current| current.earliest);
+                let actions = lists.handle(now, event);
+                if lists.current().map(|current| current.earliest) > confirmed_before {
+                    self.changed.notify_one();
+                }
+                actions
+            }
             None => return,
         };
         for action in actions {
@@ -226,11 +236,15 @@
         Some(index)
     }
 
-    /// Reports the response to a call that began at `began`.
-    pub fn call_answered(&self, began: Instant, list: &NodeList) {
-        let began = began.saturating_duration_since(self.shared.started_at);
+    /// Reports the response to a call.
+    pub fn call_answered(&self, answered: AnswerTimes, list: &NodeList) {
+        let began = answered.begun.saturating_duration_since(self.shared.started_at);
         let (generation, whole, entries) = (list.generation, list.reset, list.entry_texts());
         self.shared.handle(&self.instances, ListsInput::CallAnswered { began, generation, whole, entries });
+        let current = self.shared.lists.borrow().as_ref().and_then(Lists::current);
+        if current.is_some_and(|current| current.earliest == began) {
+            self.shared.adopted_answer.set(Some(answered.first_byte));
+        }
     }
 
     /// Reports that a call failed; `torn` if its response broke off.
@@ -239,7 +253,8 @@
     }
 }
 
-/// Applies each new shared list to the core. Uses the list known before startup if no other arrives in time.
+/// Applies each new shared list to the core, and confirms it as often as the instances do. Makes the list known before startup known to
+/// the core if no other arrives in time; no claims are sent by it.
 pub async fn apply_lists<C: Transport>(core: Rc<Core<C>>, sharing: ListSharing, known: NodeList) {
     let shared = sharing.shared;
     let mut applied = None;
@@ -252,17 +267,23 @@
             () = sleep_until(use_known_at.into()), if known.is_some() => {
                 let known = known.take().unwrap_or_default();
                 let (generation, nodes) = (known.generation, known.len());
-                tracing::info!(generation, nodes, "no list received yet; using the nodes known before startup");
+                tracing::info!(generation, nodes, "no list received yet; the nodes known before startup wait to be confirmed");
                 core.apply_list(&known).await;
                 continue;
             }
         }
-        let update = shared
-            .lists
-            .borrow()
-            .as_ref()
-            .and_then(|lists| Some((lists.current()?, lists.changes_since(applied))));
+        let update = shared.lists.borrow().as_ref().and_then(|lists| {
+            let current = lists.current()?;
+            Some((current, (applied != Some(current.version)).then(|| lists.changes_since(applied))))
+        });
         let Some((current, difference)) = update else { continue };
+        let begun = shared.started_at + current.earliest;
+        let first_byte = shared.adopted_answer.get().unwrap_or(begun);
+        let confirmed = AnswerTimes { begun, first_byte };
+        let Some(difference) = difference else {
+            core.list_confirmed(confirmed);
+            continue;
+        };
         let decode_entry = |(name, text): (String, Option<String>)| match text {
             None => Some(NodeEntry::deleted(name)),
             Some(text) => {
@@ -284,5 +305,6 @@
         }
         applied = Some(difference.version);
         core.apply_list(&NodeList::new(generation, whole, entries)).await;
+        core.list_confirmed(confirmed);
     }
 }
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -159,7 +159,7 @@
                 (!config.known_nodes.is_empty()).then_some(config.known_nodes.generation)
             }
         };
-        if matches!(source, ListSource::Polled { .. }) {
+        if source != ListSource::Pushed {
             restore_list_lease(&core, &config.state);
         }
         start_tasks(&core, "platform");
@@ -273,10 +273,10 @@
 
 /// Where the list comes from, and so what has to confirm it before claims are sent by it.
 fn list_source(rules: &Rules, shared: bool) -> ListSource {
+    let poll_interval = nanos(rules.list_max_age());
     match rules.settings.list_on_request {
-        // Lists between instances have no bound yet (issue 25, `review/9`).
-        _ if shared => ListSource::File,
-        true => ListSource::Polled { poll_interval: nanos(rules.list_max_age()) },
+        _ if shared => ListSource::Shared { poll_interval },
+        true => ListSource::Polled { poll_interval },
         false => ListSource::Pushed,
     }
 }
--- a/relay/tests/platform/discovery.rs
+++ b/relay/tests/platform/discovery.rs
@@ -262,6 +262,26 @@
     );
 }
 
+// Guards against instances that go on by one another's lists while discovery is down: addresses in them are other nodes' by then.
+#[test]
+fn a_list_between_instances_is_not_used_longer_than_one_that_is_asked_for() {
+    play(
+        None,
+        "send list n1:7
+         send relay start instances=yes must_ask=4
+         expect relay log=list_of_execute_nodes
+         close list
+         wait 4700                            # the lease is 4.3 s long
+         send s1 POST /order id=j1 dest=7 timeout=9000
+         expect n1 nothing 300
+         send list n1:8 n2:7
+         expect n2 POST body=j1
+         send n2 200
+         expect relay log=Delivered
+         expect n1 nothing 50",
+    );
+}
+
 // Guards against a relay that takes submitters from relays that can serve them, and against one that is away for a whole outage.
 #[test]
 fn a_relay_without_a_confirmed_list_is_not_ready_for_some_seconds() {
--- a/relay/tests/scenario/mod.rs
+++ b/relay/tests/scenario/mod.rs
@@ -9,7 +9,7 @@
 //!   - for the platform's file: the keys that `settings` reads;
 //!   - at the start only: passed=yes (the platform passes the listening socket on), files=N (the system's limit on
 //!     descriptors), idle_setting=KEY:VALUE or backlog=FOLDER (a relay file with that key of `[idle]`, or with a backlog in
-//!     that folder), slow_hook (with a script that loops for ever, in long steps, on messages for destination 8), admin=off (no admin address; admin=on: one for a push front alone), both (the
+//!     that folder), instances=yes (a relay file by which it shares lists, with no other instance), slow_hook (with a script that loops for ever, in long steps, on messages for destination 8), admin=off (no admin address; admin=on: one for a push front alone), both (the
 //!     platform front beside the push front; the process is ready once both are), faulty (the process ends before it is ready).
 //!
 //!   Expect log=PART or exit; expect measured: `descriptors` (the most that were seen open at once) `resident_mb`
@@ -48,6 +48,7 @@
 mod stalled_clients;
 mod usage;
 
+use onyxglade_lab::reserved_address::ReservedAddress;
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
@@ -164,6 +165,8 @@
     addresses: HashMap<&'static str, SocketAddr>,
     list: watch::Sender<(u64, String)>,
     push: Option<String>,
+    /// Where the relay listens for other instances.
+    instance: Option<ReservedAddress>,
 }
 
 /// Plays a scenario; `push` is the push front's file, with party names in place of addresses.
@@ -180,6 +183,7 @@
             addresses: HashMap::new(),
             list: watch::Sender::new((1, String::new())),
             push: push.map(str::to_owned),
+            instance: None,
         };
         for (number, line) in scenario.lines().enumerate() {
             let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
@@ -445,13 +449,22 @@
     }
 
     /// Writes the relay's own file of a platform front, if the instruction sets something in it.
-    fn write_relay_file(&self, instruction: &Instruction) -> Result<Option<PathBuf>, String> {
+    fn write_relay_file(&mut self, instruction: &Instruction) -> Result<Option<PathBuf>, String> {
         let setting = argument(instruction, "idle_setting").and_then(|setting| setting.split_once(':'));
         let mut text = setting.map_or(String::new(), |(key, value)| format!("[idle]\n{key} = {value}\n"));
         if let Some(name) = argument(instruction, "backlog") {
             let folder = self.folder.path().join(name);
             text += &format!("[backlog]\nfolder = {folder:?}\nmemory_mb = 16\ndisk_mb = 256\n");
         }
+        if has(instruction, "instances") {
+            let key = self.folder.path().join("instances.key");
+            fs::write(&key, [b'k'; 64]).map_err(|e| e.to_string())?;
+            let reserved = ReservedAddress::new([127, 0, 0, 1].into()).map_err(|e| e.to_string())?;
+            let address = self.instance.insert(reserved).address().to_string();
+            text += &format!(
+                "[instances]\nlisten = {address:?}\nseeds = [{address:?}]\nkey_file = {key:?}\nzone = \"z\"\nlists = true\n"
+            );
+        }
         if has(instruction, "slow_hook") {
             let script = self.folder.path().join("hook.rhai");
             fs::write(&script, SLOW_HOOK).map_err(|e| e.to_string())?;
--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -221,8 +221,8 @@
     }
 
     /// Time until there may be a list for a relay that has none, or none that it may use. Of a call in flight
-    /// only its age is known; half of that is assumed as the remaining time. So is half of the time for which an
-    /// agent on this machine has been silent, over however many calls.
+    /// only its age is known; half of that is assumed as the remaining time. So is half of the time for
+    /// which an agent on this machine has been silent, over however many calls.
     pub fn time_to_list(&self, now: Nanos, expired: bool) -> Nanos {
         match self.called_at {
             _ if self.has_list && !expired => 0,
@@ -283,7 +283,7 @@
             self.schedule.unanswered_since = Some(now);
         } else {
             let time_left = if self.list_never_confirmed() {
-                // No lease to keep. If the whole fleet starts like this, a shorter time would crowd discovery.
+                // No lease to keep. If a whole fleet starts so, a shorter time would crowd discovery.
                 Some(lease_span(self.schedule.poll_interval))
             } else {
                 self.lease_left(now)
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -16,15 +16,19 @@
 //! - **An answer that broke off:** it may have announced a drain from its first byte on, so the lease ends
 //!   with the grace period that drains have from there.
 //!
-//! Where an agent on this machine has the list pushed to it, changes count as announced as soon as the agent has
-//! them, from the first moment of a process. The agent answers at once, and is silent only while discovery is
-//! down, when it learns nothing. Therefore such a list may be used for as long as the relay has been connected to
-//! the agent without a gap since an answer, however long the agent has been silent:
+//! Where an agent on this machine has the list pushed to it, changes count as announced as soon as the
+//! agent has them, from the first moment of a process. The agent answers at once, and is silent only while
+//! discovery is down, when it learns nothing. Therefore such a list may be used for as long as the relay
+//! has been connected to the agent without a gap since an answer, however long the agent has been silent:
 //!
 //! - **A process that starts** knows nothing of what the agent has learned: no earlier process's confirmation
 //!   counts.
-//! - **A call that ends in any way but by silence** leaves a gap; the lease ends with the grace period from there
-//!   unless a later call is answered.
+//! - **A call that ends in any way but by silence** leaves a gap; the lease ends with the grace period from
+//!   there unless a later call is answered.
+//!
+//! Where instances pass lists to one another, a confirmation counts from the start of the call that brought
+//! it, whichever instance made that call, and its lease ends like that of a list which this relay requests
+//! itself.
 //!
 //! There is no clock and no socket here; times are nanoseconds on one monotonic clock.
 use crate::interface::{ListScope, Nanos};
@@ -45,8 +49,8 @@
 /// Two refusals further apart than this do not show what happened in between.
 const MAX_REFUSAL_GAP: Nanos = 10 * SECOND;
 
-/// Time from a confirmation of the list to the end of its lease. `list_poll_interval` is the maximum time between
-/// two requests according to the settings, in nanoseconds.
+/// Time from a confirmation of the list to the end of its lease. `list_poll_interval` is the maximum time
+/// between two requests according to the settings, in nanoseconds.
 pub(crate) fn lease_span(list_poll_interval: Nanos) -> Nanos {
     DEEMED_ANNOUNCED_AFTER.min(list_poll_interval) + USABLE_GRACE
 }
@@ -63,6 +67,23 @@
     },
     /// An agent on this machine, to which discovery pushes the list.
     Pushed,
+    /// Other instances, a few of which ask discovery.
+    Shared {
+        /// As for `Polled`.
+        poll_interval: Nanos,
+    },
+}
+
+impl ListSource {
+    /// Time from a confirmation to the end of a lease without other constraints, if that depends on age.
+    fn lease_span(self) -> Option<Nanos> {
+        match self {
+            ListSource::Polled { poll_interval } | ListSource::Shared { poll_interval } => {
+                Some(lease_span(poll_interval))
+            }
+            ListSource::File | ListSource::Pushed => None,
+        }
+    }
 }
 
 /// The lease on one list.
@@ -101,13 +122,16 @@
 
     /// Applies a changed maximum time between two requests; the lease continues.
     pub fn set_poll_interval(&mut self, list_poll_interval: Nanos) {
-        if let ListSource::Polled { poll_interval } = &mut self.source {
-            *poll_interval = list_poll_interval;
+        match &mut self.source {
+            ListSource::Polled { poll_interval } | ListSource::Shared { poll_interval } => {
+                *poll_interval = list_poll_interval;
+            }
+            ListSource::File | ListSource::Pushed => {}
         }
     }
 
-    /// Records that the list was complete at this time, as known from an earlier process. Has no effect on a list
-    /// that is pushed.
+    /// Records that the list was complete at this time, as known from an earlier process. Has no effect on
+    /// a list that is pushed.
     pub fn restore(&mut self, confirmed: Nanos) {
         if self.source != ListSource::Pushed {
             self.confirmed_at = self.confirmed_at.max(Some(confirmed));
@@ -121,11 +145,12 @@
     }
 
     /// Records that an answer was applied whose call started at `started` and whose first byte arrived at
-    /// `first_byte`. The contents of earlier answers are included in it, or were applied before.
+    /// `first_byte`, here or at another instance. The contents of earlier answers are included in it, or were
+    /// applied before.
     pub fn confirm(&mut self, started: Nanos, first_byte: Nanos) {
         self.confirmed_at = self.confirmed_at.max(Some(started));
         self.refused_at = None;
-        let later = self.unread.iter().flatten().copied().find(|unread| *unread > first_byte);
+        let later = self.unread.iter().flatten().copied().find(|unread| *unread > first_byte.max(started));
         self.unread = [later, None];
         if self.reloaded_at.is_none_or(|reloaded| started >= reloaded) {
             self.unconfirmed_reload_at = None;
@@ -141,7 +166,8 @@
         if how != ListScope::TimedOut {
             self.gap_since.get_or_insert(now);
         }
-        if how != ListScope::Unreachable {
+        // Of other instances it shows nothing whether this one is refused.
+        if how != ListScope::Unreachable || !matches!(self.source, ListSource::Polled { .. }) {
             self.refused_at = None;
             return;
         }
@@ -157,13 +183,16 @@
         self.unconfirmed_reload_at.get_or_insert(now);
     }
 
-    /// When the lease ends; `None` if that depends on what is yet to happen, 0 if the list was never confirmed.
+    /// When the lease ends; `None` if that depends on what is yet to happen, 0 if the list was never
+    /// confirmed.
     pub fn ends_at(&self) -> Option<Nanos> {
-        let while_in_touch = match (self.source, self.confirmed_at) {
-            (ListSource::File, _) => return None,
-            (_, None) => return Some(0),
-            (ListSource::Polled { poll_interval }, Some(confirmed)) => confirmed + lease_span(poll_interval),
-            (ListSource::Pushed, Some(_)) => self.gap_since.map_or(Nanos::MAX, |gap| gap + USABLE_GRACE),
+        if self.source == ListSource::File {
+            return None;
+        }
+        let Some(confirmed) = self.confirmed_at else { return Some(0) };
+        let while_in_touch = match self.source.lease_span() {
+            Some(span) => confirmed + span,
+            None => self.gap_since.map_or(Nanos::MAX, |gap| gap + USABLE_GRACE),
         };
         let by_unread = self.unread[0].map_or(Nanos::MAX, |first| first + USABLE_GRACE);
         let by_reload = self
@@ -183,11 +212,11 @@
     }
 
     /// The confirmation time for which a lease without other constraints would end when this one does. A
-    /// successor process may rely on it. `None` if the list is not requested from discovery.
+    /// successor process may rely on it. `None` if the lease does not depend on age.
     pub fn inheritable_confirmation(&self) -> Option<Nanos> {
-        let ListSource::Polled { poll_interval } = self.source else { return None };
+        let span = self.source.lease_span()?;
         self.confirmed_at?;
-        Some(self.ends_at()?.saturating_sub(lease_span(poll_interval)))
+        Some(self.ends_at()?.saturating_sub(span))
     }
 }
 
--- a/src/list_lease/tests.rs
+++ b/src/list_lease/tests.rs
@@ -123,6 +123,22 @@
     assert_eq!(lease.ends_at(), Some(121_300 * MS));
 }
 
+#[test]
+fn a_list_between_instances_is_used_until_the_lease_of_its_last_confirmation_ends() {
+    let mut lease = ListLease::new(ListSource::Shared { poll_interval: 10 * SECOND });
+    assert_eq!(lease.ends_at(), Some(0));
+    lease.confirm(100 * SECOND, 100 * SECOND);
+    assert_eq!(lease.ends_at(), Some(106_300 * MS));
+    lease.call_failed(101 * SECOND, Unreachable);
+    lease.call_failed(103 * SECOND, Unreachable);
+    assert_eq!(lease.ends_at(), Some(106_300 * MS), "others may have been told in between");
+    lease.answer_started(104 * SECOND);
+    lease.confirm(103 * SECOND, 100 * SECOND);
+    assert_eq!(lease.ends_at(), Some(104_300 * MS), "confirmed before this instance's own answer");
+    lease.confirm(105 * SECOND, 100 * SECOND);
+    assert_eq!(lease.ends_at(), Some(111_300 * MS), "a later call of another instance includes that answer");
+}
+
 /// Events in the history of a relay; each one follows the previous one after a number of milliseconds.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -223,6 +223,29 @@
     }
 }
 
+/// Guards against messages that wait for an agent that may stay silent, and against ones from the journal that are given up for waiting.
+#[test]
+fn beside_a_silent_agent_new_messages_are_refused_at_once_and_restored_ones_wait() {
+    let mut dispatcher = Dispatcher::new(settings(), 1);
+    dispatcher.set_list_lease(Some(0));
+    dispatcher.on_round(SECOND, &[known_list()], &mut Vec::new());
+    let mut actions = Vec::new();
+    let restored = Event::Request(Request { restored: true, ..request(2, 5, 0) });
+    dispatcher.on_round(61 * SECOND, &[Event::Request(request(1, 5, 0)), restored], &mut actions);
+    let ended = |id: u32| {
+        actions.iter().any(|action| match action {
+            Action::Refuse { msg, reason, .. } => *msg == MsgId(id) && *reason == GiveUpReason::NoUsableList,
+            Action::Fail { msg } | Action::Send { msg, .. } => *msg == MsgId(id),
+            _ => false,
+        })
+    };
+    assert!(ended(1) && !ended(2), "{actions:?}");
+    dispatcher.set_list_lease(None);
+    dispatcher.on_round(62 * SECOND, &[], &mut actions);
+    let sent = |action: &Action| matches!(action, Action::Send { msg: MsgId(2), .. });
+    assert!(actions.iter().any(sent), "{actions:?}");
+}
+
 #[test]
 fn strange_events_are_harmless() {
     let mut world = World::new(settings(), vec![endpoint(1, 5)]);
