--- a/rig/tests/starts.rs
+++ b/rig/tests/starts.rs
@@ -1,4 +1,4 @@
-//! Cold starts, under faults, of nine processes that share lists. Each schedule is named after its fault. All invariants hold; in the
+//! Starts under faults, most of nine processes that share lists. Each schedule is named after its fault. All invariants hold; in the
 //! end every running relay has the list, and every change published meanwhile reached all relays.
 mod common;
 
@@ -79,6 +79,12 @@
     assert!(read_schedule("start-old-lists.toml").start.known_by.contains("r0") && history.rules_broken == 0);
 }
 
+/// Guards against calls by a list that nobody has confirmed to the process, on whatever its folder says.
+#[test]
+fn outdated_lists_break_no_rule_while_the_list_service_is_down() {
+    play_and_expect_pass("start-old-list-alone.toml");
+}
+
 #[test]
 fn a_power_loss_during_a_start_costs_one_more_start() {
     play_and_expect_pass("start-second-loss.toml");
