--- a/relay/src/core/backlog/tests.rs
+++ b/relay/src/core/backlog/tests.rs
@@ -3,7 +3,7 @@
 use crate::backlog::BacklogClass;
 use crate::clock;
 use crate::config::{self, Rules};
-use crate::core::{Node, SendPermit};
+use crate::core::{Node, SendPermit, StoredState};
 use crate::disabled::DisabledNodes;
 use crate::job::Outcome;
 use crate::journal::open_journal;
@@ -13,7 +13,7 @@
 use onyxglade_backlog::memory_store::{Fault, MemoryDisk};
 use onyxglade_backlog::store::BacklogStore;
 use onyxglade_backlog::worker::Worker;
-use slatethread::{Class, Effect, Settings};
+use slatethread::{Class, Effect, ListSource, Settings};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
@@ -259,17 +259,8 @@
         let (journal, open) = open_journal(site.folder.path(), site.journal_bytes).expect("it opens");
         let metrics = Metrics::new(&[]);
         let backlog_metrics = BacklogMetrics::register(&metrics);
-        let disabled = DisabledNodes::open(site.folder.path());
-        let core = Core::new(
-            partner,
-            slatethread::ListSource::File,
-            rules(classes),
-            None,
-            1,
-            journal,
-            disabled,
-            metrics,
-        );
+        let stored = StoredState { journal, disabled: DisabledNodes::open(site.folder.path()) };
+        let core = Core::new(partner, ListSource::File, rules(classes), None, 1, stored, metrics);
         let settings =
             config::BacklogConfig { folder: "unused".into(), memory_bytes: 32 << 20, disk_bytes: 1 << 30 };
         let classes: Vec<_> =
--- a/relay/src/core/mod.rs
+++ b/relay/src/core/mod.rs
@@ -111,6 +111,13 @@
     predecessor_claims: BTreeSet<Key>,
 }
 
+/// What a relay's state folder has of earlier processes.
+pub struct StoredState {
+    pub journal: Journal,
+    /// The nodes that operators have disabled.
+    pub disabled: DisabledNodes,
+}
+
 pub struct Core<C> {
     pub transport: C,
     rules: RefCell<Rc<Rules>>,
@@ -169,10 +176,10 @@
         rules: Rules,
         hooks: Option<Rc<Hooks>>,
         seed: u64,
-        journal: Journal,
-        disabled: DisabledNodes,
+        stored: StoredState,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
+        let StoredState { journal, disabled } = stored;
         let mut recent = RecentAnswers::default();
         let now = clock::now();
         journal.ended_jobs().for_each(|job| recent.add_ended(&job.id, job.age(now)));
--- a/relay/src/core/nodes/tests.rs
+++ b/relay/src/core/nodes/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::core::{LeaseClock, SendPermit};
+use crate::core::{LeaseClock, SendPermit, StoredState};
 use crate::disabled::DisabledNodes;
 use crate::job::{Job, Outcome};
 use crate::journal::{FinalNotice, open_journal};
@@ -60,8 +60,8 @@
 
 fn core_with(folder: &std::path::Path, source: ListSource) -> Rc<Core<NoTransport>> {
     let (journal, _) = open_journal(folder, 1_000_000).expect("it opens");
-    let disabled = DisabledNodes::open(folder);
-    Core::new(NoTransport, source, rules(), None, 1, journal, disabled, Metrics::new(&[]))
+    let stored = StoredState { journal, disabled: DisabledNodes::open(folder) };
+    Core::new(NoTransport, source, rules(), None, 1, stored, Metrics::new(&[]))
 }
 
 pub(crate) fn entry(name: usize, port: u16, lifecycle: Lifecycle) -> NodeEntry<'static> {
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -17,7 +17,7 @@
 use crate::backlog::{Backlog, BacklogClass};
 use crate::config::{BacklogConfig, IdleConfig, MachineLimits, PlatformConfig, Rules};
 use crate::connection_limiter::ConnectionLimiter;
-use crate::core::{Core, Transport};
+use crate::core::{Core, StoredState, Transport};
 use crate::disabled::DisabledNodes;
 use crate::handover::{FolderClaim, Predecessor};
 use crate::http1::MESSAGE_BYTES;
@@ -127,11 +127,10 @@
         let open: Vec<_> =
             open.into_iter().map(|open| charge_message(open, &context.memory.budget())).collect();
         tracing::info!(recovered = open.len(), "journal read");
-        let disabled = DisabledNodes::open(&config.state);
+        let stored = StoredState { journal, disabled: DisabledNodes::open(&config.state) };
         let (hooks, metrics) = (context.hooks.clone(), context.metrics.clone());
         let source = list_source(&config.rules, sharing.is_some());
-        let core =
-            Core::new(node_client, source, config.rules, hooks, config.seed, journal, disabled, metrics);
+        let core = Core::new(node_client, source, config.rules, hooks, config.seed, stored, metrics);
         if let Some(settings) = &backlog {
             let figures = BacklogMetrics::register(core.metrics());
             let attempt = async || {
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -10,7 +10,7 @@
 use super::{Error, StartContext};
 use crate::config::PushConfig;
 use crate::connection_limiter::ConnectionLimiter;
-use crate::core::Core;
+use crate::core::{Core, StoredState};
 use crate::disabled::DisabledNodes;
 use crate::handover::{FolderClaim, Predecessor};
 use crate::journal::OpenJob;
@@ -66,9 +66,9 @@
         // This front is given no seed: it uses a new one for each start.
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         let seed = since.as_nanos() as u64;
-        let disabled = DisabledNodes::open(&config.state);
+        let stored = StoredState { journal, disabled: DisabledNodes::open(&config.state) };
         let (rules, hooks, metrics) = (config.rules.clone(), context.hooks.clone(), context.metrics.clone());
-        let core = Core::new(gateways, ListSource::File, rules, hooks, seed, journal, disabled, metrics);
+        let core = Core::new(gateways, ListSource::File, rules, hooks, seed, stored, metrics);
         Ok(OpenedPushFront { config, core, open, address, predecessor, seed })
     }
 
