--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -184,7 +184,7 @@
         let id = child.id().ok_or("the relay has already exited")?;
         let mut relay = Relay { child, id, address, _reserved: reserved };
         let started = Instant::now();
-        while !is_ready(address, push).await {
+        while !ready(address, push).await {
             if let Ok(Some(status)) = relay.child.try_wait() {
                 let log = std::fs::read_to_string(folder.join("log")).unwrap_or_default();
                 return Err(format!("relay {number} exited with {status} before it was ready: {log}"));
@@ -218,8 +218,8 @@
     pub dests: usize,
 }
 
-/// Whether a relay tells its submitters that it is ready. On the push interface, it is as soon as it listens.
-pub async fn is_ready(address: SocketAddr, push: bool) -> bool {
+/// Checks whether a relay is ready. On the push interface, it is as soon as it listens.
+async fn ready(address: SocketAddr, push: bool) -> bool {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let call = async {
         let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The relay processes: starting them in folders of their own, stopping and restarting them, and reading their logs.
 use onyxglade_lab::experiment::RelayTable;
-use onyxglade_lab::relay::{configuration, is_ready};
+use onyxglade_lab::relay::configuration;
 use onyxglade_lab::reserved_address::ReservedAddress;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
@@ -25,9 +25,7 @@
 
 /// Time that a process has to exit after SIGTERM.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3700);
-/// How often a process is asked whether it is ready.
-const READY_INTERVAL: Duration = Duration::from_millis(200);
-/// How often to check whether a process was ready.
+/// How often to check whether a process is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a second start beside a running process may take to end, also while its folder fails.
 const SECOND_START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -67,7 +65,7 @@
     pid: Pid,
     /// Whether it has not exited, so that it can be signalled.
     runs: Cell<bool>,
-    /// Whether it has answered that it is ready.
+    /// Whether it logged that it is ready to serve.
     ready: Cell<bool>,
     /// Whether the schedule ended it.
     end_requested: Cell<bool>,
@@ -222,10 +220,7 @@
         let mut log = fs::OpenOptions::new().append(true).open(self.folder.join("log")).ok();
         let mut lines = output.lines();
         while let Ok(Some(line)) = lines.next_line().await {
-            if line.contains("platform front is ready") {
-                spawn_local(self.clone().watch_ready(process.clone()));
-            }
-            self.record_log_line(&line);
+            self.record_log_line(&line, &process);
             if let Some(log) = &mut log {
                 let _ = writeln!(log, "{line}");
             }
@@ -239,19 +234,11 @@
         }
     }
 
-    /// Asks a process that listens whether it is ready, as the platform's front does, until it is or exits.
-    async fn watch_ready(self: Rc<Self>, process: Rc<Process>) {
-        while process.runs.get() {
-            if is_ready(self.address, false).await {
-                process.ready.set(true);
-                return self.record(EventKind::Ready);
-            }
-            sleep(READY_INTERVAL).await;
-        }
-    }
-
-    fn record_log_line(&self, line: &str) {
-        if let Some(change) = line.split("instances: member is ").nth(1) {
+    fn record_log_line(&self, line: &str, process: &Process) {
+        if line.contains("platform front is ready") {
+            process.ready.set(true);
+            self.record(EventKind::Ready);
+        } else if let Some(change) = line.split("instances: member is ").nth(1) {
             let name = change.split("name=\"n").nth(1).and_then(|name| name.split('"').next());
             let Some(other) = name.and_then(|name| name.parse().ok()) else { return };
             self.record(if change.starts_with("down") {
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -22,7 +22,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum EventKind {
     Started,
-    /// It answered that it is ready.
+    /// It logged that it is ready to serve.
     Ready,
     /// It logged that it has a list, of this generation.
     Listed(u64),
