Calls of operators are taken only by the process that runs the relay

Cause: relay/src/admin/mod.rs, is_open and apply: a process counted as running the relay from its first front on, for ever, and a drain was applied to the process's own availability, whoever owned the relay. Fronts::stop read `drained` once and handed the fronts over behind it. Ruled out: a resume at the new process, a lost frame, the old listener, the wrong address (docs/incidents/2026-12-07-drain-in-upgrade.md).

Change: relay/src/admin/control.rs holds what a call acts on, by stage. A process has it once no predecessor has a front any more, and gives it up in the same step, without an await, in which `drained` is read for the handover. So a drain is handed over exactly if it was confirmed. Drains at a process that shuts down alone are refused as resumes were (they ended with the process); the table of the availability has that now, where it allowed them. The process's availability has a module of its own. The wire of the handover is unchanged.

Tests: calls_at_the_predecessor_after_the_handover_... and a_process_that_shuts_down_alone_... (real processes) failed before, both with 200, and pass; until_sigterm_the_predecessor_takes_calls_... passes on both.

--- a/relay/src/admin/mod.rs
+++ b/relay/src/admin/mod.rs
@@ -1,8 +1,9 @@
-//! The admin address, for the operators of the relay. It passes calls on to the fronts, and decides nothing itself.
+//! The admin address, for the operators of the relay. It passes calls on to the process that runs the relay, and decides nothing itself.
 //!
 //! It has its own listener, connection limit and connection policy, so that neither callers that do not complete a call, nor
 //! thousands of submitters, nor a busy relay delay a call.
 mod call;
+mod control;
 
 use actix_http::header::{self, HeaderValue};
 use actix_http::{Request, Response, StatusCode};
@@ -11,7 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::availability::AvailabilityEvent;
@@ -24,6 +24,8 @@
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::{GaugeValues, Metrics, RejectReason};
 use call::{Call, InvalidCall};
+pub use control::{ControlHolder, Shutdown};
+use control::{NoControl, ServingFronts};
 
 /// Calls are short: one that is not complete within 1 s is dropped.
 const CONNECTION_POLICY: ConnectionPolicy = ConnectionPolicy {
@@ -39,10 +41,14 @@
 /// How long a call waits until this process has taken over the relay; its caller waits for a second.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// What operators can see of a front and do to it.
-pub trait Front {
+/// What operators can see of a front, whichever process runs the relay.
+pub trait FrontFigures {
     /// The current values of its gauges.
     fn gauge_values(&self) -> GaugeValues;
+}
+
+/// What operators can ask of a front, and do to it, at the process that runs the relay.
+pub trait FrontControl {
     /// Disables an endpoint, or enables it again.
     fn set_disabled(&self, id: &str, disabled: bool) -> Result<(), SetDisabledError>;
     /// The messages queued on disk, if the front has a backlog.
@@ -53,29 +59,29 @@
 pub trait AvailabilityControl {
     /// Applies an event to the process's availability; false if it is no longer possible.
     fn apply(&self, event: AvailabilityEvent) -> bool;
+    /// Whether client connections are drained.
+    fn is_drained(&self) -> bool;
 }
 
 pub struct Admin {
     metrics: Rc<Metrics>,
     /// Empty until this process runs the relay.
-    fronts: RefCell<Vec<Rc<dyn Front>>>,
-    opened: Notify,
+    fronts: RefCell<Vec<Rc<dyn FrontFigures>>>,
     /// This process can serve, though perhaps only after another process has handed over.
     ready: Cell<bool>,
     /// `None` if this instance has no connections to others.
     instances: RefCell<Option<Rc<Instances>>>,
-    process: Rc<dyn AvailabilityControl>,
+    control: Rc<ControlHolder>,
 }
 
 impl Admin {
-    pub fn new(metrics: Rc<Metrics>, process: Rc<dyn AvailabilityControl>) -> Rc<Self> {
+    pub fn new(metrics: Rc<Metrics>, control: Rc<ControlHolder>) -> Rc<Self> {
         Rc::new(Admin {
             metrics,
             fronts: RefCell::default(),
-            opened: Notify::new(),
             ready: Cell::new(false),
             instances: RefCell::default(),
-            process,
+            control,
         })
     }
 
@@ -89,9 +95,9 @@
     }
 
     /// To be called when a front serves.
-    pub fn add_front(&self, front: Rc<dyn Front>) {
-        self.fronts.borrow_mut().push(front);
-        self.opened.notify_waiters();
+    pub fn add_front<F: FrontFigures + FrontControl + 'static>(&self, front: Rc<F>) {
+        self.fronts.borrow_mut().push(front.clone());
+        self.control.add_front(front);
     }
 
     /// Serves calls, one per connection.
@@ -122,14 +128,16 @@
                     "this relay is not connected to other instances: its file has no [instances]",
                 ),
             },
-            Ok(_) if !self.is_open().await => text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "another process still runs the relay: call that process",
-            ),
-            Ok(Call::Backlog { destination }) => self.backlog(destination).await,
-            Ok(Call::Endpoint { id, disabled }) => self.set_disabled(&id, disabled),
-            Ok(Call::Drain) => self.apply(AvailabilityEvent::Drain, "client connections are drained"),
-            Ok(Call::Resume) => self.apply(AvailabilityEvent::Resume, "client connections are accepted"),
+            Ok(Call::Backlog { destination }) => match self.fronts().await {
+                Ok(serving) => backlog_report(serving, destination).await,
+                Err(why) => refusal("backlog", why),
+            },
+            Ok(Call::Endpoint { id, disabled }) => match self.fronts().await {
+                Ok(serving) => set_disabled(serving, &id, disabled),
+                Err(why) => refusal("endpoints", why),
+            },
+            Ok(Call::Drain) => self.apply("drain", AvailabilityEvent::Drain).await,
+            Ok(Call::Resume) => self.apply("resume", AvailabilityEvent::Resume).await,
             Err(InvalidCall::UnknownPath) => text_response(StatusCode::NOT_FOUND, "unknown path"),
             Err(InvalidCall::Destination) => {
                 text_response(StatusCode::BAD_REQUEST, "the destination is not a number")
@@ -185,69 +193,99 @@
 }
 
 impl Admin {
-    /// Whether this process runs the relay, or takes it over within [`TAKEOVER_TIMEOUT`].
-    async fn is_open(&self) -> bool {
-        let opened = self.opened.notified();
-        !self.fronts.borrow().is_empty() || timeout(TAKEOVER_TIMEOUT, opened).await.is_ok()
+    /// The fronts of the relay; waits for a takeover, and for fronts that are about to open. They may be given up behind the next await.
+    ///
+    /// # Errors
+    /// This process does not run the relay by then.
+    async fn fronts(&self) -> Result<ServingFronts, NoControl> {
+        let _ = timeout(TAKEOVER_TIMEOUT, self.control.all_fronts_decided()).await;
+        self.control.fronts()
     }
 
-    async fn backlog(&self, destination: Option<u64>) -> Response<String> {
-        let backlog = self.fronts.borrow().iter().find_map(|front| front.backlog());
-        let Some(backlog) = backlog else {
-            return text_response(
-                StatusCode::NOT_FOUND,
-                "no messages are queued on disk: the relay's file has no [backlog]",
-            );
+    /// Drains or resumes the relay; waits for a takeover.
+    async fn apply(&self, call: &'static str, event: AvailabilityEvent) -> Response<String> {
+        let _ = timeout(TAKEOVER_TIMEOUT, self.control.decided()).await;
+        // From here on without an await: what is confirmed is handed over.
+        let availability = match self.control.availability() {
+            Ok(availability) => availability,
+            Err(why) => return refusal(call, why),
         };
-        match backlog.report(destination).await {
-            Ok(report) => {
-                let text = serde_json::to_string(&report).expect("a report can be serialized");
-                with_content_type(Response::with_body(StatusCode::OK, text), "application/json")
+        match (availability.apply(event), event) {
+            (true, AvailabilityEvent::Drain) => {
+                text_response(StatusCode::OK, "client connections are drained")
             }
-            Err(error) => text_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+            (true, _) => text_response(StatusCode::OK, "client connections are accepted"),
+            (false, _) => refusal(call, NoControl::ShuttingDown),
         }
     }
+}
 
-    /// Disables or enables an endpoint. If several fronts know its id, on all of them.
-    fn set_disabled(&self, id: &str, disabled: bool) -> Response<String> {
-        let mut response = text_response(StatusCode::NOT_FOUND, "no endpoint has this id");
-        for front in self.fronts.borrow().iter() {
-            match front.set_disabled(id, disabled) {
-                Ok(()) => {
-                    response =
-                        text_response(StatusCode::OK, if disabled { "disabled" } else { "not disabled" })
-                }
-                Err(SetDisabledError::Unknown) => {}
-                Err(SetDisabledError::HandedOver) => {
-                    return text_response(
-                        StatusCode::SERVICE_UNAVAILABLE,
-                        "a successor process runs the relay: call that process",
-                    );
-                }
-                Err(SetDisabledError::NotStored(DisableError::Full)) => {
-                    return text_response(
-                        StatusCode::INSUFFICIENT_STORAGE,
-                        "too many endpoints are disabled: enable some first",
-                    );
-                }
-                Err(SetDisabledError::NotStored(DisableError::Io(error))) => {
-                    tracing::error!(fault = %error, id, "cannot write the list of disabled nodes; nothing changes");
-                    return text_response(
-                        StatusCode::INTERNAL_SERVER_ERROR,
-                        "the change cannot be stored: nothing has changed",
-                    );
-                }
-            }
+/// Refuses a call that this process cannot apply.
+fn refusal(call: &'static str, why: NoControl) -> Response<String> {
+    tracing::info!(call, %why, "an operator's call is refused");
+    let status = match why {
+        NoControl::Starting | NoControl::PredecessorRuns | NoControl::HandedOver => {
+            StatusCode::SERVICE_UNAVAILABLE
         }
-        response
+        NoControl::ShuttingDown => StatusCode::CONFLICT,
+    };
+    text_response(status, &why.to_string())
+}
+
+async fn backlog_report(serving: ServingFronts, destination: Option<u64>) -> Response<String> {
+    let backlog = serving.fronts.iter().find_map(|front| front.backlog());
+    let Some(backlog) = backlog else {
+        return match serving.complete {
+            true => text_response(
+                StatusCode::NOT_FOUND,
+                "no messages are queued on disk: the relay's file has no [backlog]",
+            ),
+            false => front_missing(),
+        };
+    };
+    match backlog.report(destination).await {
+        Ok(report) => {
+            let text = serde_json::to_string(&report).expect("a report can be serialized");
+            with_content_type(Response::with_body(StatusCode::OK, text), "application/json")
+        }
+        Err(error) => text_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
+}
 
-    fn apply(&self, event: AvailabilityEvent, done: &str) -> Response<String> {
-        match self.process.apply(event) {
-            true => text_response(StatusCode::OK, done),
-            false => text_response(StatusCode::CONFLICT, "the process is shutting down"),
+/// Disables or enables an endpoint. If several fronts know its id, on all of them.
+fn set_disabled(serving: ServingFronts, id: &str, disabled: bool) -> Response<String> {
+    let mut response = match serving.complete {
+        true => text_response(StatusCode::NOT_FOUND, "no endpoint has this id"),
+        false => front_missing(),
+    };
+    for front in &serving.fronts {
+        match front.set_disabled(id, disabled) {
+            Ok(()) => {
+                response = text_response(StatusCode::OK, if disabled { "disabled" } else { "not disabled" })
+            }
+            Err(SetDisabledError::Unknown) => {}
+            Err(SetDisabledError::HandedOver) => return refusal("endpoints", NoControl::HandedOver),
+            Err(SetDisabledError::NotStored(DisableError::Full)) => {
+                return text_response(
+                    StatusCode::INSUFFICIENT_STORAGE,
+                    "too many endpoints are disabled: enable some first",
+                );
+            }
+            Err(SetDisabledError::NotStored(DisableError::Io(error))) => {
+                tracing::error!(fault = %error, id, "cannot write the list of disabled nodes; nothing changes");
+                return text_response(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "the change cannot be stored: nothing has changed",
+                );
+            }
         }
     }
+    response
+}
+
+/// The answer to a call that only a front could decide that does not serve yet.
+fn front_missing() -> Response<String> {
+    text_response(StatusCode::SERVICE_UNAVAILABLE, "a front of this process cannot start yet: see the log")
 }
 
 /// A response with one line of plain text.
--- a/relay/src/availability.rs
+++ b/relay/src/availability.rs
@@ -34,7 +34,8 @@
     pub fn after(self, event: AvailabilityEvent) -> Option<Availability> {
         let Availability { phase, drained } = self;
         let phase = match (phase, event) {
-            (Phase::Terminating, AvailabilityEvent::Resume) => return None,
+            // They would end with the process.
+            (Phase::Terminating, AvailabilityEvent::Drain | AvailabilityEvent::Resume) => return None,
             (_, AvailabilityEvent::Terminate) => Phase::Terminating,
             (Phase::Starting, AvailabilityEvent::Started) => Phase::Serving,
             (phase, _) => phase,
--- a/relay/src/availability/tests.rs
+++ b/relay/src/availability/tests.rs
@@ -13,8 +13,8 @@
         (of(Starting, true), [off(Serving), off(Starting), on(Starting), off(Terminating)]),
         (of(Serving, false), [on(Serving), off(Serving), on(Serving), on(Terminating)]),
         (of(Serving, true), [off(Serving), off(Serving), on(Serving), off(Terminating)]),
-        (of(Terminating, false), [on(Terminating), off(Terminating), None, on(Terminating)]),
-        (of(Terminating, true), [off(Terminating), off(Terminating), None, off(Terminating)]),
+        (of(Terminating, false), [on(Terminating), None, None, on(Terminating)]),
+        (of(Terminating, true), [off(Terminating), None, None, off(Terminating)]),
     ];
     for (before, afters) in table {
         for (event, after) in [Started, Drain, Resume, Terminate].into_iter().zip(afters) {
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -12,34 +12,34 @@
 mod descriptor_budget;
 mod memory_limit;
 mod platform_front;
+mod process_availability;
 mod push_front;
 mod running_front;
 mod settings;
 mod step;
 
-use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Instant;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
-use crate::admin::{Admin, AvailabilityControl, Front};
-use crate::availability::{Availability, AvailabilityEvent};
+use crate::admin::{Admin, ControlHolder, Shutdown};
+use crate::availability::AvailabilityEvent;
 use crate::clock;
 use crate::config::PushConfig;
 use crate::connection_limiter::ConnectionLimiter;
-use crate::handover::FolderClaim;
+use crate::handover::{FolderClaim, Predecessor};
 use crate::hook::{Hooks, Script};
 use crate::instances::{self, Instances};
 use crate::journal::Journal;
 use crate::listener::{ListenError, listen};
 use crate::metrics::{ClientMetrics, HookMetrics, MemoryMetrics, Metrics};
+use crate::state_lock::StateLock;
 use descriptor_budget::DescriptorBudget;
 use memory_limit::MemoryLimit;
 use platform_front::{PlatformFront, PlatformStart};
+use process_availability::ProcessAvailability;
 use push_front::{OpenedPushFront, PushFront};
-use running_front::SHUTDOWN_SERVING_TIME;
 use settings::Settings;
 use step::{StartMode, claim, retry_socket};
 
@@ -76,6 +76,8 @@
 pub struct StartContext {
     metrics: Rc<Metrics>,
     process: Rc<ProcessAvailability>,
+    /// Whether this process may change the relay.
+    control: Rc<ControlHolder>,
     hooks: Option<Rc<Hooks>>,
     memory: Rc<MemoryLimit>,
     client_metrics: ClientMetrics,
@@ -83,6 +85,20 @@
     upgrades: bool,
 }
 
+impl StartContext {
+    /// Waits until a front's state folder is this process's, and applies what its predecessor hands over for the whole process.
+    async fn take_folder(&self, claim: FolderClaim, mode: StartMode) -> (Rc<StateLock>, Option<Predecessor>) {
+        let (lock, predecessor) = claim.complete().await;
+        if predecessor.as_ref().is_some_and(|predecessor| predecessor.state.drained) {
+            self.process.apply_event(AvailabilityEvent::Drain);
+        }
+        if mode == StartMode::Successor {
+            self.control.front_taken_over();
+        }
+        (lock, predecessor)
+    }
+}
+
 /// Runs the configured fronts until SIGTERM.
 pub async fn run(file: Option<PathBuf>) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -103,7 +119,9 @@
     actix_rt::spawn(async move { followed.follow(memory_metrics).await });
     let client_metrics = ClientMetrics::register(&metrics);
     let process = Rc::new(ProcessAvailability::default());
-    let admin = Admin::new(metrics.clone(), process.clone());
+    let fronts = usize::from(settings.platform.is_some()) + usize::from(settings.relay.push.is_some());
+    let control = Rc::new(ControlHolder::new(process.clone(), fronts));
+    let admin = Admin::new(metrics.clone(), control.clone());
     if let Some(address) = settings.admin {
         let listener = retry_socket(|| listen("BALANCER_ADMIN", address)).await?;
         tracing::info!(listen = %listener.local_addr().unwrap_or(address), "admin address is ready");
@@ -112,7 +130,7 @@
     let hooks = script
         .zip(settings.hook())
         .map(|(script, table)| Rc::new(Hooks::start(script, table, HookMetrics::register(&metrics))));
-    let context = StartContext { metrics, process, hooks, memory, client_metrics, upgrades };
+    let context = StartContext { metrics, process, control, hooks, memory, client_metrics, upgrades };
     let mut fronts = Fronts::new(context, admin, &settings);
     let (started, mut starting) = mpsc::unbounded_channel();
     tokio::select! {
@@ -213,9 +231,11 @@
             None => None,
         };
         self.context.metrics.config_loaded(true);
-        self.context.metrics.fronts_waiting(usize::from(platform.is_some()) + usize::from(push.is_some()));
+        let pending_fronts = usize::from(platform.is_some()) + usize::from(push.is_some());
+        self.context.metrics.fronts_waiting(pending_fronts);
         // The point of no return: from here on no error of a front ends this process.
         self.admin.set_ready();
+        self.context.control.started(pending_fronts);
         if let Some((claim, start)) = platform {
             let (context, started) = (self.context.clone(), started.clone());
             actix_rt::spawn(async move {
@@ -266,7 +286,7 @@
         match front {
             StartedFront::Platform(platform) => {
                 let core = platform.front.core.clone();
-                self.admin.add_front(core.clone() as Rc<dyn Front>);
+                self.admin.add_front(core.clone());
                 if let Some(instances) = divides_limits {
                     actix_rt::spawn(instances::divide_limits(core, instances));
                 }
@@ -274,14 +294,14 @@
             }
             StartedFront::Push(push) => {
                 let core = push.front.core.clone();
-                self.admin.add_front(core.clone() as Rc<dyn Front>);
+                self.admin.add_front(core.clone());
                 if let Some(instances) = divides_limits {
                     actix_rt::spawn(instances::divide_limits(core, instances));
                 }
                 self.push = Some(push);
                 // The platform front announces itself.
                 if self.platform.is_none() {
-                    self.context.process.apply(AvailabilityEvent::Started);
+                    self.context.process.apply_event(AvailabilityEvent::Started);
                 }
             }
         }
@@ -312,11 +332,12 @@
 
     /// Stops both fronts after SIGTERM: each hands over to its successor, or winds down.
     async fn stop(&self) {
-        self.context.process.apply(AvailabilityEvent::Terminate);
         if let Some(instances) = &self.instances {
             instances.leave().await;
         }
-        let drained = self.context.process.availability.get().is_drained();
+        // No await until both fronts have begun to stop: they see the same successor, and no call is confirmed in between.
+        let drained = self.give_up_control();
+        self.context.process.apply_event(AvailabilityEvent::Terminate);
         let platform = async {
             if let Some(platform) = &self.platform {
                 platform.stop(drained).await;
@@ -329,6 +350,18 @@
         };
         tokio::join!(platform, push);
     }
+
+    /// Takes no more calls that change the relay. Returns whether it is drained, for the successor.
+    fn give_up_control(&self) -> bool {
+        let platform_waited_for =
+            self.platform.as_ref().is_some_and(|platform| platform.front.has_successor());
+        let push_waited_for = self.push.as_ref().is_some_and(|push| push.front.has_successor());
+        let shutdown = match platform_waited_for || push_waited_for {
+            true => Shutdown::HandOver,
+            false => Shutdown::Alone,
+        };
+        self.context.control.give_up(shutdown)
+    }
 }
 
 /// A push front before its process says that it is ready.
@@ -367,45 +400,3 @@
     }
     Some(instances)
 }
-
-/// The process's availability to submitters, and the connection limiter that it controls.
-#[derive(Default)]
-struct ProcessAvailability {
-    availability: Rc<Cell<Availability>>,
-    limiter: RefCell<Option<Rc<ConnectionLimiter>>>,
-}
-
-impl ProcessAvailability {
-    fn availability(&self) -> Rc<Cell<Availability>> {
-        self.availability.clone()
-    }
-
-    fn set_limiter(&self, limiter: Rc<ConnectionLimiter>) {
-        *self.limiter.borrow_mut() = Some(limiter);
-    }
-
-    fn apply_event(&self, event: AvailabilityEvent) {
-        self.apply(event);
-    }
-}
-
-impl AvailabilityControl for ProcessAvailability {
-    fn apply(&self, event: AvailabilityEvent) -> bool {
-        let before = self.availability.get();
-        let Some(after) = before.after(event) else { return false };
-        self.availability.set(after);
-        if let Some(limiter) = &*self.limiter.borrow() {
-            // Set only on a change, so that a drain in progress keeps its start time.
-            if before.closes_connections() != after.closes_connections() {
-                limiter.drain(after.closes_connections().then(|| Instant::now() + SHUTDOWN_SERVING_TIME));
-            }
-        }
-        if before.is_drained() != after.is_drained() {
-            tracing::info!(
-                drained = after.is_drained(),
-                "draining of client connections has started or stopped"
-            );
-        }
-        true
-    }
-}
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -105,7 +105,7 @@
         context: &StartContext,
         mode: StartMode,
     ) -> Result<PlatformFront, Error> {
-        let (lock, predecessor) = claim.complete().await;
+        let (lock, predecessor) = context.take_folder(claim, mode).await;
         self.config.rules.settings.list_shared = self.sharing.is_some();
         let PlatformStart { config, idle, backlog, sharing, early_listener, created_at } = self;
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, predecessor.is_some()));
@@ -144,9 +144,6 @@
         context.process.set_limiter(limiter.clone());
         let known_generation = match predecessor {
             Some(predecessor) => {
-                if predecessor.state.drained {
-                    context.process.apply_event(AvailabilityEvent::Drain);
-                }
                 take_over(&core, &limiter, &budget, &context.memory, idle, predecessor, open).await
             }
             None => {
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -47,7 +47,7 @@
         context: &StartContext,
         mode: StartMode,
     ) -> Result<OpenedPushFront, Error> {
-        let (lock, predecessor) = claim.complete().await;
+        let (lock, predecessor) = context.take_folder(claim, mode).await;
         let reserve = async || {
             let reserved = retry_socket(|| ReservedAddress::reserve("push.listen", config.listen)).await;
             reserved.map_err(Error::from)
--- a/relay/src/run/running_front.rs
+++ b/relay/src/run/running_front.rs
@@ -4,7 +4,7 @@
 use tokio::time::sleep;
 
 use super::StartContext;
-use crate::admin::Front;
+use crate::admin::{FrontControl, FrontFigures};
 use crate::backlog::Backlog;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::core::{Core, SetDisabledError, Transport};
@@ -52,6 +52,11 @@
         RunningFront { core, limiter, handover }
     }
 
+    /// Whether a successor waits to take the front over.
+    pub fn has_successor(&self) -> bool {
+        self.handover.as_ref().is_some_and(|handover| handover.has_successor())
+    }
+
     /// Stops the front after SIGTERM: hands everything over to a waiting successor, or else winds down. `handed_over` is called, more
     /// than once, after a handover.
     pub async fn stop(&self, drained: bool, handed_over: impl Fn(&C)) {
@@ -74,10 +79,7 @@
     /// Hands all jobs over to a successor process, if one is connected. Returns once nothing is left to do in this process; false
     /// if there was no successor.
     async fn hand_over(&self, drained: bool, handed_over: impl Fn(&C)) -> bool {
-        let Some(handover) = &self.handover else { return false };
-        if !handover.has_successor() {
-            return false;
-        }
+        let Some(handover) = self.handover.as_ref().filter(|_| self.has_successor()) else { return false };
         let end = Instant::now() + HANDOVER_COMPLETION_TIME;
         // If the platform passes the socket, new connections wait in its queue for the successor; else the address must be free by the
         // time the successor binds it.
@@ -107,11 +109,13 @@
     actix_rt::spawn(async move { tally.log_tally(front).await });
 }
 
-impl<C: Transport> Front for Core<C> {
+impl<C: Transport> FrontFigures for Core<C> {
     fn gauge_values(&self) -> GaugeValues {
         Core::gauge_values(self)
     }
+}
 
+impl<C: Transport> FrontControl for Core<C> {
     fn set_disabled(&self, id: &str, disabled: bool) -> Result<(), SetDisabledError> {
         Core::set_disabled(self, id, disabled)
     }
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -160,6 +160,85 @@
     );
 }
 
+// Guards against a yes of the old process of an upgrade, behind the handover, to a call that then reaches nobody.
+#[test]
+fn calls_at_the_predecessor_after_the_handover_are_refused_and_the_successor_takes_them() {
+    upgrade(
+        "send a GET /-/ready
+         expect a 200
+         send s1 POST /notice id=j1 dest=7 timeout=9000
+         expect s1 202
+         expect n1 POST                                # the predecessor runs on with this claim",
+        "send relay term
+         expect relay2 log=platform_front_is_ready
+         send a PUT /-/drain
+         expect a 503
+         send a PUT /-/endpoints/n2/disable
+         expect a 503
+         send a GET /-/backlog
+         expect a 503
+         send s2 GET /ready
+         expect s2 200
+         send b PUT /-/drain
+         expect b 200
+         send a PUT /-/resume
+         expect a 503
+         send s3 GET /ready
+         expect s3 503
+         send n1 200
+         expect relay exit
+         send s4 GET /ready
+         expect s4 503
+         send b PUT /-/resume
+         expect b 200
+         send s5 GET /ready
+         expect s5 200",
+    );
+}
+
+// Guards against the same while the successor waits: the predecessor runs the relay, and its yes is handed over.
+#[test]
+fn until_sigterm_the_predecessor_takes_calls_and_the_successor_refuses_them() {
+    upgrade(
+        "send a GET /-/ready
+         expect a 200",
+        "send b PUT /-/drain
+         expect b 503
+         send a PUT /-/drain
+         expect a 200
+         send relay term
+         expect relay2 log=platform_front_is_ready
+         send s1 GET /ready
+         expect s1 503",
+    );
+}
+
+// Guards against a yes to a drain that ends with the process: the next one is not drained.
+#[test]
+fn a_process_that_shuts_down_alone_refuses_drains_and_takes_what_its_folder_keeps() {
+    play(
+        None,
+        "send list n1:7 n2:8
+         send relay start passed=yes
+         expect relay log=submitters_are_told
+         send a GET /-/ready
+         expect a 200
+         send relay term
+         expect relay log=shutting_down
+         send a PUT /-/drain
+         expect a 409
+         send a PUT /-/endpoints/n1/disable
+         expect a 200
+         expect relay exit
+         send relay2 start passed=yes
+         expect relay2 log=list_of_execute_nodes
+         send s1 GET /ready
+         expect s1 200
+         send b GET /-/metrics
+         expect b 200 edge_balancer_skipped_endpoints=1",
+    );
+}
+
 #[test]
 fn a_successor_that_dies_leaves_the_predecessor_running() {
     upgrade(
