A drain reaches the push front, and is handed over with it

What callers saw: PUT /-/drain at a process with a push front only is answered 200, "client connections are drained", and nobody is; with both fronts only the platform front's connections end. Behind an upgrade of a push front alone the new process is not drained.

Ruled out: the limiter's check misses HTTP/2 (at SIGTERM the same one sends GOAWAY).

Change: each front adds its limiter to the process's availability. A drain of a new HTTP/2 connection waits 0.3 s for its first request, as for HTTP/1.1; before, GOAWAY could come right behind the preface. The submitter of the scenario language reports the end of its connection.

Tests: a_drained_push_front_ends_its_connections_..., both_fronts_are_drained_and_resumed_together_... (real processes) failed before, both since the connection stays open, and pass; a_drain_leaves_a_new_multiplexed_connection_time_for_its_first_request.

--- a/relay/src/connection_limiter/state.rs
+++ b/relay/src/connection_limiter/state.rs
@@ -260,7 +260,8 @@
     /// Whether a drain may close it.
     pub(super) fn may_drain(&self, now: Instant) -> bool {
         if self.multiplexed.get() {
-            return true;
+            // What it has sent by then is still answered.
+            return self.requests.get() > 0 || now >= self.since.get() + FIRST_BYTES_TIME;
         }
         let min_age = if self.has_answered.get() { Duration::ZERO } else { FIRST_BYTES_TIME };
         self.phase.get() == Phase::Idle && now >= self.since.get() + min_age
--- a/relay/src/connection_limiter/tests.rs
+++ b/relay/src/connection_limiter/tests.rs
@@ -316,6 +316,27 @@
     assert!(serving.is_expired());
 }
 
+// Guards against a drained front that asks new connections to end before their first request can be read.
+#[test]
+fn a_drain_leaves_a_new_multiplexed_connection_time_for_its_first_request() {
+    let connections = OpenConnections::default();
+    let policy = ConnectionPolicy {
+        first_request_timeout: Duration::from_secs(2),
+        request_timeout: None,
+        idle_timeout: Duration::from_secs(60),
+        eviction: EvictionPolicy::IdleOnly,
+    };
+    let [new, used] = [0, 1].map(|_| connections.add(Duration::ZERO));
+    [&new, &used].into_iter().for_each(|state| state.multiplex());
+    drop(OpenRequest::begin(&used));
+    let closed_after = |millis| {
+        connections.close_expired(new.since.get() + Duration::from_millis(millis), &policy, true, false);
+        [&new, &used].map(|state| state.is_closed())
+    };
+    assert_eq!(closed_after(200), [false, true]);
+    assert_eq!(closed_after(300), [true, true]);
+}
+
 #[test]
 fn only_so_many_multiplexed_connections_are_asked_to_end_at_a_time() {
     let connections = OpenConnections::default();
--- a/relay/src/run/platform_front.rs
+++ b/relay/src/run/platform_front.rs
@@ -141,7 +141,7 @@
         let limiter =
             ConnectionLimiter::new(budget.submitter_connections()).with_memory(context.memory.budget());
         let limiter = Rc::new(limiter.with_metrics(context.client_metrics.clone()));
-        context.process.set_limiter(limiter.clone());
+        context.process.add_limiter(limiter.clone());
         let known_generation = match predecessor {
             Some(predecessor) => {
                 take_over(&core, &limiter, &budget, &context.memory, idle, predecessor, open).await
--- a/relay/src/run/process_availability.rs
+++ b/relay/src/run/process_availability.rs
@@ -8,11 +8,12 @@
 use crate::availability::{Availability, AvailabilityEvent};
 use crate::connection_limiter::ConnectionLimiter;
 
-/// The process's availability to submitters, and the connection limiter that it controls.
+/// The process's availability to submitters, and the connection limiters that it controls.
 #[derive(Default)]
 pub struct ProcessAvailability {
     availability: Rc<Cell<Availability>>,
-    limiter: RefCell<Option<Rc<ConnectionLimiter>>>,
+    /// One for each front that has opened.
+    limiters: RefCell<Vec<Rc<ConnectionLimiter>>>,
 }
 
 impl ProcessAvailability {
@@ -21,12 +22,12 @@
         self.availability.clone()
     }
 
-    /// Sets the limiter of the front's connections, and starts a drain that is in progress on it.
-    pub fn set_limiter(&self, limiter: Rc<ConnectionLimiter>) {
+    /// Adds the limiter of a front's connections, and starts a drain that is in progress on it.
+    pub fn add_limiter(&self, limiter: Rc<ConnectionLimiter>) {
         if self.availability.get().closes_connections() {
             limiter.drain(Some(Instant::now() + SHUTDOWN_SERVING_TIME));
         }
-        *self.limiter.borrow_mut() = Some(limiter);
+        self.limiters.borrow_mut().push(limiter);
     }
 
     /// Applies an event that is always possible, or whose effect may be none.
@@ -40,11 +41,10 @@
         let before = self.availability.get();
         let Some(after) = before.after(event) else { return false };
         self.availability.set(after);
-        if let Some(limiter) = &*self.limiter.borrow() {
-            // Set only on a change, so that a drain in progress keeps its start time.
-            if before.closes_connections() != after.closes_connections() {
-                limiter.drain(after.closes_connections().then(|| Instant::now() + SHUTDOWN_SERVING_TIME));
-            }
+        // Set only on a change, so that a drain in progress keeps its start time.
+        if before.closes_connections() != after.closes_connections() {
+            let from = after.closes_connections().then(|| Instant::now() + SHUTDOWN_SERVING_TIME);
+            self.limiters.borrow().iter().for_each(|limiter| limiter.drain(from));
         }
         if before.is_drained() != after.is_drained() {
             tracing::info!(
--- a/relay/src/run/push_front.rs
+++ b/relay/src/run/push_front.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime};
+use std::time::SystemTime;
 
-use super::running_front::{RunningFront, SHUTDOWN_SERVING_TIME, start_tasks};
+use super::running_front::{RunningFront, start_tasks};
 use super::step::{StartMode, open_journal, retry_socket};
 use super::{Error, StartContext};
 use crate::config::PushConfig;
@@ -86,6 +86,7 @@
         start_tasks(&core, "push");
         actix_rt::spawn(maintain_connections(core.clone()));
         let limiter = Rc::new(ConnectionLimiter::new(config.connections));
+        context.process.add_limiter(limiter.clone());
         let front = RunningFront::new(core.clone(), limiter.clone(), &config.state, context);
         let server = Server::new(core, &config, seed, context.memory.budget());
         let listener = address.listen_until_possible().await;
@@ -99,8 +100,6 @@
 impl PushFront {
     /// Stops the front after SIGTERM.
     pub async fn stop(&self, drained: bool) {
-        // Submitters are sent GOAWAY then; a handover brings that forward.
-        self.front.limiter.drain(Some(Instant::now() + SHUTDOWN_SERVING_TIME));
         self.front.stop(drained, |_| {}).await;
     }
 
--- a/relay/tests/scenario/http2.rs
+++ b/relay/tests/scenario/http2.rs
@@ -105,12 +105,16 @@
     let _ = reply.send_response(response.body(()).expect("a response"), true);
 }
 
-/// A submitter's connection; each response is reported with the body of its request as `to`.
+/// A submitter's connection; each response is reported with the body of its request as `to`, and the end of the connection as `closed`.
 pub fn submitter(relay: SocketAddr, events: Events, mut instructions: Instructions) {
     tokio::spawn(async move {
         let stream = TcpStream::connect(relay).await.expect("the relay listens");
         let (mut sender, connection) = h2::client::handshake(stream).await.expect("the HTTP/2 handshake");
-        tokio::spawn(connection);
+        let ended = events.clone();
+        tokio::spawn(async move {
+            let _ = connection.await;
+            let _ = ended.send(Event::new("closed", []));
+        });
         while let Some(instruction) = instructions.recv().await {
             let Ok(ready) = sender.ready().await else { break };
             sender = ready;
--- a/relay/tests/upgrade_of_both_fronts.rs
+++ b/relay/tests/upgrade_of_both_fronts.rs
@@ -109,3 +109,73 @@
          expect g1 nothing 300",
     );
 }
+
+// Guards against a yes to a drain that drains nobody since the process has a push front only, also behind an upgrade.
+#[test]
+fn a_drained_push_front_ends_its_connections_and_stays_drained_over_an_upgrade() {
+    play(
+        Some(ORDERS_FILE),
+        "send relay start admin=on
+         send p POST /order/a ttl=20 body=m1
+         expect p 201 to=m1
+         expect g1 POST body=m1
+         send a PUT /-/drain
+         expect a 200
+         expect p closed                               # by GOAWAY
+         send p2 POST /order/b ttl=20 body=m2          # new requests are served all the same
+         expect p2 201 to=m2
+         expect p2 closed
+         send relay2 start admin=on same_address
+         send b GET /-/ready
+         expect b 200
+         send relay term
+         expect relay2 log=push_front_is_ready
+         send p3 POST /order/c ttl=20 body=m3
+         expect p3 201 to=m3
+         expect p3 closed
+         send b PUT /-/resume
+         expect b 200
+         send p4 POST /order/d ttl=20 body=m4
+         expect p4 201 to=m4
+         wait 900
+         expect p4 never closed",
+    );
+}
+
+// Guards against a drain that ends the connections of one front only, and a drain or resume that the second front undoes as it opens.
+#[test]
+fn both_fronts_are_drained_and_resumed_together_over_an_upgrade() {
+    play(
+        Some(ORDERS_FILE),
+        "send list n1:7
+         send relay start both passed=yes
+         expect relay log=submitters_are_told
+         send p POST /order/a ttl=20 body=m1
+         expect p 201 to=m1
+         expect g1 POST body=m1
+         send a PUT /-/drain
+         expect a 200
+         expect p closed
+         send relay2 start both passed=yes same_address
+         send b GET /-/ready
+         expect b 200
+         send relay term
+         expect relay2 log=platform_front_is_ready
+         expect relay2 log=push_front_is_ready
+         send s1 GET /ready
+         expect s1 503
+         send p2 POST /order/b ttl=20 body=m2
+         expect p2 201 to=m2
+         expect p2 closed
+         send a PUT /-/resume
+         expect a 503
+         send b PUT /-/resume
+         expect b 200
+         send s2 GET /ready
+         expect s2 200
+         send p3 POST /order/c ttl=20 body=m3
+         expect p3 201 to=m3
+         wait 900
+         expect p3 never closed",
+    );
+}
