A drain outlasts the old process of an upgrade, also without a handover

What callers saw: an operator drains the old process of an upgrade, which runs the relay and answers 200. It is killed, or cannot hand over, while the new one waits; the new one is not drained, GET /ready says yes and messages are taken on.

Cause: until SIGTERM the drain was in the memory of the old process only (HandoverState::drained is sent behind it). Ruled out: the new process forgets it, since what is handed over is kept (a_disabled_endpoint_and_a_drain_persist_over_two_upgrades).

Change: the lock's file has a second line while its holder is drained, written before the call is answered. A process that finds the folder free is a restart, and is not drained, as before.

--- a/relay/src/handover/mod.rs
+++ b/relay/src/handover/mod.rs
@@ -85,6 +85,15 @@
     connection: Option<UnixStream>,
 }
 
+/// A folder that has become this process's.
+pub struct TakenFolder {
+    pub lock: Rc<StateLock>,
+    /// What a predecessor has handed over.
+    pub predecessor: Option<Predecessor>,
+    /// The relay is drained, by a predecessor that has handed over or ended.
+    pub drained: bool,
+}
+
 /// Claims a folder: locks it, or else tells the process that has the lock that this one waits for it. The predecessor has answered, or
 /// has failed to, when this returns.
 ///
@@ -117,10 +126,13 @@
     }
 
     /// Waits until the folder is this process's. The state that a predecessor hands over is returned with the lock. If it crashes or
-    /// cannot hand over, its lock is released when it exits, and only the journal is left to recover from.
-    pub async fn complete(self) -> (Rc<StateLock>, Option<Predecessor>) {
+    /// cannot hand over, its lock is released when it exits, and what it left in the folder is all there is to recover from. A process
+    /// that had ended before the folder was claimed leaves no drain: that is a restart.
+    pub async fn complete(self) -> TakenFolder {
         let PendingHandover { folder, connection } = match self {
-            FolderClaim::Owned(lock) => return (Rc::new(lock), None),
+            FolderClaim::Owned(lock) => {
+                return TakenFolder { lock: Rc::new(lock), predecessor: None, drained: false };
+            }
             FolderClaim::Pending(pending) => pending,
         };
         let predecessor = match connection {
@@ -136,7 +148,11 @@
         let mut logged = false;
         loop {
             match try_lock(&folder) {
-                Ok(Some(lock)) => return (Rc::new(lock), predecessor),
+                Ok(Some(lock)) => {
+                    let handed_over = predecessor.as_ref().map(|predecessor| predecessor.state.drained);
+                    let drained = handed_over.unwrap_or(lock.previous_was_drained());
+                    return TakenFolder { lock: Rc::new(lock), predecessor, drained };
+                }
                 Ok(None) => {}
                 Err(error) => {
                     if !std::mem::replace(&mut logged, true) {
--- a/relay/src/run/mod.rs
+++ b/relay/src/run/mod.rs
@@ -28,7 +28,7 @@
 use crate::clock;
 use crate::config::PushConfig;
 use crate::connection_limiter::ConnectionLimiter;
-use crate::handover::{FolderClaim, Predecessor};
+use crate::handover::{FolderClaim, Predecessor, TakenFolder};
 use crate::hook::{Hooks, Script};
 use crate::instances::{self, Instances};
 use crate::journal::Journal;
@@ -86,12 +86,13 @@
 }
 
 impl StartContext {
-    /// Waits until a front's state folder is this process's, and applies what its predecessor hands over for the whole process.
+    /// Waits until a front's state folder is this process's, and applies what its predecessor leaves for the whole process.
     async fn take_folder(&self, claim: FolderClaim, mode: StartMode) -> (Rc<StateLock>, Option<Predecessor>) {
-        let (lock, predecessor) = claim.complete().await;
-        if predecessor.as_ref().is_some_and(|predecessor| predecessor.state.drained) {
+        let TakenFolder { lock, predecessor, drained } = claim.complete().await;
+        if drained {
             self.process.apply_event(AvailabilityEvent::Drain);
         }
+        self.process.add_folder(&lock);
         if mode == StartMode::Successor {
             self.control.front_taken_over();
         }
--- a/relay/src/run/process_availability.rs
+++ b/relay/src/run/process_availability.rs
@@ -1,12 +1,13 @@
-//! The process's availability to submitters, applied to the connections of its fronts.
+//! The process's availability to submitters, applied to the connections of its fronts, and recorded in its state folders.
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Instant;
 
 use super::running_front::SHUTDOWN_SERVING_TIME;
 use crate::admin::AvailabilityControl;
 use crate::availability::{Availability, AvailabilityEvent};
 use crate::connection_limiter::ConnectionLimiter;
+use crate::state_lock::StateLock;
 
 /// The process's availability to submitters, and the connection limiters that it controls.
 #[derive(Default)]
@@ -14,6 +15,8 @@
     availability: Rc<Cell<Availability>>,
     /// One for each front that has opened.
     limiters: RefCell<Vec<Rc<ConnectionLimiter>>>,
+    /// The locks on the state folders, while this process has them.
+    folders: RefCell<Vec<Weak<StateLock>>>,
 }
 
 impl ProcessAvailability {
@@ -30,6 +33,14 @@
         self.limiters.borrow_mut().push(limiter);
     }
 
+    /// Adds a state folder that has become this process's, in which a drain is recorded for a process that takes the folder over.
+    pub fn add_folder(&self, lock: &Rc<StateLock>) {
+        if self.is_drained() {
+            record_drained(lock, true);
+        }
+        self.folders.borrow_mut().push(Rc::downgrade(lock));
+    }
+
     /// Applies an event that is always possible, or whose effect may be none.
     pub fn apply_event(&self, event: AvailabilityEvent) {
         self.apply(event);
@@ -40,6 +51,13 @@
     fn apply(&self, event: AvailabilityEvent) -> bool {
         let before = self.availability.get();
         let Some(after) = before.after(event) else { return false };
+        if before.is_drained() != after.is_drained() {
+            let folders = self.folders.borrow();
+            folders
+                .iter()
+                .filter_map(Weak::upgrade)
+                .for_each(|lock| record_drained(&lock, after.is_drained()));
+        }
         self.availability.set(after);
         // Set only on a change, so that a drain in progress keeps its start time.
         if before.closes_connections() != after.closes_connections() {
@@ -59,3 +77,11 @@
         self.availability.get().is_drained()
     }
 }
+
+/// Records in a state folder whether this process is drained. Without the record, a successor still learns it in a handover.
+fn record_drained(lock: &StateLock, drained: bool) {
+    if let Err(error) = lock.record_drained(drained) {
+        let folder = lock.folder().display();
+        tracing::warn!(%error, %folder, drained, "a drain or its end cannot be recorded; a successor learns it only by a handover");
+    }
+}
--- a/relay/src/state_lock.rs
+++ b/relay/src/state_lock.rs
@@ -3,24 +3,28 @@
 //!
 //! It is an advisory lock (flock) on the file `lock` in the folder. The kernel ties it to the file, so that a folder has one lock
 //! whatever path leads to it, and releases it when its holder exits, however that happens. The descriptor is closed on exec: no other
-//! program inherits it. The file has the holder's process number, for error messages only.
+//! program inherits it. The file has the holder's process number, for error messages only, and whether the holder is drained, for a process
+//! that takes the folder over without a handover: `PID`, and a second line `drained`.
 use rustix::io::Errno;
 use std::fmt;
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{self, Read, Seek, Write};
-use std::os::unix::fs::MetadataExt;
+use std::io::{self, Read};
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
 /// The file's name in the state folder.
 const NAME: &str = "lock";
-/// Longest content of the file that is read: more than any process number has.
-const MAX_HOLDER_BYTES: u64 = 32;
+/// Longest content of the file that is read: more than any record has.
+const MAX_RECORD_BYTES: u64 = 32;
+/// The second line of the file, while the holder is drained.
+const DRAINED: &str = "drained";
 
 /// Exclusive use of a state folder, until this is dropped.
 #[derive(Debug)]
 pub struct StateLock {
     folder: PathBuf,
     file: File,
+    previous_was_drained: bool,
 }
 
 /// Why a folder could not be locked.
@@ -75,20 +79,37 @@
             match file.try_lock() {
                 Ok(()) => {}
                 Err(TryLockError::WouldBlock) => {
-                    let holder = read_holder(&mut file);
+                    let holder = HolderRecord::read(&mut file).holder();
                     return Err(LockError::InUse { folder: folder.to_owned(), holder });
                 }
                 Err(TryLockError::Error(source)) => return Err(failed(source)),
             }
-            let mut lock = StateLock { folder: folder.to_owned(), file };
+            let previous_was_drained = HolderRecord::read(&mut file).drained;
+            let lock = StateLock { folder: folder.to_owned(), file, previous_was_drained };
             // The file may have been removed, or replaced, since it was opened: its lock would keep nobody out.
             if is_at(&path, &lock.file).map_err(failed)? {
-                write_holder(&mut lock.file);
+                // If it fails, the lock holds all the same, and an error message names nobody.
+                let _ = lock.file.set_len(0).and_then(|()| lock.record_drained(false));
                 return Ok(lock);
             }
         }
     }
 
+    /// Whether the last holder was drained when it ended.
+    pub fn previous_was_drained(&self) -> bool {
+        self.previous_was_drained
+    }
+
+    /// Records whether this process is drained. Once this returns, the record outlasts a kill.
+    ///
+    /// # Errors
+    /// The file system's.
+    pub fn record_drained(&self, drained: bool) -> io::Result<()> {
+        let record = HolderRecord { process: Some(std::process::id()), drained }.encode();
+        self.file.write_all_at(record.as_bytes(), 0)?;
+        self.file.set_len(record.len() as u64)
+    }
+
     /// The folder that is locked.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -120,19 +141,45 @@
     Ok((at_path.dev(), at_path.ino()) == (opened.dev(), opened.ino()))
 }
 
-/// Writes this process's number. If that fails, the lock holds all the same, and an error message names nobody.
-fn write_holder(file: &mut File) {
-    let number = std::process::id();
-    let _ = file.set_len(0).and_then(|()| file.write_all(format!("{number}\n").as_bytes()));
+/// What the file says of the holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct HolderRecord {
+    process: Option<u32>,
+    drained: bool,
 }
 
-fn read_holder(file: &mut File) -> Holder {
-    let mut text = String::new();
-    let read = file.rewind().and_then(|()| file.take(MAX_HOLDER_BYTES).read_to_string(&mut text));
-    match read.ok().and_then(|_| text.trim().parse().ok()) {
-        Some(number) if number == std::process::id() => Holder::ThisProcess,
-        Some(number) => Holder::Process(number),
-        None => Holder::Unknown,
+impl HolderRecord {
+    /// Reads the file from its beginning; what cannot be read is not known.
+    fn read(file: &mut File) -> HolderRecord {
+        let mut text = String::new();
+        match file.take(MAX_RECORD_BYTES).read_to_string(&mut text) {
+            Ok(_) => HolderRecord::parse(&text),
+            Err(_) => HolderRecord::default(),
+        }
+    }
+
+    fn parse(text: &str) -> HolderRecord {
+        let mut lines = text.lines();
+        let process = lines.next().and_then(|line| line.trim().parse().ok());
+        // Only behind a whole number: the line is its process's.
+        let drained = process.is_some() && lines.next() == Some(DRAINED);
+        HolderRecord { process, drained }
+    }
+
+    fn encode(self) -> String {
+        let process = self.process.map_or(String::new(), |process| process.to_string());
+        match self.drained {
+            true => format!("{process}\n{DRAINED}\n"),
+            false => format!("{process}\n"),
+        }
+    }
+
+    fn holder(self) -> Holder {
+        match self.process {
+            Some(process) if process == std::process::id() => Holder::ThisProcess,
+            Some(process) => Holder::Process(process),
+            None => Holder::Unknown,
+        }
     }
 }
 
--- a/relay/src/state_lock/tests.rs
+++ b/relay/src/state_lock/tests.rs
@@ -60,3 +60,34 @@
     drop(lock);
     StateLock::acquire(folder.path()).expect("released");
 }
+
+#[test]
+fn whether_the_holder_is_drained_is_known_to_the_next_one_only() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let acquire = || StateLock::acquire(folder.path()).expect("free");
+    let first = acquire();
+    assert!(!first.previous_was_drained());
+    first.record_drained(true).expect("written");
+    assert_eq!(holder_of(StateLock::acquire(folder.path())), Holder::ThisProcess);
+    drop(first);
+    let second = acquire();
+    assert!(second.previous_was_drained());
+    drop(second);
+    let third = acquire();
+    assert!(!third.previous_was_drained());
+    third.record_drained(true).expect("written");
+    third.record_drained(false).expect("written");
+    drop(third);
+    assert!(!acquire().previous_was_drained());
+}
+
+#[test]
+fn a_damaged_record_of_the_holder_is_no_drain() {
+    let record = |process, drained| HolderRecord { process, drained };
+    assert_eq!(HolderRecord::parse("12\ndrained\n"), record(Some(12), true));
+    assert_eq!(HolderRecord::parse("12\n"), record(Some(12), false));
+    assert_eq!(HolderRecord::parse("12\ndrai"), record(Some(12), false));
+    assert_eq!(HolderRecord::parse("12\n34\ndrained\n"), record(Some(12), false));
+    assert_eq!(HolderRecord::parse("\ndrained\n"), record(None, false));
+    assert_eq!(HolderRecord::parse(""), record(None, false));
+}
--- a/relay/tests/upgrade.rs
+++ b/relay/tests/upgrade.rs
@@ -213,6 +213,52 @@
     );
 }
 
+// Guards against a drain that dies with the old process of an upgrade, while the new one runs on: the two are one relay.
+#[test]
+fn a_drain_at_a_predecessor_that_is_killed_binds_the_waiting_successor() {
+    upgrade(
+        "send a GET /-/ready
+         expect a 200",
+        "send a PUT /-/drain
+         expect a 200
+         send relay kill
+         expect relay2 log=platform_front_is_ready
+         send s1 GET /ready
+         expect s1 503
+         send b PUT /-/resume
+         expect b 200
+         send s2 GET /ready
+         expect s2 200
+         send relay3 start passed=yes
+         send relay2 kill
+         expect relay3 log=platform_front_is_ready
+         send s3 GET /ready
+         expect s3 200",
+    );
+}
+
+// Guards against the same where the old process cannot hand over, as one of another version.
+#[test]
+fn a_drain_binds_a_process_that_waits_for_the_lock_and_ends_with_a_restart() {
+    upgrade(
+        "send a PUT /-/drain
+         expect a 200",
+        "send relay3 start passed=yes                  # refused: one waits already
+         send relay2 kill
+         expect relay log=the_successor_is_gone
+         send relay term
+         expect relay3 log=platform_front_is_ready
+         send s1 GET /ready
+         expect s1 503
+         send relay3 kill
+         expect relay3 exit
+         send relay start passed=yes
+         expect relay log=submitters_are_told
+         send s2 GET /ready
+         expect s2 200",
+    );
+}
+
 // Guards against a yes to a drain that ends with the process: the next one is not drained.
 #[test]
 fn a_process_that_shuts_down_alone_refuses_drains_and_takes_what_its_folder_keeps() {
